--- /dev/null
+++ b/crates/gateway/src/batch/client.rs
@@ -0,0 +1,299 @@
+//! The submitter's side: hands the pieces of a stage to the owner of its service.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+use wire::{Hello, Secret};
+
+use crate::batch::link::{Link, PULSE};
+use crate::batch::message::{FromOwner, Job, JobInput, ToOwner};
+use crate::batch::owner::{OWN, Owner, OwnerEvent};
+use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput};
+use crate::place::score;
+use crate::shared::Shared;
+
+/// How long an owner may take to accept a job. A dial, a few ms each way and a busy processor fit.
+const ACCEPT: Duration = Duration::from_millis(160);
+
+/// How long an owner with open jobs may be silent: some pulses, and a processor that others use.
+const SILENT: Duration = PULSE.saturating_mul(5);
+
+/// How long an owner that was silent is passed over.
+const SUSPECT: Duration = Duration::from_millis(1_500);
+
+/// To how many owners a job is handed at most.
+const OWNERS: usize = 3;
+
+/// The pieces of one stage of one request.
+pub(crate) struct JobSpec {
+    pub(crate) service: Arc<str>,
+    pub(crate) attempt: Arc<str>,
+    pub(crate) stage: u32,
+    pub(crate) pieces: u32,
+    pub(crate) input: PieceInput,
+    pub(crate) size: u64,
+    pub(crate) domain: Option<Arc<str>>,
+    pub(crate) due: Instant,
+    pub(crate) deadline: Instant,
+}
+
+/// The submitter's side of all services.
+pub(crate) struct Batches<D> {
+    shared: Arc<Shared<D>>,
+    owner: Owner,
+    secret: Secret,
+    me: Hello,
+    own: SocketAddr,
+    next: AtomicU64,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+    suspects: Mutex<HashMap<SocketAddr, Instant>>,
+}
+
+/// How a job ended at one owner.
+enum Ended {
+    Done,
+    Failed(PieceFailure),
+    Silent,
+}
+
+/// A job's pieces that are done and those that are left. Dropped before all are done, it gives the
+/// results up.
+struct Progress<'a, D: Dialect> {
+    batches: &'a Batches<D>,
+    done: BTreeMap<u32, Handle>,
+    left: BTreeSet<u32>,
+}
+
+impl<D: Dialect> Batches<D> {
+    pub(crate) fn new(
+        shared: Arc<Shared<D>>,
+        owner: Owner,
+        secret: Secret,
+        me: Hello,
+        own: SocketAddr,
+    ) -> Self {
+        Self {
+            shared,
+            owner,
+            secret,
+            me,
+            own,
+            next: AtomicU64::new(0),
+            links: Mutex::default(),
+            suspects: Mutex::default(),
+        }
+    }
+
+    /// Has all pieces of a stage made; returns their results in order.
+    ///
+    /// # Errors
+    /// With the first failure of a piece.
+    pub(crate) async fn run(&self, spec: &JobSpec) -> Result<Vec<Handle>, PieceFailure> {
+        let left = (0..spec.pieces).collect();
+        let mut progress = Progress { batches: self, done: BTreeMap::new(), left };
+        for turn in 0..OWNERS {
+            let Some(address) = self.owner_of(&spec.service) else { break };
+            if turn > 0 {
+                let entries = self.shared.entries();
+                let count = progress.left.len() as u32;
+                if !self.shared.budget.take(&spec.service, count, entries, Instant::now()) {
+                    break;
+                }
+            }
+            match self.run_at(address, spec, turn > 0, &mut progress).await {
+                Ended::Done => {
+                    let done = std::mem::take(&mut progress.done);
+                    return Ok(done.into_values().collect());
+                }
+                Ended::Failed(failure) => return Err(failure),
+                Ended::Silent => self.suspect(address, &spec.service),
+            }
+        }
+        Err(PieceFailure::Failed)
+    }
+
+    /// Gives results up; whoever owns a service tells their keepers.
+    pub(crate) fn free(&self, handles: &[Handle]) {
+        if handles.is_empty() {
+            return;
+        }
+        let directory = self.shared.directory();
+        let mut by_service: HashMap<Arc<str>, Vec<String>> = HashMap::new();
+        for handle in handles {
+            let address = D::keeper(handle);
+            let keeper = directory.all().find(|it| Some(it.address) == address);
+            if let Some(keeper) = keeper {
+                let list = by_service.entry(Arc::clone(&keeper.service)).or_default();
+                list.push(handle.to_string());
+            }
+        }
+        for (service, handles) in by_service {
+            let message = ToOwner::Free(handles);
+            match self.owner_of(&service) {
+                Some(address) if address != self.own => self.link(address).tell(message),
+                _ => {
+                    let (replies, _) = mpsc::unbounded_channel();
+                    self.owner.tell(OwnerEvent::Told(OWN, message, replies));
+                }
+            }
+        }
+    }
+
+    /// The owner of a service from this entry's view.
+    fn owner_of(&self, service: &str) -> Option<SocketAddr> {
+        let now = Instant::now();
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        suspects.retain(|_, until| now < *until);
+        let key = score(0, service);
+        let peers = self.shared.peers();
+        let others = peers.iter().map(|it| it.address).chain([self.own]);
+        let free = others.filter(|it| !suspects.contains_key(it) || *it == self.own);
+        free.max_by_key(|it| score(key, &it.to_string()))
+    }
+
+    fn suspect(&self, address: SocketAddr, service: &str) {
+        log::warn!(peer:% = address, service; "the owner of a service is silent; passing it over");
+        let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
+        suspects.insert(address, Instant::now() + SUSPECT);
+    }
+
+    fn link(&self, address: SocketAddr) -> Arc<Link> {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.retain(|_, it| !it.is_ended());
+        let open = || Link::open(address, self.secret.clone(), self.me.clone());
+        Arc::clone(links.entry(address).or_insert_with(open))
+    }
+
+    async fn run_at(
+        &self,
+        address: SocketAddr,
+        spec: &JobSpec,
+        again: bool,
+        progress: &mut Progress<'_, D>,
+    ) -> Ended {
+        let id = self.next.fetch_add(1, Ordering::Relaxed) + 1;
+        let message = ToOwner::Submit(job(id, spec, again, &progress.left));
+        let (replies, mut answers) = mpsc::unbounded_channel();
+        if address == self.own {
+            let _guard = LocalJob { owner: &self.owner, id };
+            self.owner.tell(OwnerEvent::Told(OWN, message, replies));
+            while let Some(answer) = answers.recv().await {
+                if let Some(ended) = progress.take(answer) {
+                    return ended;
+                }
+            }
+            return Ended::Silent;
+        }
+        let link = self.link(address);
+        let _guard = RemoteJob { link: &link, id };
+        if !link.wait(id, replies) {
+            return Ended::Silent;
+        }
+        link.tell(message);
+        let mut by = Instant::now() + ACCEPT;
+        let mut accepted = false;
+        loop {
+            match timeout_at(by, answers.recv()).await {
+                Ok(Some(answer)) => {
+                    accepted = true;
+                    if let Some(ended) = progress.take(answer) {
+                        return ended;
+                    }
+                    by = Instant::now() + SILENT;
+                }
+                Ok(None) => return Ended::Silent,
+                Err(_) => {
+                    let heard = link.heard().filter(|_| accepted);
+                    match heard.map(|it| it + SILENT).filter(|it| *it > Instant::now()) {
+                        Some(later) => by = later,
+                        None => return Ended::Silent,
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl<D: Dialect> Progress<'_, D> {
+    fn take(&mut self, answer: FromOwner) -> Option<Ended> {
+        let results = match answer {
+            FromOwner::Results(_, results) => results,
+            FromOwner::Refused(_) => return Some(Ended::Silent),
+            FromOwner::Accepted(_) | FromOwner::Pulse => return None,
+        };
+        for (segment, result) in results {
+            match result {
+                Ok(handle) if self.left.remove(&segment) => {
+                    self.done.insert(segment, handle.into());
+                }
+                Ok(_) => {}
+                Err(failure) => return Some(Ended::Failed(failure)),
+            }
+        }
+        self.left.is_empty().then_some(Ended::Done)
+    }
+}
+
+fn job(id: u64, spec: &JobSpec, again: bool, left: &BTreeSet<u32>) -> Job {
+    let now = Instant::now();
+    let input = match &spec.input {
+        PieceInput::Key(key) => JobInput::Key(key.to_string()),
+        PieceInput::Results(handles) => {
+            JobInput::Results(handles.iter().map(ToString::to_string).collect())
+        }
+    };
+    let early = spec.due.saturating_duration_since(now).as_millis() as i64;
+    let late = now.saturating_duration_since(spec.due).as_millis() as i64;
+    Job {
+        id,
+        service: spec.service.to_string(),
+        attempt: spec.attempt.to_string(),
+        stage: spec.stage,
+        segments: left.iter().copied().collect(),
+        input,
+        size: spec.size,
+        domain: spec.domain.as_ref().map(ToString::to_string),
+        due_ms: early - late,
+        left_ms: spec.deadline.saturating_duration_since(now).as_millis() as u64,
+        again,
+    }
+}
+
+impl<D: Dialect> Drop for Progress<'_, D> {
+    fn drop(&mut self) {
+        let handles: Vec<Handle> = std::mem::take(&mut self.done).into_values().collect();
+        self.batches.free(&handles);
+    }
+}
+
+/// A job at this entry's own owner; cancelled when its request ends, so that no piece is made for
+/// a caller that left.
+struct LocalJob<'a> {
+    owner: &'a Owner,
+    id: u64,
+}
+
+impl Drop for LocalJob<'_> {
+    fn drop(&mut self) {
+        let (replies, _) = mpsc::unbounded_channel();
+        self.owner.tell(OwnerEvent::Told(OWN, ToOwner::Cancel(self.id), replies));
+    }
+}
+
+/// A job at another entry; cancelled when its request ends.
+struct RemoteJob<'a> {
+    link: &'a Link,
+    id: u64,
+}
+
+impl Drop for RemoteJob<'_> {
+    fn drop(&mut self) {
+        self.link.forget(self.id);
+        self.link.tell(ToOwner::Cancel(self.id));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/batch/link.rs
@@ -0,0 +1,195 @@
+//! Connections between entries for stage pieces.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+use wire::{Connection, Hello, Kind, Listener, Secret};
+
+use crate::batch::message::{FromOwner, ToOwner};
+use crate::batch::owner::{Owner, OwnerEvent};
+
+/// How often an owner shows a submitter with open jobs that it lives.
+pub(crate) const PULSE: Duration = Duration::from_millis(60);
+
+/// How long a dial may take.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A connection to an owner.
+pub(crate) struct Link {
+    sender: mpsc::UnboundedSender<ToOwner>,
+    waiting: Mutex<Waiting>,
+}
+
+#[derive(Default)]
+struct Waiting {
+    jobs: HashMap<u64, mpsc::UnboundedSender<FromOwner>>,
+    heard: Option<Instant>,
+    ended: bool,
+}
+
+impl Link {
+    /// Opens a connection; it comes up in the background.
+    pub(crate) fn open(address: SocketAddr, secret: Secret, me: Hello) -> Arc<Self> {
+        let (sender, outgoing) = mpsc::unbounded_channel();
+        let link = Arc::new(Self { sender, waiting: Mutex::default() });
+        tokio::spawn(drive(Arc::clone(&link), address, secret, me, outgoing));
+        link
+    }
+
+    /// Whether the connection has ended.
+    pub(crate) fn is_ended(&self) -> bool {
+        self.lock().ended
+    }
+
+    /// When the owner was heard last.
+    pub(crate) fn heard(&self) -> Option<Instant> {
+        self.lock().heard
+    }
+
+    /// Tells the owner something; lost where the connection has ended.
+    pub(crate) fn tell(&self, message: ToOwner) {
+        // A link that ended is seen by `is_ended`.
+        let _ = self.sender.send(message);
+    }
+
+    /// Registers where the answers to a job go; false where the connection has ended.
+    pub(crate) fn wait(&self, job: u64, replies: mpsc::UnboundedSender<FromOwner>) -> bool {
+        let mut waiting = self.lock();
+        if waiting.ended {
+            return false;
+        }
+        waiting.jobs.insert(job, replies);
+        true
+    }
+
+    /// Forgets a job.
+    pub(crate) fn forget(&self, job: u64) {
+        self.lock().jobs.remove(&job);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take(&self, message: FromOwner) {
+        let mut waiting = self.lock();
+        waiting.heard = Some(Instant::now());
+        let id = match &message {
+            FromOwner::Accepted(id) | FromOwner::Refused(id) | FromOwner::Results(id, _) => *id,
+            FromOwner::Pulse => return,
+        };
+        if let Some(job) = waiting.jobs.get(&id) {
+            // The job may have been given up just now.
+            let _ = job.send(message);
+        }
+    }
+
+    /// Ends all jobs: their senders go, which their receivers see.
+    fn end(&self) {
+        let mut waiting = self.lock();
+        waiting.ended = true;
+        waiting.jobs.clear();
+    }
+}
+
+async fn drive(
+    link: Arc<Link>,
+    address: SocketAddr,
+    secret: Secret,
+    me: Hello,
+    mut outgoing: mpsc::UnboundedReceiver<ToOwner>,
+) {
+    let dialled = timeout(DIAL_TIMEOUT, wire::connect(address, &secret, me, Kind::Entry)).await;
+    if let Ok(Ok(connection)) = dialled {
+        let (sender, mut receiver) = connection.split::<ToOwner, FromOwner>();
+        loop {
+            tokio::select! {
+                message = outgoing.recv() => {
+                    let Some(message) = message else { break };
+                    if sender.send(&message).await.is_err() {
+                        break;
+                    }
+                }
+                message = receiver.recv() => match message {
+                    Ok(Some(message)) => link.take(message),
+                    Ok(None) | Err(_) => break,
+                },
+            }
+        }
+    }
+    log::info!(peer:% = address; "the connection to another entry ended");
+    link.end();
+}
+
+/// Takes other entries' connections.
+pub(crate) async fn accept(mut listener: Listener, owner: Owner) {
+    let mut origin = 0;
+    loop {
+        match listener.accept().await {
+            Ok((hello, connection)) if hello.kind == Kind::Entry => {
+                origin += 1;
+                tokio::spawn(serve(origin, connection, owner.clone()));
+            }
+            Ok(_) => {}
+            Err(error) => {
+                log::error!(cause:% = error; "the listener for other entries ended");
+                return;
+            }
+        }
+    }
+}
+
+/// Serves one submitter until its connection ends.
+async fn serve(origin: u64, connection: Connection, owner: Owner) {
+    let (sender, mut receiver) = connection.split::<FromOwner, ToOwner>();
+    let (replies, mut answers) = mpsc::unbounded_channel();
+    let mut pulse = interval(PULSE);
+    pulse.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut left: HashMap<u64, usize> = HashMap::new();
+    loop {
+        let busy = !left.is_empty();
+        let answer = tokio::select! {
+            message = receiver.recv() => match message {
+                Ok(Some(message)) => {
+                    match &message {
+                        ToOwner::Submit(job) => {
+                            left.insert(job.id, job.segments.len());
+                        }
+                        ToOwner::Cancel(id) => {
+                            left.remove(id);
+                        }
+                        ToOwner::Free(_) => {}
+                    }
+                    owner.tell(OwnerEvent::Told(origin, message, replies.clone()));
+                    continue;
+                }
+                Ok(None) | Err(_) => break,
+            },
+            answer = answers.recv() => match answer {
+                Some(answer) => answer,
+                None => break,
+            },
+            _ = pulse.tick(), if busy => FromOwner::Pulse,
+        };
+        if let FromOwner::Results(id, results) = &answer {
+            let done = left.get_mut(id).is_some_and(|it| {
+                *it = it.saturating_sub(results.len());
+                *it == 0
+            });
+            if done {
+                left.remove(id);
+            }
+        }
+        if let FromOwner::Refused(id) = &answer {
+            left.remove(id);
+        }
+        if sender.send(&answer).await.is_err() {
+            break;
+        }
+    }
+    owner.tell(OwnerEvent::Left(origin));
+}
--- /dev/null
+++ b/crates/gateway/src/batch/message.rs
@@ -0,0 +1,60 @@
+//! What entries tell the owner of a service, and what it answers.
+
+use serde::{Deserialize, Serialize};
+
+use crate::dialect::PieceFailure;
+
+/// What the pieces of a job work on.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum JobInput {
+    /// The key of the request.
+    Key(String),
+    /// Results of stages before.
+    Results(Vec<String>),
+}
+
+/// The pieces of one stage of one request.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Job {
+    /// The submitting entry's number of the job.
+    pub(crate) id: u64,
+    pub(crate) service: String,
+    pub(crate) attempt: String,
+    pub(crate) stage: u32,
+    pub(crate) segments: Vec<u32>,
+    pub(crate) input: JobInput,
+    /// The size of one result in bytes.
+    pub(crate) size: u64,
+    /// The failure domain in which the results are used.
+    pub(crate) domain: Option<String>,
+    /// When the results should be there, in ms from now; past if negative.
+    pub(crate) due_ms: i64,
+    /// When they are of no use any more, in ms from now.
+    pub(crate) left_ms: u64,
+    /// Whether the pieces were handed to another owner before.
+    pub(crate) again: bool,
+}
+
+/// What an entry tells an owner.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum ToOwner {
+    /// Asks for the pieces of a job.
+    Submit(Job),
+    /// Gives a job up.
+    Cancel(u64),
+    /// Gives results up.
+    Free(Vec<String>),
+}
+
+/// What an owner tells an entry.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum FromOwner {
+    /// The owner ends and takes no more jobs.
+    Refused(u64),
+    /// The job was taken.
+    Accepted(u64),
+    /// Results of some pieces of a job.
+    Results(u64, Vec<(u32, Result<String, PieceFailure>)>),
+    /// The owner lives and works on jobs of this entry.
+    Pulse,
+}
--- /dev/null
+++ b/crates/gateway/src/batch/owner.rs
@@ -0,0 +1,408 @@
+//! The owner's side: queues the pieces of its services and drives the calls.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use crate::batch::message::{FromOwner, Job, JobInput, ToOwner};
+use crate::batch::queue::{JobKey, Lane, NextCall, Piece, Queue};
+use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput, PieceResult};
+use crate::exchange::{self, Fault};
+use crate::shared::Shared;
+use crate::upstream::Upstream;
+
+/// How often waiting pieces are looked at besides events.
+const PERIOD: Duration = Duration::from_millis(25);
+
+/// How often one piece may be sent.
+const SENDS: u32 = 3;
+
+/// A call that takes this many times its expected time, and [`OVERDUE`] more, is overdue: its
+/// pieces are sent elsewhere while it goes on.
+const OVERDUE_FACTOR: f64 = 2.0;
+
+/// See [`OVERDUE_FACTOR`].
+const OVERDUE: Duration = Duration::from_millis(150);
+
+/// The longest a call may take.
+const CALL_LIMIT: Duration = Duration::from_secs(6);
+
+/// How long given-up results are collected before the upstream is told.
+const FREE_PERIOD: Duration = Duration::from_millis(60);
+
+/// The origin of this entry's own jobs.
+pub(crate) const OWN: u64 = 0;
+
+/// Where a job's answers go.
+pub(crate) type Replies = mpsc::UnboundedSender<FromOwner>;
+
+/// What the owner is told.
+pub(crate) enum OwnerEvent {
+    /// A connection, or this entry itself, tells something.
+    Told(u64, ToOwner, Replies),
+    /// A connection has ended.
+    Left(u64),
+    /// A call has ended.
+    Ended(CallEnd),
+}
+
+/// The end of a call.
+pub(crate) struct CallEnd {
+    service: Arc<str>,
+    upstream: Arc<Upstream>,
+    call: u64,
+    pieces: Vec<Piece>,
+    took: Duration,
+    outcome: Result<Vec<PieceResult>, Fault>,
+}
+
+/// What the owner needs.
+pub(crate) struct OwnerConfig<D> {
+    pub(crate) shared: Arc<Shared<D>>,
+}
+
+/// The handle of a running owner.
+#[derive(Clone)]
+pub(crate) struct Owner {
+    events: mpsc::UnboundedSender<OwnerEvent>,
+}
+
+/// A job that is not done.
+struct Open {
+    service: Arc<str>,
+    replies: Replies,
+    left: HashSet<u32>,
+}
+
+/// A call under way.
+struct Flying {
+    call: u64,
+    overdue: Instant,
+    pieces: Vec<Piece>,
+    requeued: bool,
+}
+
+struct State<D> {
+    shared: Arc<Shared<D>>,
+    events: mpsc::UnboundedSender<OwnerEvent>,
+    queues: HashMap<Arc<str>, Queue>,
+    jobs: HashMap<JobKey, Open>,
+    flying: HashMap<Arc<str>, Flying>,
+    calls: u64,
+    free: HashMap<std::net::SocketAddr, Vec<Handle>>,
+    freed: Instant,
+}
+
+impl Owner {
+    /// Starts an owner.
+    pub(crate) fn spawn<D: Dialect>(config: OwnerConfig<D>) -> Self {
+        let (events, incoming) = mpsc::unbounded_channel();
+        let state = State {
+            shared: config.shared,
+            events: events.clone(),
+            queues: HashMap::new(),
+            jobs: HashMap::new(),
+            flying: HashMap::new(),
+            calls: 0,
+            free: HashMap::new(),
+            freed: Instant::now(),
+        };
+        tokio::spawn(run(state, incoming));
+        Self { events }
+    }
+
+    /// Tells the owner something; it lives as long as the process.
+    pub(crate) fn tell(&self, event: OwnerEvent) {
+        // The owner's task ends only with the process.
+        let _ = self.events.send(event);
+    }
+}
+
+async fn run<D: Dialect>(mut state: State<D>, mut incoming: mpsc::UnboundedReceiver<OwnerEvent>) {
+    let mut ticks = interval(PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let busy = !state.jobs.is_empty() || !state.free.is_empty();
+        tokio::select! {
+            event = incoming.recv() => {
+                let Some(event) = event else { return };
+                state.take(event);
+                while let Ok(event) = incoming.try_recv() {
+                    state.take(event);
+                }
+            }
+            _ = ticks.tick(), if busy => {}
+        }
+        state.turn();
+    }
+}
+
+impl<D: Dialect> State<D> {
+    fn take(&mut self, event: OwnerEvent) {
+        match event {
+            OwnerEvent::Told(origin, ToOwner::Submit(job), replies) => {
+                self.submit(origin, job, replies);
+            }
+            OwnerEvent::Told(origin, ToOwner::Cancel(id), _) => {
+                let key = JobKey { origin, id };
+                self.jobs.remove(&key);
+                self.queues.values_mut().for_each(|it| it.cancel(key));
+            }
+            OwnerEvent::Told(_, ToOwner::Free(handles), _) => self.give_up(handles),
+            OwnerEvent::Left(origin) => {
+                self.jobs.retain(|key, _| key.origin != origin);
+                self.queues.values_mut().for_each(|it| it.drop_jobs(|key| key.origin == origin));
+            }
+            OwnerEvent::Ended(end) => self.ended(end),
+        }
+    }
+
+    fn submit(&mut self, origin: u64, job: Job, replies: Replies) {
+        let now = Instant::now();
+        let plan = self.shared.plan();
+        let service: Arc<str> = job.service.as_str().into();
+        let spec = plan.as_ref().and_then(|it| it.services.get(&service)).and_then(|it| it.batch);
+        // The submitter may have ended meanwhile, here and below.
+        if self.shared.drain.is_ending() && origin != OWN {
+            let _ = replies.send(FromOwner::Refused(job.id));
+            return;
+        }
+        let _ = replies.send(FromOwner::Accepted(job.id));
+        let Some(spec) = spec else {
+            let failed = job.segments.iter().map(|it| (*it, Err(PieceFailure::Failed))).collect();
+            let _ = replies.send(FromOwner::Results(job.id, failed));
+            return;
+        };
+        self.shared.budget.request(&service, now);
+        let key = JobKey { origin, id: job.id };
+        let input = match job.input {
+            JobInput::Key(key) => PieceInput::Key(key.into()),
+            JobInput::Results(handles) => {
+                PieceInput::Results(Arc::new(handles.into_iter().map(Handle::from).collect()))
+            }
+        };
+        let due = match u64::try_from(job.due_ms) {
+            Ok(ms) => now + Duration::from_millis(ms),
+            Err(_) => now,
+        };
+        let queue = self.queues.entry(Arc::clone(&service)).or_insert_with(|| Queue::new(spec));
+        queue.set_spec(spec);
+        let attempt: Arc<str> = job.attempt.into();
+        let domain: Option<Arc<str>> = job.domain.map(Arc::from);
+        for segment in &job.segments {
+            queue.push(Piece {
+                job: key,
+                attempt: Arc::clone(&attempt),
+                stage: job.stage,
+                segment: *segment,
+                input: input.clone(),
+                size: job.size,
+                domain: domain.clone(),
+                due,
+                deadline: now + Duration::from_millis(job.left_ms),
+                since: now,
+                sent: u32::from(job.again),
+            });
+        }
+        let left = job.segments.into_iter().collect();
+        self.jobs.insert(key, Open { service, replies, left });
+    }
+
+    fn give_up(&mut self, handles: Vec<String>) {
+        let handles: Vec<Handle> = handles.into_iter().map(Handle::from).collect();
+        self.queues.values_mut().for_each(|it| it.freed(&handles));
+        for handle in handles {
+            if let Some(address) = D::keeper(&handle) {
+                self.free.entry(address).or_default().push(handle);
+            }
+        }
+    }
+
+    /// Sends what should go out now.
+    fn turn(&mut self) {
+        let now = Instant::now();
+        self.requeue_overdue(now);
+        let services: Vec<Arc<str>> = self.queues.keys().cloned().collect();
+        for service in services {
+            let expired = self.queues.get_mut(&service).map(|it| it.take_expired(now));
+            for piece in expired.unwrap_or_default() {
+                self.deliver(&piece, Err(PieceFailure::Late));
+            }
+            self.send_calls(&service, now);
+        }
+        if !self.free.is_empty() && now.duration_since(self.freed) >= FREE_PERIOD {
+            self.freed = now;
+            self.send_free();
+        }
+    }
+
+    fn send_calls(&mut self, service: &Arc<str>, now: Instant) {
+        let directory = self.shared.directory();
+        let upstreams = directory.service(service);
+        let lanes: Vec<Lane> = upstreams
+            .iter()
+            .map(|it| Lane {
+                id: Arc::clone(&it.id),
+                domain: Arc::clone(&it.domain),
+                open: it.is_open() && !it.is_paused(now) && !self.flying.contains_key(&it.id),
+            })
+            .collect();
+        let Some(queue) = self.queues.get_mut(service) else { return };
+        queue.retain(|id| upstreams.iter().any(|it| &*it.id == id));
+        let mut lanes = lanes;
+        while let Some(next) = queue.next(&lanes, now) {
+            let Some(upstream) = upstreams.iter().find(|it| it.id == next.upstream) else { break };
+            lanes.iter_mut().filter(|it| it.id == next.upstream).for_each(|it| it.open = false);
+            self.calls += 1;
+            let overdue = now + next.expected.mul_f64(OVERDUE_FACTOR) + OVERDUE;
+            let flying =
+                Flying { call: self.calls, overdue, pieces: next.pieces.clone(), requeued: false };
+            self.flying.insert(Arc::clone(&next.upstream), flying);
+            let (events, upstream) = (self.events.clone(), Arc::clone(upstream));
+            tokio::spawn(call::<D>(events, Arc::clone(service), upstream, self.calls, next));
+        }
+    }
+
+    /// Puts the pieces of calls that are overdue back, where the budget allows it.
+    fn requeue_overdue(&mut self, now: Instant) {
+        let mut again: Vec<Piece> = Vec::new();
+        for flying in self.flying.values_mut() {
+            if flying.requeued || now < flying.overdue {
+                continue;
+            }
+            flying.requeued = true;
+            let jobs = &self.jobs;
+            let open =
+                |it: &&Piece| jobs.get(&it.job).is_some_and(|job| job.left.contains(&it.segment));
+            again.extend(flying.pieces.iter().filter(open).cloned());
+        }
+        for piece in again {
+            self.requeue(piece, now);
+        }
+    }
+
+    /// Puts a piece back, or fails it where it was sent too often.
+    fn requeue(&mut self, piece: Piece, now: Instant) {
+        let Some(service) = self.service_of(&piece) else { return };
+        let entries = self.shared.entries();
+        if piece.sent >= SENDS || !self.shared.budget.take(&service, 1, entries, now) {
+            self.deliver(&piece, Err(PieceFailure::Failed));
+            return;
+        }
+        if let Some(queue) = self.queues.get_mut(&service) {
+            queue.push(piece);
+        }
+    }
+
+    fn service_of(&self, piece: &Piece) -> Option<Arc<str>> {
+        self.jobs.get(&piece.job).map(|it| Arc::clone(&it.service))
+    }
+
+    fn ended(&mut self, end: CallEnd) {
+        let now = Instant::now();
+        let flying = self.flying.remove(&end.upstream.id);
+        let requeued = flying.as_ref().is_some_and(|it| it.call == end.call && it.requeued);
+        let whole = end.outcome.is_ok();
+        if let Some(queue) = self.queues.get_mut(&end.service) {
+            queue.ended(&end.upstream.id, end.pieces.len(), whole.then_some(end.took));
+        }
+        match end.outcome {
+            Ok(ref results) => {
+                end.upstream.succeeded();
+                for (piece, result) in end.pieces.iter().zip(results) {
+                    self.take_result(&end, piece, result.clone(), requeued, now);
+                }
+            }
+            Err(fault) => {
+                log::warn!(upstream:% = end.upstream.id, service:% = end.service,
+                    pieces = end.pieces.len(), cause:% = fault,
+                    ms = end.took.as_millis() as u64; "a call with pieces failed");
+                if !fault.not_run || fault.unreachable {
+                    end.upstream.failed(fault.unreachable);
+                }
+                if requeued {
+                    return;
+                }
+                for piece in end.pieces {
+                    self.requeue(piece, now);
+                }
+            }
+        }
+    }
+
+    fn take_result(
+        &mut self,
+        end: &CallEnd,
+        piece: &Piece,
+        result: PieceResult,
+        requeued: bool,
+        now: Instant,
+    ) {
+        match result {
+            Ok(handle) => {
+                if let Some(queue) = self.queues.get_mut(&end.service) {
+                    queue.kept(&end.upstream.id, piece.size, Arc::clone(&handle), now);
+                }
+                if !self.deliver(piece, Ok(Arc::clone(&handle))) {
+                    // Nobody waits for it any more.
+                    self.give_up(vec![handle.to_string()]);
+                }
+            }
+            Err(PieceFailure::NoRoom | PieceFailure::Failed) if !requeued => {
+                self.requeue(piece.clone(), now);
+            }
+            Err(PieceFailure::NoRoom | PieceFailure::Failed) => {}
+            Err(failure) => {
+                self.deliver(piece, Err(failure));
+            }
+        }
+    }
+
+    /// Answers a piece, once; returns whether somebody waited for it.
+    fn deliver(&mut self, piece: &Piece, result: PieceResult) -> bool {
+        let Some(open) = self.jobs.get_mut(&piece.job) else { return false };
+        if !open.left.remove(&piece.segment) {
+            return false;
+        }
+        let result = result.map(|it| it.to_string());
+        let told = FromOwner::Results(piece.job.id, vec![(piece.segment, result)]);
+        let sent = open.replies.send(told).is_ok();
+        if open.left.is_empty() {
+            self.jobs.remove(&piece.job);
+        }
+        sent
+    }
+
+    fn send_free(&mut self) {
+        let directory = self.shared.directory();
+        for (address, handles) in self.free.drain() {
+            let keeper = directory.all().find(|it| it.address == address);
+            let Some(keeper) = keeper.cloned() else { continue };
+            tokio::spawn(async move {
+                if let Err(fault) = exchange::free::<D>(&keeper, &handles).await {
+                    log::debug!(upstream:% = keeper.id, cause:% = fault;
+                        "results could not be given up; they end by themselves");
+                }
+            });
+        }
+    }
+}
+
+async fn call<D: Dialect>(
+    events: mpsc::UnboundedSender<OwnerEvent>,
+    service: Arc<str>,
+    upstream: Arc<Upstream>,
+    call: u64,
+    next: NextCall,
+) {
+    let start = Instant::now();
+    let calls: Vec<_> = next.pieces.iter().map(|it| it.call(start)).collect();
+    let outcome = exchange::pieces::<D>(&upstream, &calls, start + CALL_LIMIT).await;
+    let took = start.elapsed();
+    let end = CallEnd { service, upstream, call, pieces: next.pieces, took, outcome };
+    // The owner's task ends only with the process.
+    let _ = events.send(OwnerEvent::Ended(end));
+}
--- /dev/null
+++ b/crates/gateway/src/batch/queue.rs
@@ -0,0 +1,307 @@
+//! Decides which pieces go into the next call, and where. Time is passed in; no I/O.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::dialect::{PieceCall, PieceInput};
+use crate::plan::BatchSpec;
+
+/// Results from this size on are worth waiting for a maker in the domain that uses them, in bytes.
+const LARGE: u64 = 200_000;
+
+/// How long a piece with a large result waits for a maker in its domain.
+const DOMAIN_WAIT: Duration = Duration::from_millis(120);
+
+/// How long before its deadline a late piece becomes as urgent as one that is in time.
+const LATE_MARGIN: Duration = Duration::from_millis(1_500);
+
+/// The weight of the latest call in an upstream's speed.
+const SPEED_WEIGHT: f64 = 0.4;
+
+/// An upstream this many times slower than announced gets work only where it ends soonest.
+const SLOW: f64 = 1.5;
+
+/// Names a job: the connection it came by and its number there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct JobKey {
+    /// The connection.
+    pub origin: u64,
+    /// The number.
+    pub id: u64,
+}
+
+/// A piece that waits.
+#[derive(Clone, Debug)]
+pub struct Piece {
+    /// Its job.
+    pub job: JobKey,
+    /// The caller's id of the attempt.
+    pub attempt: Arc<str>,
+    /// The number of the stage.
+    pub stage: u32,
+    /// The number of the piece.
+    pub segment: u32,
+    /// What it works on.
+    pub input: PieceInput,
+    /// The size of its result in bytes.
+    pub size: u64,
+    /// The failure domain in which the result is used.
+    pub domain: Option<Arc<str>>,
+    /// When the result should be there.
+    pub due: Instant,
+    /// When it is of no use any more.
+    pub deadline: Instant,
+    /// Since when it waits.
+    pub since: Instant,
+    /// How often it was sent to an upstream.
+    pub sent: u32,
+}
+
+impl Piece {
+    /// Gives the piece as an upstream is told it.
+    pub fn call(&self, now: Instant) -> PieceCall {
+        PieceCall {
+            attempt: Arc::clone(&self.attempt),
+            stage: self.stage,
+            segment: self.segment,
+            left: self.deadline.saturating_duration_since(now),
+            input: self.input.clone(),
+        }
+    }
+
+    /// The moment by which pieces are ordered: when it is due while that can be met, and shortly
+    /// before its deadline after that. Pieces that can still be in time go before those that
+    /// can't, but no piece is left until its deadline passes.
+    fn urgency(&self, now: Instant) -> Instant {
+        if self.due > now {
+            self.due
+        } else {
+            self.deadline.checked_sub(LATE_MARGIN).unwrap_or(now)
+        }
+    }
+}
+
+/// An upstream as the queue sees it.
+#[derive(Clone, Debug)]
+pub struct Lane {
+    /// Its id.
+    pub id: Arc<str>,
+    /// Its failure domain.
+    pub domain: Arc<str>,
+    /// Whether it may get a call.
+    pub open: bool,
+}
+
+/// What the queue remembers of an upstream.
+#[derive(Clone, Debug)]
+struct Memory {
+    /// Until when its present call is likely to take.
+    busy: Option<Instant>,
+    /// Its time for a call over the announced one.
+    speed: f64,
+    /// Results that it keeps: their size and when they end.
+    kept: Vec<(u64, Instant, Arc<str>)>,
+}
+
+impl Default for Memory {
+    fn default() -> Self {
+        Self { busy: None, speed: 1.0, kept: Vec::new() }
+    }
+}
+
+/// A call that should go out now.
+#[derive(Clone, Debug)]
+pub struct NextCall {
+    /// The upstream.
+    pub upstream: Arc<str>,
+    /// The pieces.
+    pub pieces: Vec<Piece>,
+    /// How long it is likely to take.
+    pub expected: Duration,
+}
+
+/// The pieces of one service.
+#[derive(Debug)]
+pub struct Queue {
+    spec: BatchSpec,
+    waiting: Vec<Piece>,
+    memory: HashMap<Arc<str>, Memory>,
+}
+
+impl Queue {
+    /// Makes an empty queue.
+    pub fn new(spec: BatchSpec) -> Self {
+        Self { spec, waiting: Vec::new(), memory: HashMap::new() }
+    }
+
+    /// Takes another description of the service.
+    pub fn set_spec(&mut self, spec: BatchSpec) {
+        self.spec = spec;
+    }
+
+    /// The number of pieces that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Takes a piece.
+    pub fn push(&mut self, piece: Piece) {
+        self.waiting.push(piece);
+    }
+
+    /// Drops the pieces of a job.
+    pub fn cancel(&mut self, job: JobKey) {
+        self.waiting.retain(|it| it.job != job);
+    }
+
+    /// Removes the pieces whose deadline has passed.
+    pub fn take_expired(&mut self, now: Instant) -> Vec<Piece> {
+        self.waiting.extract_if(.., |it| it.deadline <= now).collect()
+    }
+
+    /// Removes all pieces of jobs that `dead` tells.
+    pub fn drop_jobs(&mut self, dead: impl Fn(JobKey) -> bool) {
+        self.waiting.retain(|it| !dead(it.job));
+    }
+
+    /// Chooses the next call, if one should go out now.
+    pub fn next(&mut self, lanes: &[Lane], now: Instant) -> Option<NextCall> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        self.waiting.sort_by_key(|it| it.urgency(now));
+        let open: Vec<&Lane> = lanes.iter().filter(|it| it.open).collect();
+        let mut idle: Vec<(&Lane, f64)> = Vec::new();
+        for lane in &open {
+            let memory = self.memory.entry(Arc::clone(&lane.id)).or_default();
+            memory.kept.retain(|it| it.1 > now);
+            if memory.busy.is_none() {
+                idle.push((lane, memory.speed));
+            }
+        }
+        idle.sort_by(|a, b| a.1.total_cmp(&b.1));
+        for (lane, speed) in idle {
+            let chosen = self.choose(lane, &open, now);
+            if chosen.is_empty() {
+                continue;
+            }
+            let plain = self.plain(chosen.len());
+            let expected = plain.mul_f64(speed);
+            if speed > SLOW && self.ends_sooner(&open, lane, plain, now + expected, now) {
+                continue;
+            }
+            return Some(self.take(lane, &chosen, expected, now));
+        }
+        None
+    }
+
+    /// Notes that a call of `pieces` has ended; `took` tells its time where it was a whole one.
+    pub fn ended(&mut self, upstream: &str, pieces: usize, took: Option<Duration>) {
+        let plain = self.plain(pieces).as_secs_f64();
+        let Some(memory) = self.memory.get_mut(upstream) else { return };
+        memory.busy = None;
+        if let Some(took) = took {
+            let speed = took.as_secs_f64() / plain.max(0.001);
+            memory.speed += SPEED_WEIGHT * (speed.clamp(0.3, 20.0) - memory.speed);
+        }
+    }
+
+    /// Notes a result that an upstream keeps.
+    pub fn kept(&mut self, upstream: &str, size: u64, handle: Arc<str>, now: Instant) {
+        let until = now + self.spec.ttl;
+        if let Some(memory) = self.memory.get_mut(upstream) {
+            memory.kept.push((size, until, handle));
+        }
+    }
+
+    /// Notes that results were given up.
+    pub fn freed(&mut self, handles: &[Arc<str>]) {
+        for memory in self.memory.values_mut() {
+            memory.kept.retain(|it| !handles.contains(&it.2));
+        }
+    }
+
+    /// Forgets upstreams that are gone.
+    pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
+        self.memory.retain(|id, memory| memory.busy.is_some() || known(id));
+    }
+
+    /// The announced time of a call with `pieces`.
+    fn plain(&self, pieces: usize) -> Duration {
+        self.spec.call + self.spec.item * pieces as u32
+    }
+
+    /// The pieces for a call to `lane`, by their place in the queue.
+    fn choose(&self, lane: &Lane, open: &[&Lane], now: Instant) -> Vec<usize> {
+        let kept: u64 = match self.memory.get(&lane.id) {
+            Some(memory) => memory.kept.iter().map(|it| it.0).sum(),
+            None => 0,
+        };
+        let mut room = self.spec.room.saturating_sub(kept);
+        let mut chosen = Vec::new();
+        for (at, piece) in self.waiting.iter().enumerate() {
+            if chosen.len() >= self.spec.batch {
+                break;
+            }
+            if piece.size > room || self.waits_for_domain(piece, lane, open, now) {
+                continue;
+            }
+            room -= piece.size;
+            chosen.push(at);
+        }
+        chosen
+    }
+
+    fn waits_for_domain(&self, piece: &Piece, lane: &Lane, open: &[&Lane], now: Instant) -> bool {
+        let Some(domain) = &piece.domain else { return false };
+        if piece.size < LARGE || *domain == lane.domain {
+            return false;
+        }
+        let served = open.iter().any(|it| it.domain == *domain);
+        served && now.duration_since(piece.since) < DOMAIN_WAIT
+    }
+
+    /// Whether another upstream would end the same call before `by`, its present one included.
+    fn ends_sooner(
+        &self,
+        open: &[&Lane],
+        lane: &Lane,
+        plain: Duration,
+        by: Instant,
+        now: Instant,
+    ) -> bool {
+        open.iter().filter(|it| it.id != lane.id).any(|it| {
+            let memory = self.memory.get(&it.id);
+            let speed = memory.map_or(1.0, |it| it.speed);
+            let busy = memory.and_then(|it| it.busy).unwrap_or(now);
+            busy.max(now) + plain.mul_f64(speed) < by
+        })
+    }
+
+    fn take(
+        &mut self,
+        lane: &Lane,
+        chosen: &[usize],
+        expected: Duration,
+        now: Instant,
+    ) -> NextCall {
+        let mut pieces = Vec::with_capacity(chosen.len());
+        for at in chosen.iter().rev() {
+            let mut piece = self.waiting.remove(*at);
+            piece.sent += 1;
+            pieces.push(piece);
+        }
+        pieces.reverse();
+        let memory = self.memory.entry(Arc::clone(&lane.id)).or_default();
+        memory.busy = Some(now + expected);
+        NextCall { upstream: Arc::clone(&lane.id), pieces, expected }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,185 @@
+//! The callers' side: connections, heads, and which way a request goes.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep, timeout_at};
+use types::{StepError, StepResult};
+
+use crate::dialect::Dialect;
+use crate::guard::{Conflict, Guarded};
+use crate::plain;
+use crate::plan::{Limits, RouteKind};
+use crate::reply::{Refusal, Reply, ReplyBody};
+use crate::request::CallerRequest;
+use crate::shared::Shared;
+use crate::stream::Streams;
+
+/// The pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// After how long without an acknowledgement a caller counts as gone.
+const SILENT: Duration = Duration::from_secs(5);
+
+/// Binds a listener.
+pub(crate) async fn bind(address: SocketAddr) -> StepResult<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|e| StepError::new("bind listener", e).at(address))
+}
+
+/// Takes callers' connections for as long as the process lives.
+pub(crate) async fn serve<D: Dialect>(
+    listener: TcpListener,
+    shared: Arc<Shared<D>>,
+    streams: Arc<Streams<D>>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::spawn(connection(stream, Arc::clone(&shared), Arc::clone(&streams)));
+            }
+            Err(error) => {
+                log::warn!(cause:% = error; "a connection could not be accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection<D: Dialect>(
+    stream: TcpStream,
+    shared: Arc<Shared<D>>,
+    streams: Arc<Streams<D>>,
+) {
+    let tuned = stream
+        .set_nodelay(true)
+        .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(SILENT)));
+    if let Err(error) = tuned {
+        log::debug!(cause:% = error; "a caller's connection ended at once");
+        return;
+    }
+    let limits = shared.plan().map_or_else(Limits::default, |it| it.limits);
+    let conflict = Conflict::default();
+    let seen = conflict.clone();
+    let service = service_fn(move |request| {
+        let (shared, streams, seen) = (Arc::clone(&shared), Arc::clone(&streams), seen.clone());
+        async move { Ok::<_, Infallible>(answer(shared, streams, seen, request).await) }
+    });
+    // A caller that leaves ends its connection, which drops the handler and all its work.
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time)
+        .max_buf_size(limits.header_bytes.max(16 << 10) * 2)
+        .serve_connection(TokioIo::new(Guarded::new(stream, conflict)), service);
+    if let Err(error) = served.await {
+        log::debug!(cause:% = error; "a caller's connection broke off");
+    }
+}
+
+/// Answers one request.
+async fn answer<D: Dialect>(
+    shared: Arc<Shared<D>>,
+    streams: Arc<Streams<D>>,
+    conflict: Conflict,
+    request: Request<Incoming>,
+) -> Reply {
+    let under_way = shared.drain.enter();
+    let arrived = Instant::now();
+    let mut close = false;
+    let mut reply = if conflict.is_seen() {
+        close = true;
+        Refusal::BadHead.reply()
+    } else {
+        match route(&shared, &streams, request, arrived).await {
+            Ok(reply) => reply,
+            Err(refusal) => {
+                shared.metrics.requests.with_label_values(&["any", refusal.name()]).inc();
+                close = matches!(refusal, Refusal::TooLarge | Refusal::SlowBody);
+                refusal.reply()
+            }
+        }
+    };
+    if close || shared.drain.is_ending() {
+        reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply.body_mut().hold(under_way);
+    reply
+}
+
+async fn route<D: Dialect>(
+    shared: &Arc<Shared<D>>,
+    streams: &Arc<Streams<D>>,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> Result<Reply, Refusal> {
+    let plan = shared.plan().ok_or(Refusal::NoPlan)?;
+    let request = CallerRequest::read::<D>(plan, request, arrived).await?;
+    let service = request.route.service(rand::random()).cloned().ok_or(Refusal::NoUpstream)?;
+    shared.budget.request(&service, arrived);
+    let engine = request.plan.services.get(&service).is_some_and(|it| it.engine.is_some());
+    let (attempt, deadline) = (request.ask.attempt.clone(), request.deadline);
+    let (kind, late) = (request.route.kind, request.late_watch());
+    let run = async {
+        match kind {
+            RouteKind::Stream => streams.run(request, &service).await,
+            _ if engine => streams.run(request, &service).await,
+            _ => plain::run(shared, &request, &service).await,
+        }
+    };
+    let result = match timeout_at(deadline, run).await {
+        Ok(result) => result,
+        Err(_) => Err(late.refusal()),
+    };
+    let outcome = match &result {
+        Ok(reply) => reply.status().as_str().to_owned(),
+        Err(refusal) => refusal.name().to_owned(),
+    };
+    let name = match kind {
+        RouteKind::Idempotent => "idempotent",
+        RouteKind::AtMostOnce => "at most once",
+        RouteKind::Stream => "stream",
+    };
+    shared.metrics.requests.with_label_values(&[name, &outcome]).inc();
+    if let Err(refusal) = &result {
+        log::info!(request = attempt.as_str(), service:% = service, outcome = refusal.name(),
+            age_ms = arrived.elapsed().as_millis() as u64; "a request was not served");
+    }
+    result
+}
+
+/// Answers the balancer's question.
+pub(crate) async fn serve_ready<D: Dialect>(listener: TcpListener, shared: Arc<Shared<D>>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let shared = Arc::clone(&shared);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let ready = shared.is_ready();
+            let status = match request.uri().path() == D::READY_PATH {
+                true if ready => StatusCode::OK,
+                true => StatusCode::SERVICE_UNAVAILABLE,
+                false => StatusCode::NOT_FOUND,
+            };
+            let mut reply = Response::new(ReplyBody::whole(bytes::Bytes::new()));
+            *reply.status_mut() = status;
+            async move { Ok::<_, Infallible>(reply) }
+        });
+        tokio::spawn(async move {
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = served.await {
+                log::debug!(cause:% = error; "the balancer's connection broke off");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,120 @@
+//! A running entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use registry::{EntrySeen, Follower, FollowerConfig};
+use tokio::time::{Instant, sleep};
+use types::{StepResult, VmName};
+use wire::{Hello, Kind, Listener, Secret};
+
+use crate::batch::{Batches, Owner, OwnerConfig, accept};
+use crate::budget::{Budget, BudgetSpec};
+use crate::dialect::Dialect;
+use crate::front;
+use crate::metrics::Metrics;
+use crate::shared::Shared;
+use crate::stream::Streams;
+
+/// How long an entry that ends stays for the balancer to take it out: it asks once a second, and
+/// two misses count.
+const LEAVE: Duration = Duration::from_millis(3_400);
+
+/// How long it must have had nothing to do before it ends.
+const QUIET: Duration = Duration::from_millis(700);
+
+/// How much earlier than it would be killed it ends by itself.
+const MARGIN: Duration = Duration::from_millis(350);
+
+/// How often it looks whether it may end.
+const PERIOD: Duration = Duration::from_millis(50);
+
+/// What an entry needs.
+#[derive(Clone, Debug)]
+pub struct GatewayConfig {
+    /// Its VM.
+    pub vm: VmName,
+    /// Its failure domain.
+    pub domain: String,
+    /// Where callers reach it.
+    pub front: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub ready: SocketAddr,
+    /// Where other entries reach it.
+    pub address: SocketAddr,
+    /// Where members of the registry were, when the settings were written.
+    pub seeds: Vec<SocketAddr>,
+    /// The retry budget of the deployment.
+    pub budget: BudgetSpec,
+}
+
+/// A running entry.
+pub struct Gateway<D> {
+    shared: Arc<Shared<D>>,
+    follower: Follower,
+}
+
+impl<D: Dialect> Gateway<D> {
+    /// Starts an entry.
+    ///
+    /// # Errors
+    /// Where an address can't be bound.
+    pub async fn spawn(
+        config: GatewayConfig,
+        secret: Secret,
+        metrics: &prometheus::Registry,
+    ) -> StepResult<Self> {
+        let budget = Budget::new(config.budget, Instant::now());
+        let metrics = Metrics::open(metrics)?;
+        let domain: Arc<str> = config.domain.as_str().into();
+        let shared = Arc::new(Shared::<D>::new(config.address, domain, budget, metrics));
+        let entry = EntrySeen {
+            name: config.vm.to_string(),
+            address: config.address,
+            domain: config.domain.clone(),
+        };
+        let me = Hello { kind: Kind::Entry, vm: config.vm.clone(), node: rand::random() };
+        let listener = Listener::bind(config.address, &secret, me.clone()).await?;
+        let callers = front::bind(config.front).await?;
+        let balancer = front::bind(config.ready).await?;
+        let owner = Owner::spawn(OwnerConfig { shared: Arc::clone(&shared) });
+        tokio::spawn(accept(listener, owner.clone()));
+        let batches = Batches::new(Arc::clone(&shared), owner, secret.clone(), me, config.address);
+        let batches = Arc::new(batches);
+        let streams = Arc::new(Streams { shared: Arc::clone(&shared), batches });
+        let seeds = config.seeds.clone();
+        let follower = Follower::spawn(FollowerConfig { entry, vm: config.vm, seeds }, secret);
+        tokio::spawn(Arc::clone(&shared).follow(follower.news()));
+        tokio::spawn(front::serve(callers, Arc::clone(&shared), streams));
+        tokio::spawn(front::serve_ready(balancer, Arc::clone(&shared)));
+        Ok(Self { shared, follower })
+    }
+
+    /// Replaces the seed addresses, after the settings changed.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.follower.set_seeds(seeds);
+    }
+
+    /// Ends without cutting a request: not ready first, then answers say that the connection
+    /// closes, and at last, when nothing is left or `grace` is almost over, returns.
+    pub async fn drain(&self, grace: Duration) {
+        let start = Instant::now();
+        self.shared.drain.begin();
+        let last = start + grace.saturating_sub(MARGIN);
+        let mut busy = start;
+        loop {
+            sleep(PERIOD).await;
+            let now = Instant::now();
+            if self.shared.drain.requests() > 0 {
+                busy = now;
+            }
+            let quiet = now.duration_since(busy) >= QUIET;
+            if now >= last || (quiet && now.duration_since(start) >= LEAVE) {
+                log::info!(requests = self.shared.drain.requests(),
+                    ms = start.elapsed().as_millis() as u64; "drained");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,30 @@
+//! The entry that passes requests through to upstreams, with their stages.
+//!
+//! Callers' requests go to the upstream of a service as they came, and its answer back as it
+//! comes. Before an engine runs a request, the stages of its route are done, their pieces batched
+//! with those of all other entries. What the platform calls things is met by [`dialect::Dialect`].
+
+mod batch;
+pub mod budget;
+pub mod dialect;
+mod directory;
+mod drain;
+pub mod events;
+mod exchange;
+mod front;
+mod gateway;
+pub mod guard;
+mod metrics;
+pub mod place;
+mod plain;
+pub mod plan;
+mod reply;
+mod request;
+mod shared;
+mod stages;
+mod stream;
+mod upstream;
+
+pub use batch::queue;
+pub use gateway::{Gateway, GatewayConfig};
+pub use upstream::Upstream;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,43 @@
+//! The entry's counters and histograms.
+
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use types::{StepError, StepResult};
+
+/// The upper ends of the latency histogram, in seconds: from a fast service to a long stream.
+const LATENCIES: [f64; 10] = [0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 20.0];
+
+/// The entry's counters and histograms.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    /// Requests by kind and outcome.
+    pub(crate) requests: IntCounterVec,
+    /// Calls of upstreams by outcome.
+    pub(crate) calls: IntCounterVec,
+    /// The time to the first byte of an answer, in seconds.
+    pub(crate) first: Histogram,
+    /// The version of the plan in force.
+    pub(crate) version: IntGauge,
+}
+
+impl Metrics {
+    /// Registers them.
+    pub(crate) fn open(registry: &Registry) -> StepResult<Self> {
+        let fault = |e| StepError::new("register metrics", e);
+        let requests = Opts::new("mothplank_gateway_requests_total", "Requests by outcome");
+        let calls = Opts::new("mothplank_gateway_calls_total", "Calls of upstreams by outcome");
+        let first = HistogramOpts::new("mothplank_gateway_first_seconds", "Time to first byte")
+            .buckets(LATENCIES.to_vec());
+        let it = Self {
+            requests: IntCounterVec::new(requests, &["kind", "outcome"]).map_err(fault)?,
+            calls: IntCounterVec::new(calls, &["outcome"]).map_err(fault)?,
+            first: Histogram::with_opts(first).map_err(fault)?,
+            version: IntGauge::new("mothplank_gateway_plan_version", "Version in force")
+                .map_err(fault)?,
+        };
+        registry.register(Box::new(it.requests.clone())).map_err(fault)?;
+        registry.register(Box::new(it.calls.clone())).map_err(fault)?;
+        registry.register(Box::new(it.first.clone())).map_err(fault)?;
+        registry.register(Box::new(it.version.clone())).map_err(fault)?;
+        Ok(it)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/place.rs
@@ -0,0 +1,82 @@
+//! Chooses the upstream of a request by the parts of its prompt that others share.
+//!
+//! All entries rank the upstreams of a part alike, without talking: a part is read once, by one
+//! upstream, and requests that share it follow it there. The first parts, which many requests
+//! share, are kept at a few upstreams, and the deeper part chooses among those. A loaded upstream
+//! is passed over for the next in rank.
+
+use std::sync::Arc;
+
+use crate::dialect::PromptPart;
+use crate::upstream::Upstream;
+
+/// What an upstream has to do, as far as this entry knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests at work.
+    pub running: f64,
+    /// Prompt tokens to be read.
+    pub tokens: f64,
+}
+
+/// How a prompt is spread.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlaceSpec {
+    /// At how many upstreams a first part is kept.
+    pub spread: usize,
+    /// An upstream is passed over above this many times the mean load.
+    pub bound: f64,
+    /// Load that is never a reason to pass an upstream over, in requests.
+    pub slack: f64,
+}
+
+impl Default for PlaceSpec {
+    fn default() -> Self {
+        Self { spread: 4, bound: 1.6, slack: 6.0 }
+    }
+}
+
+/// The prompt tokens that weigh as much as one running request.
+const TOKENS_OF_REQUEST: f64 = 2_000.0;
+
+impl Load {
+    fn weight(self) -> f64 {
+        self.running + self.tokens / TOKENS_OF_REQUEST
+    }
+}
+
+/// Ranks `candidates` for a prompt and returns the first that is not overloaded.
+pub fn place<'a>(
+    parts: &[PromptPart],
+    candidates: &'a [Arc<Upstream>],
+    load: impl Fn(&Upstream) -> Load,
+    spec: PlaceSpec,
+) -> Option<&'a Arc<Upstream>> {
+    let first = parts.first()?;
+    let deep = if parts.len() > 2 { parts[parts.len() - 2] } else { *first };
+    let total: f64 = candidates.iter().map(|it| load(it).weight()).sum();
+    let mean = total / candidates.len().max(1) as f64;
+    let bound = spec.slack.max(mean * spec.bound + 1.0);
+    let mut ranked: Vec<(u64, u64, &Arc<Upstream>)> =
+        candidates.iter().map(|it| (score(first.id, &it.id), score(deep.id, &it.id), it)).collect();
+    ranked.sort_unstable_by_key(|it| std::cmp::Reverse(it.0));
+    let few = spec.spread.min(ranked.len());
+    ranked[..few].sort_unstable_by_key(|it| std::cmp::Reverse(it.1));
+    let free = ranked.iter().find(|it| load(it.2).weight() <= bound);
+    let least = || ranked.iter().min_by(|a, b| load(a.2).weight().total_cmp(&load(b.2).weight()));
+    free.or_else(least).map(|it| it.2)
+}
+
+/// The rank of `name` for `key`, the same at every entry.
+pub fn score(key: u64, name: &str) -> u64 {
+    let mut hash = key ^ 0x9e37_79b9_7f4a_7c15;
+    for byte in name.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    // The finalizer of a well-known mixer: the multiplication alone leaves the high bits alike.
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- /dev/null
+++ b/crates/gateway/src/shared.rs
@@ -0,0 +1,126 @@
+//! What all parts of an entry read: the plan, the directory, the peers, the budget.
+
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use registry::{EntrySeen, News};
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::budget::Budget;
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::drain::Drain;
+use crate::metrics::Metrics;
+use crate::plan::Plan;
+
+/// How often idle connections are looked at.
+const SWEEP: Duration = Duration::from_millis(500);
+
+/// What all parts of an entry read.
+pub(crate) struct Shared<D> {
+    plan: ArcSwapOption<Plan>,
+    directory: ArcSwap<Directory>,
+    peers: ArcSwap<Vec<EntrySeen>>,
+    entries: AtomicUsize,
+    own: SocketAddr,
+    pub(crate) domain: Arc<str>,
+    pub(crate) budget: Budget,
+    pub(crate) metrics: Metrics,
+    pub(crate) drain: Drain,
+    dialect: PhantomData<D>,
+}
+
+impl<D: Dialect> Shared<D> {
+    pub(crate) fn new(own: SocketAddr, domain: Arc<str>, budget: Budget, metrics: Metrics) -> Self {
+        Self {
+            plan: ArcSwapOption::empty(),
+            directory: ArcSwap::default(),
+            peers: ArcSwap::default(),
+            entries: AtomicUsize::new(1),
+            own,
+            domain,
+            budget,
+            metrics,
+            drain: Drain::default(),
+            dialect: PhantomData,
+        }
+    }
+
+    /// The plan in force, once one is known.
+    pub(crate) fn plan(&self) -> Option<Arc<Plan>> {
+        self.plan.load_full()
+    }
+
+    /// The upstreams.
+    pub(crate) fn directory(&self) -> Arc<Directory> {
+        self.directory.load_full()
+    }
+
+    /// The other entries.
+    pub(crate) fn peers(&self) -> Arc<Vec<EntrySeen>> {
+        self.peers.load_full()
+    }
+
+    /// How many entries there are, this one included; never less than there were.
+    pub(crate) fn entries(&self) -> usize {
+        self.entries.load(Ordering::Relaxed)
+    }
+
+    /// Whether the entry may get new connections.
+    pub(crate) fn is_ready(&self) -> bool {
+        let knows = self.plan.load().is_some() && self.directory().all().next().is_some();
+        knows && !self.drain.is_ending()
+    }
+
+    /// Takes the registry's news for as long as they come.
+    pub(crate) async fn follow(self: Arc<Self>, mut news: watch::Receiver<News>) {
+        let mut sweep = interval(SWEEP);
+        sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                changed = news.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    let news = news.borrow_and_update().clone();
+                    self.take(&news);
+                }
+                _ = sweep.tick() => self.directory().all().for_each(|it| it.sweep(false)),
+            }
+        }
+    }
+
+    fn take(&self, news: &News) {
+        let others = news.entries.iter().filter(|it| it.address != self.own).cloned();
+        let others: Vec<EntrySeen> = others.collect();
+        self.entries.fetch_max(others.len() + 1, Ordering::Relaxed);
+        self.peers.store(Arc::new(others));
+        if let Some((version, text)) = &news.plan {
+            let held = self.plan.load().as_ref().map(|it| it.version);
+            if held.is_none_or(|it| it < *version) {
+                self.take_plan(text);
+            }
+        }
+        let plan = self.plan().unwrap_or_default();
+        let next = self.directory().next(&news.upstreams, &plan, self.entries());
+        self.directory.store(Arc::new(next));
+    }
+
+    fn take_plan(&self, text: &[u8]) {
+        match D::plan(text) {
+            Ok(plan) => {
+                log::info!(version:% = plan.version, routes = plan.routes.len(),
+                    services = plan.services.len(); "a plan is in force");
+                self.metrics.version.set(plan.version.0 as i64);
+                self.plan.store(Some(Arc::new(plan)));
+            }
+            Err(why) => log::error!(cause = why.as_str();
+                "the plan that was committed can't be read; the last one stays in force"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stages.rs
@@ -0,0 +1,153 @@
+//! Runs the stages before a request, side by side as far as their inputs allow.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use tokio::time::Instant;
+
+use crate::batch::{Batches, JobSpec};
+use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput, Segments};
+use crate::plan::{Plan, Route};
+
+/// What an engine takes from its inputs to its first event, for the stages' due times.
+const ENGINE_TIME: Duration = Duration::from_millis(180);
+
+/// How much later a piece is due for each step of lower rank.
+const RANK_DELAY: Duration = Duration::from_millis(120);
+
+/// What the stages of one request need.
+pub(crate) struct StageRun<'a> {
+    pub(crate) plan: &'a Plan,
+    pub(crate) route: &'a Route,
+    pub(crate) segments: &'a Segments,
+    pub(crate) attempt: Arc<str>,
+    /// The failure domain of the engine that is likely to run the request.
+    pub(crate) domain: Option<Arc<str>>,
+    /// When the first event should be there.
+    pub(crate) target: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) rank: u8,
+}
+
+/// The results that an engine needs; given up when dropped.
+pub(crate) struct Inputs<D: Dialect> {
+    batches: Arc<Batches<D>>,
+    handles: Vec<Handle>,
+}
+
+impl<D: Dialect> Inputs<D> {
+    /// No results.
+    pub(crate) fn none(batches: Arc<Batches<D>>) -> Self {
+        Self { batches, handles: Vec::new() }
+    }
+
+    /// The results.
+    pub(crate) fn handles(&self) -> &[Handle] {
+        &self.handles
+    }
+}
+
+impl<D: Dialect> Drop for Inputs<D> {
+    fn drop(&mut self) {
+        self.batches.free(&self.handles);
+    }
+}
+
+/// Runs all stages; returns the results of those that no other follows.
+pub(crate) async fn run<D: Dialect>(
+    batches: &Arc<Batches<D>>,
+    run: &StageRun<'_>,
+) -> Result<Inputs<D>, PieceFailure> {
+    let count = run.route.stages.len();
+    let mut done: Vec<Option<Inputs<D>>> = (0..count).map(|_| None).collect();
+    let mut started = vec![false; count];
+    let mut jobs = FuturesUnordered::new();
+    loop {
+        for stage in 0..count {
+            if started[stage] || !is_ready(run.route, stage, &done) {
+                continue;
+            }
+            started[stage] = true;
+            if pieces(run.segments, stage) == 0 {
+                done[stage] = Some(Inputs::none(Arc::clone(batches)));
+                continue;
+            }
+            let spec = spec(run, stage, &done);
+            jobs.push(async move { (stage, batches.run(&spec).await) });
+        }
+        if done.iter().all(Option::is_some) {
+            break;
+        }
+        match jobs.next().await {
+            Some((stage, Ok(handles))) => {
+                done[stage] = Some(Inputs { batches: Arc::clone(batches), handles });
+            }
+            Some((_, Err(failure))) => return Err(failure),
+            // A stage was left out on this pass, so the next one can start.
+            None => {}
+        }
+    }
+    let mut last = Inputs::none(Arc::clone(batches));
+    for (stage, inputs) in done.into_iter().enumerate() {
+        if run.route.stages.iter().any(|it| it.after.contains(&stage)) {
+            continue;
+        }
+        if let Some(mut inputs) = inputs {
+            last.handles.append(&mut inputs.handles);
+        }
+    }
+    Ok(last)
+}
+
+fn pieces(segments: &Segments, stage: usize) -> u32 {
+    segments.counts.get(stage).copied().unwrap_or(0)
+}
+
+fn is_ready<D: Dialect>(route: &Route, stage: usize, done: &[Option<Inputs<D>>]) -> bool {
+    route.stages[stage].after.iter().all(|it| done[*it].is_some())
+}
+
+fn spec<D: Dialect>(run: &StageRun<'_>, stage: usize, done: &[Option<Inputs<D>>]) -> JobSpec {
+    let it = &run.route.stages[stage];
+    let input = if it.after.is_empty() {
+        PieceInput::Key(run.segments.key.as_str().into())
+    } else {
+        let before = it.after.iter().filter_map(|it| done[*it].as_ref());
+        PieceInput::Results(Arc::new(before.flat_map(|it| it.handles.clone()).collect()))
+    };
+    let rest = rest_time(run, stage) + ENGINE_TIME;
+    let due = run.target.checked_sub(rest).unwrap_or(run.target);
+    JobSpec {
+        service: Arc::clone(&it.service),
+        attempt: Arc::clone(&run.attempt),
+        stage: stage as u32,
+        pieces: pieces(run.segments, stage),
+        input,
+        size: it.size,
+        domain: run.domain.clone(),
+        due: due + RANK_DELAY * u32::from(run.rank),
+        deadline: run.deadline,
+    }
+}
+
+/// The time of the longest chain of stages after `stage`.
+fn rest_time(run: &StageRun<'_>, stage: usize) -> Duration {
+    let stages = &run.route.stages;
+    let after = (0..stages.len()).filter(|it| stages[*it].after.contains(&stage));
+    let longest = after.map(|it| own_time(run, it) + rest_time(run, it)).max();
+    longest.unwrap_or_default()
+}
+
+/// What a stage is likely to take: one call, and half of another one that it waits for.
+fn own_time(run: &StageRun<'_>, stage: usize) -> Duration {
+    let service = &run.route.stages[stage].service;
+    let spec = run.plan.services.get(service).and_then(|it| it.batch);
+    let Some(spec) = spec else { return Duration::ZERO };
+    let count = pieces(run.segments, stage);
+    if count == 0 {
+        return Duration::ZERO;
+    }
+    spec.call + spec.call / 2 + spec.item * count
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,409 @@
+//! Streams of an engine: placed by their prompt, passed on event by event, gone on with elsewhere
+//! where the route allows it.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+use crate::batch::Batches;
+use crate::dialect::{Dialect, PieceFailure, PromptPart};
+use crate::events::{Event, Splitter};
+use crate::exchange::{self, Cause, Fault, Opened, Read};
+use crate::place::{Load, PlaceSpec, place};
+use crate::plain::note;
+use crate::reply::{Broken, Refusal, Reply, ReplyBody, strip_hop};
+use crate::request::CallerRequest;
+use crate::shared::Shared;
+use crate::stages::{self, Inputs, StageRun};
+use crate::upstream::{Lease, Running, Upstream};
+
+/// Events that wait for a slow caller before the engine's connection is read no further.
+const EVENTS: usize = 32;
+
+/// The largest answer of an engine that is no stream, in bytes.
+const FAILURE_LIMIT: usize = 64 << 10;
+
+/// A resumable stream that is silent for this long goes on elsewhere. Three times the longest pause
+/// that is in time at the smallest sheet, and below what makes a caller leave.
+const STALL: Duration = Duration::from_millis(1_200);
+
+/// To how many engines that did not run it a request is offered at most.
+const OFFERS: usize = 4;
+
+/// How often the stages of a request run.
+const STAGE_RUNS: u32 = 2;
+
+/// The parts of an entry that a stream uses.
+pub(crate) struct Streams<D: Dialect> {
+    pub(crate) shared: Arc<Shared<D>>,
+    pub(crate) batches: Arc<Batches<D>>,
+}
+
+/// A stream with its first event.
+struct Attached {
+    upstream: Arc<Upstream>,
+    headers: HeaderMap,
+    body: Incoming,
+    lease: Lease,
+    keep_alive: Option<Duration>,
+    splitter: Splitter,
+    first: Option<Event>,
+    running: Running,
+}
+
+/// How a try to attach ended.
+enum Tried {
+    Stream(Box<Attached>),
+    /// An answer that is no stream, to be passed on.
+    Answer(Reply),
+}
+
+/// What a request has used up so far.
+#[derive(Default)]
+struct Used {
+    tried: Vec<Arc<str>>,
+    runs: u32,
+    stage_runs: u32,
+    arrived: bool,
+}
+
+impl<D: Dialect> Streams<D> {
+    /// Serves a request.
+    pub(crate) async fn run(
+        self: &Arc<Self>,
+        request: CallerRequest,
+        service: &Arc<str>,
+    ) -> Result<Reply, Refusal> {
+        let mut used = Used::default();
+        let attached = match self.attach(&request, service, &mut used, None).await? {
+            Tried::Stream(attached) => attached,
+            Tried::Answer(reply) => return Ok(reply),
+        };
+        self.shared.metrics.first.observe(request.arrived.elapsed().as_secs_f64());
+        let (events, receiver) = mpsc::channel(EVENTS);
+        let mut reply = Response::new(ReplyBody::stream(receiver));
+        *reply.headers_mut() = attached.headers.clone();
+        let pump = Pump {
+            streams: Arc::clone(self),
+            service: Arc::clone(service),
+            last: request.ask.last_event,
+            request,
+            used,
+            events,
+        };
+        tokio::spawn(pump.run(*attached));
+        Ok(reply)
+    }
+
+    /// Runs the stages and offers the request to engines, until a first event came.
+    async fn attach(
+        &self,
+        request: &CallerRequest,
+        service: &Arc<str>,
+        used: &mut Used,
+        last_event: Option<u64>,
+    ) -> Result<Tried, Refusal> {
+        let mut inputs: Option<Inputs<D>> = None;
+        loop {
+            if inputs.is_none() {
+                inputs = Some(self.inputs(request, service, used).await?);
+            }
+            let handles = inputs.as_ref().map_or(&[][..], Inputs::handles);
+            let upstream = self.choose(request, service, &used.tried);
+            let Some(upstream) = upstream else {
+                return Err(if used.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
+            };
+            let now = Instant::now();
+            let entries = self.shared.entries();
+            if used.arrived && !self.shared.budget.take(service, 1, entries, now) {
+                self.shared.metrics.calls.with_label_values(&["no budget"]).inc();
+                return Err(if used.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
+            }
+            used.tried.push(Arc::clone(&upstream.id));
+            let forward = request.forward::<D>(&upstream, handles, last_event);
+            let fault = match open::<D>(request, &upstream, forward).await {
+                Ok(tried) => {
+                    self.shared.metrics.calls.with_label_values(&["answered"]).inc();
+                    return Ok(tried);
+                }
+                Err(fault) => fault,
+            };
+            note(&self.shared, request, &upstream, &fault);
+            used.arrived |= !fault.is_unsent();
+            if fault.not_run {
+                request.sent.store(used.runs > 0, Ordering::Relaxed);
+                if fault.cause == Cause::Refused(StatusCode::CONFLICT) {
+                    // Its inputs are gone; the engine itself is fine.
+                    used.tried.pop();
+                    inputs = None;
+                }
+                if used.tried.len() >= OFFERS || used.stage_runs > STAGE_RUNS {
+                    return Err(Refusal::NoUpstream);
+                }
+                continue;
+            }
+            used.runs += 1;
+            if !request.route.repeats() || used.runs >= request.route.attempts {
+                let late = fault.cause == Cause::Timeout;
+                return Err(if late { Refusal::LateRun } else { Refusal::Failed });
+            }
+        }
+    }
+
+    async fn inputs(
+        &self,
+        request: &CallerRequest,
+        service: &Arc<str>,
+        used: &mut Used,
+    ) -> Result<Inputs<D>, Refusal> {
+        let Some(segments) = &request.ask.segments else {
+            return Ok(Inputs::none(Arc::clone(&self.batches)));
+        };
+        loop {
+            used.stage_runs += 1;
+            let domain = self.choose(request, service, &[]).map(|it| Arc::clone(&it.domain));
+            let run = StageRun {
+                plan: &request.plan,
+                route: &request.route,
+                segments,
+                attempt: request.ask.attempt.as_str().into(),
+                domain,
+                target: request.target(),
+                deadline: request.deadline,
+                rank: request.rank(),
+            };
+            match stages::run(&self.batches, &run).await {
+                Ok(inputs) => return Ok(inputs),
+                Err(PieceFailure::InputGone) if used.stage_runs < STAGE_RUNS => {}
+                Err(failure) => {
+                    log::info!(request = request.ask.attempt.as_str(), failure:? = failure,
+                        age_ms = request.arrived.elapsed().as_millis() as u64;
+                        "a stage could not be done");
+                    return Err(match failure {
+                        PieceFailure::Late => request.late(),
+                        _ => Refusal::NoStage,
+                    });
+                }
+            }
+        }
+    }
+
+    fn choose(
+        &self,
+        request: &CallerRequest,
+        service: &Arc<str>,
+        tried: &[Arc<str>],
+    ) -> Option<Arc<Upstream>> {
+        let now = Instant::now();
+        let directory = self.shared.directory();
+        let open = directory.service(service).iter();
+        let open = open.filter(|it| it.is_open() && !tried.contains(&it.id)).cloned();
+        let mut candidates: Vec<Arc<Upstream>> = open.collect();
+        if candidates.iter().any(|it| !it.is_paused(now)) {
+            candidates.retain(|it| !it.is_paused(now));
+        }
+        let load =
+            |it: &Upstream| Load { running: f64::from(it.running()), tokens: it.tokens() as f64 };
+        let parts = request.ask.generation.as_ref().map_or(&[][..], |it| &it.parts);
+        let spread = [PromptPart { id: rand::random(), tokens: 0 }];
+        let parts = if parts.is_empty() { &spread } else { parts };
+        place(parts, &candidates, load, PlaceSpec::default()).cloned()
+    }
+}
+
+/// Makes one call and waits for the first event.
+async fn open<D: Dialect>(
+    request: &CallerRequest,
+    upstream: &Arc<Upstream>,
+    forward: http::Request<http_body_util::Full<Bytes>>,
+) -> Result<Tried, Fault> {
+    let tokens = request.ask.generation.as_ref().map_or(0, |it| u64::from(it.prompt));
+    let mut running = upstream.begin(tokens);
+    let by = request.deadline;
+    let opened = exchange::send::<D>(upstream, forward, &request.ask.attempt, by).await?;
+    if opened.marks.not_run {
+        let status = opened.response.status();
+        exchange::discard(opened, by).await;
+        return Err(Fault::refused(status));
+    }
+    let Opened { mut response, lease, marks } = opened;
+    if !marks.same_attempt {
+        return Err(Fault::unknown(Cause::Garbled("another request's answer")));
+    }
+    if !marks.sealed {
+        return Err(Fault::unknown(Cause::Garbled("no seal")));
+    }
+    let mut headers = std::mem::take(response.headers_mut());
+    strip_hop(&mut headers);
+    if !response.status().is_success() {
+        let read = exchange::read_body(response.body_mut(), FAILURE_LIMIT, by).await;
+        let Read::Whole(body) = read.map_err(Fault::unknown)? else {
+            return Err(Fault::unknown(Cause::Garbled("a large failure")));
+        };
+        lease.keep(marks.keep_alive);
+        let mut reply = Response::new(ReplyBody::whole(body));
+        *reply.status_mut() = response.status();
+        *reply.headers_mut() = headers;
+        return Ok(Tried::Answer(reply));
+    }
+    let mut body = response.into_body();
+    let mut splitter = Splitter::default();
+    let first = loop {
+        if let Some(event) = splitter.next_event() {
+            break Some(event);
+        }
+        match timeout_at(by, body.frame()).await {
+            Ok(Some(Ok(frame))) => splitter.push(&frame.into_data().unwrap_or_default()),
+            Ok(Some(Err(_))) => return Err(Fault::unknown(Cause::Lost)),
+            Ok(None) if splitter.has_rest() => return Err(Fault::unknown(Cause::Lost)),
+            Ok(None) => break None,
+            Err(_) => return Err(Fault::unknown(Cause::Timeout)),
+        }
+    };
+    running.started();
+    Ok(Tried::Stream(Box::new(Attached {
+        upstream: Arc::clone(upstream),
+        headers,
+        body,
+        lease,
+        keep_alive: marks.keep_alive,
+        splitter,
+        first,
+        running,
+    })))
+}
+
+/// Passes a stream on to its caller.
+struct Pump<D: Dialect> {
+    streams: Arc<Streams<D>>,
+    service: Arc<str>,
+    request: CallerRequest,
+    used: Used,
+    /// The last event that the caller was sent.
+    last: Option<u64>,
+    events: mpsc::Sender<Result<Bytes, Broken>>,
+}
+
+/// How a part of a stream ended.
+enum PartEnd {
+    Whole,
+    CallerLeft,
+    Late,
+    Lost(&'static str),
+}
+
+impl<D: Dialect> Pump<D> {
+    async fn run(mut self, attached: Attached) {
+        let mut attached = attached;
+        loop {
+            let upstream = Arc::clone(&attached.upstream);
+            let why = match self.pass(attached).await {
+                PartEnd::Whole => {
+                    upstream.succeeded();
+                    return;
+                }
+                PartEnd::CallerLeft => return,
+                PartEnd::Late => "its time is over",
+                PartEnd::Lost(why) => {
+                    upstream.failed(false);
+                    match self.resume(why).await {
+                        Some(next) => {
+                            attached = next;
+                            continue;
+                        }
+                        None => why,
+                    }
+                }
+            };
+            log::info!(request = self.request.ask.attempt.as_str(), upstream:% = upstream.id,
+                last = self.last, cause = why; "a stream broke off");
+            // The caller sees the connection break, for the stream is not complete.
+            let _ = self.events.send(Err(Broken)).await;
+            return;
+        }
+    }
+
+    /// Passes on one engine's events.
+    async fn pass(&mut self, attached: Attached) -> PartEnd {
+        let Attached { mut body, lease, keep_alive, mut splitter, first, running, .. } = attached;
+        let _running = running;
+        let resumable = self.request.route.resumable;
+        let mut next = first;
+        loop {
+            while let Some(event) = next.take().or_else(|| splitter.next_event()) {
+                if let Some(end) = self.send(event).await {
+                    return end;
+                }
+            }
+            let stall = Instant::now() + STALL;
+            let by =
+                if resumable { stall.min(self.request.deadline) } else { self.request.deadline };
+            let frame = tokio::select! {
+                frame = timeout_at(by, body.frame()) => frame,
+                () = self.events.closed() => return PartEnd::CallerLeft,
+            };
+            match frame {
+                Ok(Some(Ok(frame))) => splitter.push(&frame.into_data().unwrap_or_default()),
+                Ok(Some(Err(_))) => return PartEnd::Lost("connection lost"),
+                Ok(None) if splitter.has_rest() => return PartEnd::Lost("ended in an event"),
+                Ok(None) => {
+                    lease.keep(keep_alive);
+                    return PartEnd::Whole;
+                }
+                Err(_) if Instant::now() >= self.request.deadline => return PartEnd::Late,
+                Err(_) => return PartEnd::Lost("silent"),
+            }
+        }
+    }
+
+    /// Sends one event, unless the caller has it.
+    async fn send(&mut self, event: Event) -> Option<PartEnd> {
+        if let (Some(id), Some(last)) = (event.id, self.last) {
+            if id <= last {
+                return None;
+            }
+            if id > last + 1 {
+                return Some(PartEnd::Lost("an event is missing"));
+            }
+        }
+        if event.id.is_some() {
+            self.last = event.id;
+        }
+        let sent =
+            tokio::time::timeout_at(self.request.deadline, self.events.send(Ok(event.bytes)));
+        match sent.await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(PartEnd::CallerLeft),
+            Err(_) => Some(PartEnd::Late),
+        }
+    }
+
+    /// Goes on at another engine, where the route allows it.
+    async fn resume(&mut self, why: &'static str) -> Option<Attached> {
+        let route = &self.request.route;
+        self.used.runs += 1;
+        self.used.arrived = true;
+        if !route.resumable || self.used.runs >= route.attempts || self.last.is_none() {
+            return None;
+        }
+        log::info!(request = self.request.ask.attempt.as_str(), last = self.last, cause = why;
+            "a stream goes on elsewhere");
+        let streams = Arc::clone(&self.streams);
+        let next = streams.attach(&self.request, &self.service, &mut self.used, self.last);
+        let next = tokio::select! {
+            next = next => next,
+            () = self.events.closed() => return None,
+        };
+        match next {
+            Ok(Tried::Stream(attached)) => Some(*attached),
+            Ok(Tried::Answer(_)) | Err(_) => None,
+        }
+    }
+}
--- a/crates/mothplank/src/args.rs
+++ b/crates/mothplank/src/args.rs
@@ -32,6 +32,8 @@
             "demo" => Command::Demo,
             "control" => Command::Control(needed(of, "settings")?),
             "entry" => Command::Entry(needed(of, "settings")?),
+            "gateway" => Command::Gateway,
+            "registry" => Command::Registry,
             "init" => Command::Init(Target::from_matches(of)?),
             "check" => Command::Check(Check {
                 files: one::<PathBuf>(of, "base")
--- a/crates/mothplank/src/cli.rs
+++ b/crates/mothplank/src/cli.rs
@@ -35,7 +35,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .arg(output())
-        .subcommands([demo(), control(), entry()])
+        .subcommands([demo(), control(), entry(), gateway(), registry()])
         .subcommands(operators)
         .subcommands([call(), standin(), load()])
 }
@@ -71,6 +71,24 @@
         )
 }
 
+fn gateway() -> Command {
+    Command::new("gateway")
+        .about("Run the entry of a platform: passes requests through to upstreams")
+        .after_help(
+            "Reads the settings file that the platform names in MOTHPLANK_BOOT. SIGTERM drains, \
+             SIGHUP reads the settings again.",
+        )
+}
+
+fn registry() -> Command {
+    Command::new("registry")
+        .about("Run a member of a platform's registry: the plan in force, upstreams, entries")
+        .after_help(
+            "Reads the settings file that the platform names in MOTHPLANK_BOOT. SIGTERM hands \
+             leadership over and ends the process, SIGHUP reads the settings again.",
+        )
+}
+
 fn settings() -> Arg {
     file("settings", "The node's settings file").required(true)
 }
--- /dev/null
+++ b/crates/mothplank/src/commands/gateway.rs
@@ -0,0 +1,49 @@
+//! `mothplank gateway`: runs the entry of a platform.
+
+use std::sync::Arc;
+
+use eyre::{OptionExt, Result};
+use gateway::budget::BudgetSpec;
+use gateway::{Gateway, GatewayConfig};
+use platform::{PlatformDialect, Settings};
+
+use crate::commands::host;
+use crate::exit_codes::ExitCode;
+
+/// Runs the program until a signal ends it; requests under way end whole.
+///
+/// # Errors
+/// Where it cannot start.
+pub(crate) fn run() -> Result<ExitCode> {
+    let path = Settings::path()?;
+    let settings = Settings::read(&path)?;
+    let grace = settings.grace;
+    let config = GatewayConfig {
+        vm: settings.vm.clone(),
+        domain: settings.domain,
+        front: settings.front.ok_or_eyre("the settings name no address for callers")?,
+        ready: settings.ready.ok_or_eyre("the settings name no address for the balancer")?,
+        address: settings.address,
+        seeds: settings.seeds,
+        budget: BudgetSpec {
+            ratio: settings.retry_ratio,
+            window: settings.retry_window,
+            burst: settings.retry_burst,
+        },
+    };
+    host::run(
+        &settings.vm,
+        path,
+        async move {
+            let registry = telemetry::open_registry();
+            let secret = registry::deployment_secret();
+            let gateway = Gateway::<PlatformDialect>::spawn(config, secret, &registry).await?;
+            host::serve_metrics(settings.metrics, registry).await;
+            Ok(Arc::new(gateway))
+        },
+        |gateway, settings| gateway.set_seeds(settings.seeds),
+        async move |gateway| {
+            gateway.drain(grace).await;
+        },
+    )
+}
--- a/crates/mothplank/src/commands/mod.rs
+++ b/crates/mothplank/src/commands/mod.rs
@@ -7,10 +7,13 @@
 mod control;
 mod demo;
 mod entry;
+mod gateway;
+mod host;
 mod init;
 mod load;
 mod mark;
 mod member;
+mod registry;
 mod report;
 mod signals;
 mod standin;
@@ -31,6 +34,8 @@
         Command::Check(it) => check::run(format, &it),
         Command::Control(it) => control::run(&it),
         Command::Entry(it) => entry::run(&it),
+        Command::Gateway => gateway::run(),
+        Command::Registry => registry::run(),
         command => {
             let runtime = tokio::runtime::Builder::new_multi_thread()
                 .enable_all()
@@ -54,6 +59,10 @@
         Command::Call(it) => call::run(format, it).await,
         Command::Standin(it) => standin::run(it).await,
         Command::Load(it) => load::run(format, it).await,
-        Command::Check(_) | Command::Control(_) | Command::Entry(_) => Ok(ExitCode::General),
+        Command::Check(_)
+        | Command::Control(_)
+        | Command::Entry(_)
+        | Command::Gateway
+        | Command::Registry => Ok(ExitCode::General),
     }
 }
--- /dev/null
+++ b/crates/mothplank/src/commands/registry.rs
@@ -0,0 +1,45 @@
+//! `mothplank registry`: runs a member of a platform's registry.
+
+use std::sync::Arc;
+
+use eyre::{OptionExt, Result};
+use platform::{ListClient, PlanCodec, Settings, serve_operators};
+use registry::{Member, MemberConfig};
+
+use crate::commands::host;
+use crate::exit_codes::ExitCode;
+
+/// Runs the program until a signal ends it; leadership is handed over first.
+///
+/// # Errors
+/// Where it cannot start.
+pub(crate) fn run() -> Result<ExitCode> {
+    let path = Settings::path()?;
+    let settings = Settings::read(&path)?;
+    let operators = settings.operators.ok_or_eyre("the settings name no operators' address")?;
+    let list = settings.list.ok_or_eyre("the settings name no list of upstreams")?;
+    let config = MemberConfig {
+        vm: settings.vm.clone(),
+        data_dir: settings.data_dir.ok_or_eyre("the settings name no data folder")?,
+        address: settings.address,
+        seeds: settings.seeds,
+        bootstrap: settings.bootstrap,
+        losses: settings.losses,
+    };
+    host::run(
+        &settings.vm,
+        path,
+        async move {
+            let secret = registry::deployment_secret();
+            let member = Member::spawn(config, PlanCodec, ListClient::new(list), secret).await?;
+            let member = Arc::new(member);
+            serve_operators(operators, Arc::clone(&member)).await?;
+            host::serve_metrics(settings.metrics, telemetry::open_registry()).await;
+            Ok(member)
+        },
+        |member, settings| member.set_seeds(settings.seeds),
+        async |member| {
+            member.resign().await;
+        },
+    )
+}
--- a/crates/mothplank/src/config.rs
+++ b/crates/mothplank/src/config.rs
@@ -26,6 +26,10 @@
     Control(PathBuf),
     /// Run an entry with this settings file.
     Entry(PathBuf),
+    /// Run the entry of a platform, with the platform's settings.
+    Gateway,
+    /// Run a member of a platform's registry, with the platform's settings.
+    Registry,
     /// Start a new cluster.
     Init(Target),
     /// Check files.
--- /dev/null
+++ b/crates/registry/src/driver.rs
@@ -0,0 +1,522 @@
+//! The thread that owns the replicated log, the data folder and the plan.
+//!
+//! One thread with blocking writes: a member whose disk stalls sends no heartbeats, so another
+//! one leads within an election timeout. The HTTP side runs elsewhere and answers meanwhile.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::{Duration, Instant};
+
+use consensus::{Config, Membership, Message, Node, Payload, Position, Role, Snapshot};
+use tokio::sync::{oneshot, watch};
+use types::{LogIndex, NodeId, StepResult};
+
+use crate::folder::{Folder, Opened, decode, encode};
+use crate::message::PeerMessage;
+use crate::peers::Peers;
+use crate::plan::{Held, Put};
+use crate::repair::{PeerView, RepairView, address_bytes, address_of, next_membership};
+
+/// The log's unit of time.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The shortest election timeout in ticks; the longest is twice this. Far above a usual sync of
+/// 5 ms, and low enough that an operator's order finds a new leader within its 4 s.
+const ELECTION_TICKS: u32 = 14;
+
+/// The time between two heartbeats, in ticks.
+const HEARTBEAT_TICKS: u32 = 3;
+
+/// How often the leader looks at the membership, and a node without a leader asks to take part.
+const REPAIR_PERIOD: Duration = Duration::from_millis(150);
+
+/// For how long a request to take part counts.
+const JOIN_FRESH: Duration = Duration::from_millis(1_200);
+
+/// For how long a node may be without a leader before it asks to take part: another leader may
+/// have removed it.
+const LEADERLESS: Duration = Duration::from_millis(1_500);
+
+/// A write that takes longer shows a disk that can't carry a leader; it hands over.
+const SLOW_WRITE: Duration = Duration::from_millis(300);
+
+/// The pause before a data folder that failed is opened again.
+const REOPEN_PAUSE: Duration = Duration::from_millis(400);
+
+/// The part of a snapshot that one message carries, in bytes.
+const SNAPSHOT_PART: usize = 256 << 10;
+
+/// What the driver is asked.
+pub(crate) enum Input {
+    /// A message of another member.
+    Step(Message, SocketAddr),
+    /// A node asks to take part.
+    Join { node: NodeId, address: SocketAddr, relayed: bool },
+    /// An order to hold a plan; answered once it is committed.
+    Put(Put, oneshot::Sender<Answer>),
+    /// A read that must not be older than anything acknowledged before.
+    Read(oneshot::Sender<Answer>),
+    /// Hands leadership over, before the process ends.
+    Resign,
+}
+
+/// The driver's answer to an order or a read.
+#[derive(Clone, Debug)]
+pub(crate) enum Answer {
+    /// Committed, or confirmed by a quorum: the plan that is held.
+    Held(Arc<Held>),
+    /// This member does not lead; the leader's address, if known.
+    Elsewhere(Option<SocketAddr>),
+    /// Too few voters hold the log for the losses that must be borne.
+    Thin,
+}
+
+/// What the rest of the member sees.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct View {
+    pub(crate) term: u64,
+    pub(crate) role: Role,
+    pub(crate) settled: bool,
+    pub(crate) leader: Option<SocketAddr>,
+    /// Whether everything that is known to be committed is applied and a leader is known.
+    pub(crate) current: bool,
+    pub(crate) held: Arc<Held>,
+    pub(crate) members: Vec<SocketAddr>,
+}
+
+impl View {
+    pub(crate) fn leads(&self) -> bool {
+        self.role == Role::Leader && self.settled
+    }
+}
+
+/// What the driver needs.
+pub(crate) struct DriverConfig {
+    pub(crate) data_dir: PathBuf,
+    pub(crate) address: SocketAddr,
+    /// Whether this member begins a new cluster in an empty folder.
+    pub(crate) founds: bool,
+    /// How many members may be lost at once.
+    pub(crate) losses: usize,
+}
+
+struct Driver {
+    config: DriverConfig,
+    peers: Arc<Peers>,
+    view: watch::Sender<View>,
+    id: NodeId,
+    node: Node,
+    folder: Folder,
+    held: Arc<Held>,
+    applied: LogIndex,
+    puts: Vec<(Position, oneshot::Sender<Answer>)>,
+    reads: HashMap<u64, oneshot::Sender<Answer>>,
+    confirmed: Vec<(u64, LogIndex)>,
+    next_read: u64,
+    joins: BTreeMap<SocketAddr, (NodeId, Instant)>,
+    heard: HashMap<NodeId, Instant>,
+    /// Where senders of messages are reached.
+    known: HashMap<NodeId, SocketAddr>,
+    led_since: Instant,
+    repaired: Instant,
+    resigned: bool,
+}
+
+/// Runs the driver until its inputs end. A data folder that fails is opened again and again:
+/// meanwhile the member takes no part, and others lead.
+pub(crate) fn run(
+    config: DriverConfig,
+    peers: Arc<Peers>,
+    view: watch::Sender<View>,
+    inputs: Receiver<Input>,
+) {
+    let mut config = config;
+    loop {
+        let ended = match Driver::open(config, Arc::clone(&peers), view.clone()) {
+            Ok(mut driver) => {
+                let ended = driver.turns(&inputs);
+                config = driver.config;
+                // A folder that was opened once is no new cluster's beginning.
+                config.founds = false;
+                ended
+            }
+            Err((given, error)) => {
+                config = *given;
+                Err(error)
+            }
+        };
+        let Err(error) = ended else { return };
+        log::error!(cause:% = error; "the data folder failed; the member steps back");
+        view.send_modify(|it| {
+            *it =
+                View { held: Arc::clone(&it.held), members: it.members.clone(), ..View::default() };
+        });
+        std::thread::sleep(REOPEN_PAUSE);
+        while let Ok(input) = inputs.try_recv() {
+            drop(input);
+        }
+    }
+}
+
+impl Driver {
+    fn open(
+        config: DriverConfig,
+        peers: Arc<Peers>,
+        view: watch::Sender<View>,
+    ) -> Result<Self, (Box<DriverConfig>, types::StepError)> {
+        let opened = match Folder::open(&config.data_dir) {
+            Ok(opened) => opened,
+            Err(error) => return Err((Box::new(config), error)),
+        };
+        let Opened { mut folder, node: id, fresh, mut restored } = opened;
+        if fresh && config.founds {
+            let voters = BTreeMap::from([(id, address_bytes(config.address))]);
+            let membership = Membership { voters, learners: BTreeMap::new() };
+            restored = match folder.found(membership) {
+                Ok(restored) => restored,
+                Err(error) => return Err((Box::new(config), error)),
+            };
+            log::info!(node:% = id; "began a new cluster");
+        }
+        let held = restored.snapshot.as_ref().map(|it| decode::<Held>(&it.data));
+        let held = match held.transpose() {
+            Ok(held) => Arc::new(held.unwrap_or_default()),
+            Err(error) => return Err((Box::new(config), error)),
+        };
+        let applied = restored.snapshot.as_ref().map_or(LogIndex(0), |it| it.index);
+        log::info!(node:% = id, fresh, version:% = held.version, applied:% = applied;
+            "opened the data folder");
+        let node = Node::new(node_config(id), restored);
+        let now = Instant::now();
+        Ok(Self {
+            config,
+            peers,
+            view,
+            id,
+            node,
+            folder,
+            held,
+            applied,
+            puts: Vec::new(),
+            reads: HashMap::new(),
+            confirmed: Vec::new(),
+            next_read: 0,
+            joins: BTreeMap::new(),
+            heard: HashMap::new(),
+            known: HashMap::new(),
+            led_since: now,
+            repaired: now,
+            resigned: false,
+        })
+    }
+
+    /// Takes turns until the inputs end.
+    fn turns(&mut self, inputs: &Receiver<Input>) -> StepResult<()> {
+        let mut tick = Instant::now() + TICK;
+        loop {
+            let wait = tick.saturating_duration_since(Instant::now());
+            match inputs.recv_timeout(wait) {
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+            while let Ok(input) = inputs.try_recv() {
+                self.take(input);
+            }
+            let now = Instant::now();
+            if now >= tick {
+                self.node.tick();
+                // After a stall one tick counts: heartbeats may wait in the queue.
+                tick = now + TICK;
+            }
+            self.work()?;
+            if now.duration_since(self.repaired) >= REPAIR_PERIOD {
+                self.repaired = now;
+                self.repair(now);
+                self.work()?;
+            }
+            self.publish();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Step(message, from) => {
+                self.heard.insert(message.from, Instant::now());
+                self.known.insert(message.from, from);
+                self.node.step(message);
+            }
+            Input::Join { node, address, relayed } => self.take_join(node, address, relayed),
+            Input::Put(put, reply) => self.take_put(put, reply),
+            Input::Read(reply) => self.take_read(reply),
+            Input::Resign => {
+                self.resigned = true;
+                // A node that does not lead has nothing to hand over.
+                let _ = self.node.transfer(None);
+            }
+        }
+    }
+
+    fn take_join(&mut self, node: NodeId, address: SocketAddr, relayed: bool) {
+        let status = self.node.status();
+        if status.role == Role::Leader {
+            self.joins.insert(address, (node, Instant::now()));
+            return;
+        }
+        let leader = status.leader.and_then(|it| self.address(it));
+        if let Some(leader) = leader.filter(|_| !relayed) {
+            self.peers.send(leader, PeerMessage::Join { node, address, relayed: true });
+        }
+    }
+
+    fn take_put(&mut self, put: Put, reply: oneshot::Sender<Answer>) {
+        if self.node.status().role != Role::Leader {
+            self.answer_elsewhere(reply);
+            return;
+        }
+        // What goes wrong: an order that fewer voters hold than may be lost with their disks is
+        // acknowledged and then gone.
+        if self.node.membership().quorum() <= self.config.losses {
+            let _ = reply.send(Answer::Thin);
+            return;
+        }
+        if put.version <= self.held.version {
+            self.take_read(reply);
+            return;
+        }
+        match self.node.propose(encode(&put)) {
+            Ok(position) => self.puts.push((position, reply)),
+            Err(_) => self.answer_elsewhere(reply),
+        }
+    }
+
+    fn take_read(&mut self, reply: oneshot::Sender<Answer>) {
+        self.next_read += 1;
+        let id = self.next_read;
+        if self.node.read(id).is_err() {
+            self.answer_elsewhere(reply);
+            return;
+        }
+        self.reads.insert(id, reply);
+    }
+
+    fn answer_elsewhere(&self, reply: oneshot::Sender<Answer>) {
+        let leader = self.node.status().leader.filter(|it| *it != self.id);
+        // The asker may have given up.
+        let _ = reply.send(Answer::Elsewhere(leader.and_then(|it| self.address(it))));
+    }
+
+    fn address(&self, id: NodeId) -> Option<SocketAddr> {
+        let membership = self.node.membership();
+        let bytes = membership.voters.get(&id).or_else(|| membership.learners.get(&id));
+        bytes.and_then(|it| address_of(it)).or_else(|| self.known.get(&id).copied())
+    }
+
+    /// Writes, sends, applies and answers until there is nothing left to do.
+    fn work(&mut self) -> StepResult<()> {
+        while self.node.has_work() {
+            let ready = self.node.ready();
+            let before = Instant::now();
+            self.folder.write(&ready)?;
+            let took = before.elapsed();
+            self.node.synced();
+            if took > SLOW_WRITE && self.node.status().role == Role::Leader {
+                log::warn!(ms = took.as_millis() as u64; "a slow disk; handing leadership over");
+                let _ = self.node.transfer(None);
+            }
+            if let Some(snapshot) = &ready.snapshot {
+                self.held = Arc::new(decode(&snapshot.data)?);
+                self.applied = snapshot.index;
+            }
+            for message in ready.messages {
+                self.send(message);
+            }
+            for entry in ready.committed {
+                self.applied = entry.index;
+                self.apply(entry.payload)?;
+                self.answer_put(Position { term: entry.term, index: entry.index });
+            }
+            self.confirmed.extend(ready.reads);
+            self.answer_reads();
+            for id in ready.lost_reads {
+                if let Some(reply) = self.reads.remove(&id) {
+                    self.answer_elsewhere(reply);
+                }
+            }
+        }
+        if self.folder.is_large() {
+            self.compact()?;
+        }
+        Ok(())
+    }
+
+    fn send(&self, message: Message) {
+        if let Some(address) = self.address(message.to) {
+            self.peers.send(address, PeerMessage::Log(message, self.config.address));
+        }
+    }
+
+    fn apply(&mut self, payload: Payload) -> StepResult<()> {
+        match payload {
+            Payload::Empty => {}
+            Payload::Command(bytes) => {
+                let put: Put = decode(&bytes)?;
+                let version = put.version;
+                let mut held = Held::clone(&self.held);
+                if held.apply(put) {
+                    self.held = Arc::new(held);
+                    log::info!(version:% = version, index:% = self.applied; "a plan is held");
+                }
+            }
+            Payload::Membership(it) => {
+                log::info!(voters = it.voters.len(), learners = it.learners.len(),
+                    index:% = self.applied; "the membership changed");
+            }
+        }
+        Ok(())
+    }
+
+    fn answer_put(&mut self, position: Position) {
+        let held = &self.held;
+        self.puts.retain_mut(|(at, reply)| {
+            if at.index > position.index {
+                return true;
+            }
+            let reply = std::mem::replace(reply, oneshot::channel().0);
+            let committed = *at == position;
+            let answer =
+                if committed { Answer::Held(Arc::clone(held)) } else { Answer::Elsewhere(None) };
+            // The asker may have given up.
+            let _ = reply.send(answer);
+            false
+        });
+    }
+
+    fn answer_reads(&mut self) {
+        let applied = self.applied;
+        for (id, _) in self.confirmed.extract_if(.., |(_, index)| *index <= applied) {
+            if let Some(reply) = self.reads.remove(&id) {
+                let _ = reply.send(Answer::Held(Arc::clone(&self.held)));
+            }
+        }
+    }
+
+    fn compact(&mut self) -> StepResult<()> {
+        let Some(head) = self.node.snapshot_head(self.applied) else { return Ok(()) };
+        let snapshot = Snapshot { data: encode(&*self.held), ..head };
+        self.folder.compact(&snapshot)?;
+        self.node.compact(snapshot);
+        Ok(())
+    }
+
+    /// Mends the membership as leader; asks to take part where no leader is heard.
+    fn repair(&mut self, now: Instant) {
+        let status = self.node.status();
+        self.joins.retain(|_, (_, at)| now.duration_since(*at) < JOIN_FRESH);
+        if status.role != Role::Leader {
+            if status.leader.is_some() && self.node.membership().is_voter(self.id) {
+                self.led_since = now;
+            }
+            let leaderless = now.duration_since(self.led_since) >= LEADERLESS;
+            if leaderless || !self.node.membership().is_voter(self.id) {
+                self.ask_to_join();
+            }
+            return;
+        }
+        self.led_since = now;
+        let silent = |id: &NodeId| match self.heard.get(id) {
+            Some(at) => now.duration_since(*at),
+            None => Duration::ZERO,
+        };
+        let peers = status.peers.iter().map(|(id, peer)| {
+            let caught_up = peer.matched >= status.commit && peer.active;
+            (*id, PeerView { silent: silent(id), caught_up })
+        });
+        let peers: BTreeMap<NodeId, PeerView> = peers.collect();
+        let joins = self.joins.iter().map(|(address, (id, _))| (*address, *id)).collect();
+        let next = next_membership(&RepairView {
+            me: self.id,
+            membership: self.node.membership(),
+            peers: &peers,
+            joins: &joins,
+            voters: 2 * self.config.losses + 1,
+        });
+        // A peer that was never heard counts from the moment this node leads.
+        for id in status.peers.keys() {
+            self.heard.entry(*id).or_insert(now);
+        }
+        let Some(next) = next else { return };
+        let (voters, learners) = (next.voters.len(), next.learners.len());
+        match self.node.change(next) {
+            Ok(position) => log::info!(voters, learners, index:% = position.index;
+                "proposed a change of the membership"),
+            Err(error) => log::debug!(cause:% = error; "the membership can't change yet"),
+        }
+    }
+
+    fn ask_to_join(&self) {
+        let join =
+            PeerMessage::Join { node: self.id, address: self.config.address, relayed: false };
+        self.peers.send_seeds(&join);
+        for bytes in self.node.membership().voters.values() {
+            if let Some(address) = address_of(bytes).filter(|it| *it != self.config.address) {
+                self.peers.send(address, join.clone());
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        let status = self.node.status();
+        let leader = status.leader.filter(|_| !self.resigned);
+        let leader = leader.and_then(|it| self.address(it));
+        let role = status.role;
+        let settled = status.settled && !status.transferring;
+        let current = leader.is_some()
+            && (role != Role::Leader || settled)
+            && self.applied >= status.commit
+            && self.node.membership().contains(self.id);
+        let term = status.term.0;
+        let members = self.node.membership().voters.values().filter_map(|it| address_of(it));
+        let members: Vec<SocketAddr> = members.collect();
+        self.view.send_if_modified(|view| {
+            let same = view.term == term
+                && view.role == role
+                && view.settled == settled
+                && view.leader == leader
+                && view.current == current
+                && view.held.version == self.held.version
+                && view.members == members;
+            if same {
+                return false;
+            }
+            if view.role != role || view.leader != leader {
+                log::info!(term, role:? = role, leader:? = leader; "the leadership changed");
+            }
+            *view = View {
+                term,
+                role,
+                settled,
+                leader,
+                current,
+                held: Arc::clone(&self.held),
+                members,
+            };
+            true
+        });
+    }
+}
+
+fn node_config(id: NodeId) -> Config {
+    Config {
+        id,
+        election_ticks: ELECTION_TICKS,
+        heartbeat_ticks: HEARTBEAT_TICKS,
+        max_entries: 64,
+        max_bytes: 1 << 20,
+        snapshot_part: SNAPSHOT_PART,
+        seed: rand::random(),
+    }
+}
--- /dev/null
+++ b/crates/registry/src/follow.rs
@@ -0,0 +1,292 @@
+//! An entry's side: follows every member it can reach.
+//!
+//! All members are followed at once, so that one that is cut off, frozen or stalled holds nothing
+//! up; a plan travels once, from the first member that tells of it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use types::{Version, VmName};
+use wire::{Hello, Kind, Secret, Sender};
+
+use crate::message::{EntrySeen, Stamp, ToEntry, ToMember, Upstream, UpstreamList};
+
+/// The most members that are followed at once.
+const MEMBERS: usize = 7;
+
+/// The pause before a member that can't be reached is dialled again.
+const REDIAL: Duration = Duration::from_millis(300);
+
+/// How long a dial may take.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// How long a plan that was asked for may take before it is asked for elsewhere.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// How often waiting plans and missing members are looked at.
+const PERIOD: Duration = Duration::from_millis(100);
+
+/// Who the entry is.
+#[derive(Clone, Debug)]
+pub struct FollowerConfig {
+    /// What it tells members.
+    pub entry: EntrySeen,
+    /// Its VM.
+    pub vm: VmName,
+    /// Where members were, when the settings were written.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// What an entry was told.
+#[derive(Clone, Debug, Default)]
+pub struct News {
+    /// The newest plan, once a member that was up to date vouched for it.
+    pub plan: Option<(Version, Arc<Vec<u8>>)>,
+    /// The newest list of upstreams.
+    pub upstreams: Arc<Vec<Upstream>>,
+    /// Its number.
+    pub listed: Stamp,
+    /// The entries that are there.
+    pub entries: Arc<Vec<EntrySeen>>,
+    /// How many members are connected.
+    pub members: usize,
+}
+
+/// A running follower.
+pub struct Follower {
+    news: watch::Receiver<News>,
+    seeds: Arc<Mutex<Vec<SocketAddr>>>,
+    _task: JoinHandle<()>,
+}
+
+impl Follower {
+    /// Starts to follow.
+    pub fn spawn(config: FollowerConfig, secret: Secret) -> Self {
+        let (sender, news) = watch::channel(News::default());
+        let seeds = Arc::new(Mutex::new(config.seeds.clone()));
+        let task = tokio::spawn(run(config, secret, sender, Arc::clone(&seeds)));
+        Self { news, seeds, _task: task }
+    }
+
+    /// Returns where the news are seen.
+    pub fn news(&self) -> watch::Receiver<News> {
+        self.news.clone()
+    }
+
+    /// Replaces the seed addresses, after the settings changed.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
+    }
+}
+
+/// What the connections tell the loop.
+enum Event {
+    Connected(SocketAddr, Sender<ToMember>),
+    Lost(SocketAddr),
+    Message(SocketAddr, ToEntry),
+}
+
+struct Loop {
+    config: FollowerConfig,
+    secret: Secret,
+    me: Hello,
+    events: mpsc::Sender<Event>,
+    news: watch::Sender<News>,
+    seeds: Arc<Mutex<Vec<SocketAddr>>>,
+    links: HashMap<SocketAddr, Option<Sender<ToMember>>>,
+    members: Vec<SocketAddr>,
+    /// The version each member holds, and whether it is up to date.
+    held: HashMap<SocketAddr, (Version, bool)>,
+    text: Option<(Version, Arc<Vec<u8>>)>,
+    entries: Stamp,
+    fetch: Option<(Version, SocketAddr, Instant)>,
+}
+
+async fn run(
+    config: FollowerConfig,
+    secret: Secret,
+    news: watch::Sender<News>,
+    seeds: Arc<Mutex<Vec<SocketAddr>>>,
+) {
+    let (events, mut incoming) = mpsc::channel(256);
+    let me = Hello { kind: Kind::Entry, vm: config.vm.clone(), node: rand::random() };
+    let mut state = Loop {
+        config,
+        secret,
+        me,
+        events,
+        news,
+        seeds,
+        links: HashMap::new(),
+        members: Vec::new(),
+        held: HashMap::new(),
+        text: None,
+        entries: Stamp::default(),
+        fetch: None,
+    };
+    let mut ticks = interval(PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => state.dial(),
+            Some(event) = incoming.recv() => state.take(event),
+        }
+        state.fetch();
+    }
+}
+
+impl Loop {
+    /// Opens a task for every member that has none.
+    fn dial(&mut self) {
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let wanted = self.members.iter().chain(&seeds).copied();
+        for address in wanted.collect::<Vec<_>>() {
+            if self.links.len() >= MEMBERS {
+                return;
+            }
+            if self.links.contains_key(&address) {
+                continue;
+            }
+            self.links.insert(address, None);
+            let (secret, me) = (self.secret.clone(), self.me.clone());
+            let (entry, events) = (self.config.entry.clone(), self.events.clone());
+            tokio::spawn(link(address, secret, me, entry, events));
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Connected(address, sender) => {
+                log::info!(peer:% = address; "connected to a member");
+                self.links.insert(address, Some(sender));
+                self.count();
+            }
+            Event::Lost(address) => {
+                if self.links.remove(&address).flatten().is_some() {
+                    log::warn!(peer:% = address; "lost a member");
+                }
+                self.held.remove(&address);
+                self.count();
+            }
+            Event::Message(address, message) => self.take_message(address, message),
+        }
+    }
+
+    fn count(&self) {
+        let members = self.links.values().flatten().count();
+        self.news.send_modify(|it| it.members = members);
+    }
+
+    fn take_message(&mut self, from: SocketAddr, message: ToEntry) {
+        match message {
+            ToEntry::Held { version, current } => {
+                self.held.insert(from, (version, current));
+                self.show();
+            }
+            ToEntry::Plan { version, text } => {
+                self.fetch = None;
+                if self.text.as_ref().is_none_or(|(it, _)| *it < version) {
+                    self.text = Some((version, Arc::new(text)));
+                }
+                self.show();
+            }
+            ToEntry::Upstreams(list) => self.take_upstreams(list),
+            ToEntry::Entries(stamp, entries) if stamp > self.entries => {
+                self.entries = stamp;
+                self.news.send_modify(|it| it.entries = Arc::new(entries));
+            }
+            ToEntry::Entries(..) => {}
+            ToEntry::Members(members) => self.members = members,
+        }
+    }
+
+    fn take_upstreams(&self, list: UpstreamList) {
+        self.news.send_if_modified(|news| {
+            let newer = list.stamp > news.listed;
+            if newer {
+                news.listed = list.stamp;
+                news.upstreams = Arc::new(list.upstreams);
+            }
+            newer
+        });
+    }
+
+    /// Shows the newest text. The first one is shown only once a member that was up to date holds
+    /// no newer one: an entry that comes back must not serve what was overtaken while it was away.
+    fn show(&self) {
+        let Some((version, text)) = &self.text else { return };
+        let first = self.news.borrow().plan.is_none();
+        let vouched = self.held.values().any(|(it, current)| *current && it <= version);
+        if first && !vouched {
+            return;
+        }
+        self.news.send_if_modified(|news| {
+            let newer = news.plan.as_ref().is_none_or(|(it, _)| it < version);
+            if newer {
+                news.plan = Some((*version, Arc::clone(text)));
+            }
+            newer
+        });
+    }
+
+    /// Asks for the newest plan that some member holds.
+    fn fetch(&mut self) {
+        let have = self.text.as_ref().map_or(Version(0), |(it, _)| *it);
+        let Some(newest) = self.held.values().map(|it| it.0).max().filter(|it| *it > have) else {
+            return;
+        };
+        let late = match self.fetch {
+            Some((version, _, at)) => version < newest || at.elapsed() > FETCH_TIMEOUT,
+            None => true,
+        };
+        if !late {
+            return;
+        }
+        let avoid = self.fetch.map(|it| it.1);
+        let holders = self.held.iter().filter(|(_, it)| it.0 == newest).map(|(it, _)| *it);
+        let mut holders: Vec<SocketAddr> = holders.collect();
+        holders.sort_by_key(|it| (Some(*it) == avoid, *it));
+        let spread = self.me.node as usize % holders.len().max(1);
+        if avoid.is_none() {
+            holders.rotate_left(spread);
+        }
+        for holder in holders {
+            let Some(Some(sender)) = self.links.get(&holder) else { continue };
+            if sender.try_send(&ToMember::Fetch(newest)).is_ok() {
+                self.fetch = Some((newest, holder, Instant::now()));
+                return;
+            }
+        }
+    }
+}
+
+/// Keeps one connection to one member; ends with it.
+async fn link(
+    address: SocketAddr,
+    secret: Secret,
+    me: Hello,
+    entry: EntrySeen,
+    events: mpsc::Sender<Event>,
+) {
+    let dialled = timeout(DIAL_TIMEOUT, wire::connect(address, &secret, me, Kind::Member)).await;
+    if let Ok(Ok(connection)) = dialled {
+        let (sender, mut receiver) = connection.split::<ToMember, ToEntry>();
+        let greeted = sender.send(&ToMember::Hello(entry)).await.is_ok();
+        if greeted && events.send(Event::Connected(address, sender)).await.is_ok() {
+            while let Ok(Some(message)) = receiver.recv().await {
+                if events.send(Event::Message(address, message)).await.is_err() {
+                    return;
+                }
+            }
+        }
+    } else {
+        sleep(REDIAL).await;
+    }
+    // The loop ends only with the process.
+    let _ = events.send(Event::Lost(address)).await;
+}
--- /dev/null
+++ b/crates/registry/src/hub.rs
@@ -0,0 +1,153 @@
+//! Hands the plan, the upstreams and the entries to the entries that are connected.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
+
+use tokio::sync::watch;
+use wire::{Connection, Receiver, Sender};
+
+use crate::driver::View;
+use crate::message::{EntrySeen, Stamp, ToEntry, ToMember, UpstreamList};
+
+/// What is handed out besides the plan.
+#[derive(Clone, Debug, Default)]
+struct Handout {
+    upstreams: UpstreamList,
+    entries: Vec<EntrySeen>,
+    count: u64,
+}
+
+/// The entries that are connected to this member.
+pub(crate) struct Hub {
+    handout: watch::Sender<Handout>,
+    seen: Mutex<HashMap<u64, EntrySeen>>,
+}
+
+impl Hub {
+    pub(crate) fn new() -> Self {
+        Self { handout: watch::Sender::new(Handout::default()), seen: Mutex::default() }
+    }
+
+    /// Hands out another list of upstreams.
+    pub(crate) fn set_upstreams(&self, list: UpstreamList) {
+        self.handout.send_modify(|it| it.upstreams = list);
+    }
+
+    fn enter(&self, life: u64, entry: EntrySeen) {
+        log::info!(entry = entry.name.as_str(), address:% = entry.address; "an entry connected");
+        self.change(|seen| {
+            seen.insert(life, entry);
+        });
+    }
+
+    fn leave(&self, life: u64) {
+        self.change(|seen| {
+            if let Some(entry) = seen.remove(&life) {
+                log::info!(entry = entry.name.as_str(); "an entry is gone");
+            }
+        });
+    }
+
+    fn change(&self, change: impl FnOnce(&mut HashMap<u64, EntrySeen>)) {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut seen);
+        let mut entries: Vec<EntrySeen> = seen.values().cloned().collect();
+        entries.sort_by(|a, b| a.name.cmp(&b.name));
+        entries.dedup_by(|a, b| a.address == b.address);
+        drop(seen);
+        self.handout.send_modify(|it| {
+            it.entries = entries;
+            it.count += 1;
+        });
+    }
+
+    /// Serves one entry until its connection ends.
+    pub(crate) async fn serve(
+        &self,
+        life: u64,
+        connection: Connection,
+        view: watch::Receiver<View>,
+    ) {
+        let (sender, receiver) = connection.split::<ToEntry, ToMember>();
+        if let Err(error) = self.talk(life, &sender, receiver, view).await {
+            log::info!(cause:% = error; "the connection to an entry ended");
+        }
+        self.leave(life);
+    }
+
+    async fn talk(
+        &self,
+        life: u64,
+        sender: &Sender<ToEntry>,
+        mut receiver: Receiver<ToMember>,
+        mut view: watch::Receiver<View>,
+    ) -> types::StepResult<()> {
+        let mut handout = self.handout.subscribe();
+        let mut told = Told::default();
+        loop {
+            let seen = view.borrow_and_update().clone();
+            told.tell_view(sender, &seen).await?;
+            let current = handout.borrow_and_update().clone();
+            if seen.leads() {
+                told.tell_handout(sender, seen.term, current).await?;
+            }
+            tokio::select! {
+                changed = view.changed() => if changed.is_err() { return Ok(()) },
+                changed = handout.changed() => if changed.is_err() { return Ok(()) },
+                message = receiver.recv() => match message? {
+                    Some(ToMember::Hello(entry)) => self.enter(life, entry),
+                    Some(ToMember::Fetch(version)) => {
+                        let held = view.borrow().held.clone();
+                        if held.version >= version {
+                            let (version, text) = (held.version, held.text.clone());
+                            sender.send(&ToEntry::Plan { version, text }).await?;
+                        }
+                    }
+                    None => return Ok(()),
+                },
+            }
+        }
+    }
+}
+
+/// What one entry was told.
+#[derive(Default)]
+struct Told {
+    held: Option<(types::Version, bool)>,
+    members: Vec<std::net::SocketAddr>,
+    upstreams: Stamp,
+    entries: Stamp,
+}
+
+impl Told {
+    async fn tell_view(&mut self, sender: &Sender<ToEntry>, view: &View) -> types::StepResult<()> {
+        let (version, current) = (view.held.version, view.current);
+        if self.held != Some((version, current)) {
+            self.held = Some((version, current));
+            sender.send(&ToEntry::Held { version, current }).await?;
+        }
+        if !view.members.is_empty() && self.members != view.members {
+            self.members.clone_from(&view.members);
+            sender.send(&ToEntry::Members(view.members.clone())).await?;
+        }
+        Ok(())
+    }
+
+    async fn tell_handout(
+        &mut self,
+        sender: &Sender<ToEntry>,
+        term: u64,
+        handout: Handout,
+    ) -> types::StepResult<()> {
+        if handout.upstreams.stamp.term == term && self.upstreams < handout.upstreams.stamp {
+            self.upstreams = handout.upstreams.stamp;
+            sender.send(&ToEntry::Upstreams(handout.upstreams)).await?;
+        }
+        let stamp = Stamp { term, count: handout.count };
+        if self.entries < stamp {
+            self.entries = stamp;
+            sender.send(&ToEntry::Entries(stamp, handout.entries)).await?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/registry/src/message.rs
@@ -0,0 +1,120 @@
+//! The messages between members, and between members and entries.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use consensus::Message;
+use serde::{Deserialize, Serialize};
+use types::{NodeId, Version};
+
+/// What one member sends another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// A message of the replicated log, and where its sender is reached: one that joins knows no
+    /// membership yet, and could not answer.
+    Log(Message, SocketAddr),
+    /// A node without a leader asks to take part.
+    Join {
+        /// The node.
+        node: NodeId,
+        /// Where members reach it.
+        address: SocketAddr,
+        /// Whether the request was passed on by a member; it is passed on only once.
+        relayed: bool,
+    },
+}
+
+/// What an entry sends a member.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ToMember {
+    /// The entry's first message.
+    Hello(EntrySeen),
+    /// Asks for the plan with this version, or a newer one.
+    Fetch(Version),
+}
+
+/// What a member sends an entry.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ToEntry {
+    /// The plan that the member has applied.
+    Held {
+        /// Its version; zero where there is none.
+        version: Version,
+        /// Whether the member had applied everything it knows to be committed, and has a leader.
+        current: bool,
+    },
+    /// A plan, as the operator sent it.
+    Plan {
+        /// Its version.
+        version: Version,
+        /// Its text.
+        text: Vec<u8>,
+    },
+    /// The upstreams, from the leader.
+    Upstreams(UpstreamList),
+    /// The entries that are there, from the leader.
+    Entries(Stamp, Vec<EntrySeen>),
+    /// The members that an entry may connect to.
+    Members(Vec<SocketAddr>),
+}
+
+/// Orders what successive leaders hand out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Stamp {
+    /// The leader's term.
+    pub term: u64,
+    /// The count within the term.
+    pub count: u64,
+}
+
+impl fmt::Display for Stamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.term, self.count)
+    }
+}
+
+/// An entry, as it introduced itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntrySeen {
+    /// Its VM's name.
+    pub name: String,
+    /// Where other entries reach it.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+}
+
+/// The upstreams at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamList {
+    /// Orders the lists.
+    pub stamp: Stamp,
+    /// The upstreams.
+    pub upstreams: Vec<Upstream>,
+}
+
+/// Whether an upstream takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Health {
+    /// It takes new work.
+    Ready,
+    /// It is leaving and must get no new work.
+    Draining,
+}
+
+/// One life of an upstream, as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Upstream {
+    /// The id of this life.
+    pub id: String,
+    /// The service it belongs to.
+    pub service: String,
+    /// Where it listens. The address may be used by another upstream later.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: String,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub health: Health,
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -2,6 +2,8 @@
 
 mod log_line;
 mod metrics;
+mod output;
 
 pub use log_line::{format_line, open_log};
 pub use metrics::{ByteCounters, CONTENT_TYPE, open_registry, render};
+pub use output::open_output_log;
