Refuse early what its stages can't serve in time; keep a chain in one domain

Changed: owners tell entries how long pieces wait by rank, an entry refuses at arrival what would come too late; late pieces go last; room counts until the upstream dropped the result; callers' patience bounds the first event; pieces of a chain follow their inputs' failure domain. Not met: results between domains stay the dearest price, cause not found yet.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -38,6 +38,8 @@
     pub(crate) input: PieceInput,
     pub(crate) size: u64,
     pub(crate) domain: Option<Arc<str>>,
+    pub(crate) weight: u64,
+    pub(crate) rank: u8,
     pub(crate) due: Instant,
     pub(crate) deadline: Instant,
 }
@@ -144,6 +146,19 @@
         }
     }
 
+    /// The failure domain in which most of some results are kept.
+    pub(crate) fn domain_of(&self, handles: &[Handle]) -> Option<Arc<str>> {
+        let directory = self.shared.directory();
+        let mut counts: HashMap<Arc<str>, usize> = HashMap::new();
+        for handle in handles {
+            let address = D::keeper(handle);
+            if let Some(keeper) = directory.all().find(|it| Some(it.address) == address) {
+                *counts.entry(Arc::clone(&keeper.domain)).or_default() += 1;
+            }
+        }
+        counts.into_iter().max_by_key(|it| it.1).map(|it| it.0)
+    }
+
     /// The owner of a service from this entry's view.
     fn owner_of(&self, service: &str) -> Option<SocketAddr> {
         let now = Instant::now();
@@ -165,7 +180,10 @@
     fn link(&self, address: SocketAddr) -> Arc<Link> {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         links.retain(|_, it| !it.is_ended());
-        let open = || Link::open(address, self.secret.clone(), self.me.clone());
+        let open = || {
+            let backlogs = Arc::clone(&self.shared.backlogs);
+            Link::open(address, self.secret.clone(), self.me.clone(), backlogs)
+        };
         Arc::clone(links.entry(address).or_insert_with(open))
     }
 
@@ -224,7 +242,7 @@
         let results = match answer {
             FromOwner::Results(_, results) => results,
             FromOwner::Refused(_) => return Some(Ended::Silent),
-            FromOwner::Accepted(_) | FromOwner::Pulse => return None,
+            FromOwner::Accepted(_) | FromOwner::Pulse | FromOwner::Backlog(..) => return None,
         };
         for (segment, result) in results {
             match result {
@@ -258,6 +276,8 @@
         input,
         size: spec.size,
         domain: spec.domain.as_ref().map(ToString::to_string),
+        weight: spec.weight,
+        rank: spec.rank,
         due_ms: early - late,
         left_ms: spec.deadline.saturating_duration_since(now).as_millis() as u64,
         again,
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 use wire::{Connection, Hello, Kind, Listener, Secret};
 
+use crate::backlog::Backlogs;
 use crate::batch::message::{FromOwner, ToOwner};
 use crate::batch::owner::{Owner, OwnerEvent};
 
@@ -22,6 +23,7 @@
 pub(crate) struct Link {
     sender: mpsc::UnboundedSender<ToOwner>,
     waiting: Mutex<Waiting>,
+    backlogs: Arc<Backlogs>,
 }
 
 #[derive(Default)]
@@ -33,9 +35,14 @@
 
 impl Link {
     /// Opens a connection; it comes up in the background.
-    pub(crate) fn open(address: SocketAddr, secret: Secret, me: Hello) -> Arc<Self> {
+    pub(crate) fn open(
+        address: SocketAddr,
+        secret: Secret,
+        me: Hello,
+        backlogs: Arc<Backlogs>,
+    ) -> Arc<Self> {
         let (sender, outgoing) = mpsc::unbounded_channel();
-        let link = Arc::new(Self { sender, waiting: Mutex::default() });
+        let link = Arc::new(Self { sender, waiting: Mutex::default(), backlogs });
         tokio::spawn(drive(Arc::clone(&link), address, secret, me, outgoing));
         link
     }
@@ -81,6 +88,10 @@
         let id = match &message {
             FromOwner::Accepted(id) | FromOwner::Refused(id) | FromOwner::Results(id, _) => *id,
             FromOwner::Pulse => return,
+            FromOwner::Backlog(service, waits) => {
+                self.backlogs.set(service, *waits);
+                return;
+            }
         };
         if let Some(job) = waiting.jobs.get(&id) {
             // The job may have been given up just now.
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch::queue::RANKS;
 use crate::dialect::PieceFailure;
 
 /// What the pieces of a job work on.
@@ -25,8 +26,12 @@
     pub(crate) input: JobInput,
     /// The size of one result in bytes.
     pub(crate) size: u64,
-    /// The failure domain in which the results are used.
+    /// The failure domain in which the inputs are, or the results are used.
     pub(crate) domain: Option<String>,
+    /// The bytes that cross domains for a piece that is made in another one.
+    pub(crate) weight: u64,
+    /// The rank of the request; 0 goes first.
+    pub(crate) rank: u8,
     /// When the results should be there, in ms from now; past if negative.
     pub(crate) due_ms: i64,
     /// When they are of no use any more, in ms from now.
@@ -57,4 +62,6 @@
     Results(u64, Vec<(u32, Result<String, PieceFailure>)>),
     /// The owner lives and works on jobs of this entry.
     Pulse,
+    /// How long pieces of a service wait at this owner, by rank, in ms.
+    Backlog(String, [u32; RANKS]),
 }
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -17,6 +17,9 @@
 /// How often waiting pieces are looked at besides events.
 const PERIOD: Duration = Duration::from_millis(25);
 
+/// How often entries are told how long pieces wait.
+const BACKLOG_PERIOD: Duration = Duration::from_millis(80);
+
 /// How often one piece may be sent.
 const SENDS: u32 = 3;
 
@@ -27,11 +30,14 @@
 /// See [`OVERDUE_FACTOR`].
 const OVERDUE: Duration = Duration::from_millis(150);
 
-/// The longest a call may take.
-const CALL_LIMIT: Duration = Duration::from_secs(6);
+/// A call that takes this many times its expected time, and [`CALL_SLACK`] more, is given up.
+const CALL_FACTOR: u32 = 4;
+
+/// See [`CALL_FACTOR`].
+const CALL_SLACK: Duration = Duration::from_secs(1);
 
 /// How long given-up results are collected before the upstream is told.
-const FREE_PERIOD: Duration = Duration::from_millis(60);
+const FREE_PERIOD: Duration = Duration::from_millis(30);
 
 /// The origin of this entry's own jobs.
 pub(crate) const OWN: u64 = 0;
@@ -47,6 +53,8 @@
     Left(u64),
     /// A call has ended.
     Ended(CallEnd),
+    /// An upstream was told to drop results.
+    Freed(Arc<Upstream>, Vec<Handle>),
 }
 
 /// The end of a call.
@@ -94,6 +102,10 @@
     calls: u64,
     free: HashMap<std::net::SocketAddr, Vec<Handle>>,
     freed: Instant,
+    /// Where each connection's answers go.
+    peers: HashMap<u64, Replies>,
+    /// When backlogs were told last, and whether there were any.
+    told: (Instant, bool),
 }
 
 impl Owner {
@@ -109,6 +121,8 @@
             calls: 0,
             free: HashMap::new(),
             freed: Instant::now(),
+            peers: HashMap::new(),
+            told: (Instant::now(), false),
         };
         tokio::spawn(run(state, incoming));
         Self { events }
@@ -125,7 +139,7 @@
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let busy = !state.jobs.is_empty() || !state.free.is_empty();
+        let busy = !state.jobs.is_empty() || !state.free.is_empty() || state.told.1;
         tokio::select! {
             event = incoming.recv() => {
                 let Some(event) = event else { return };
@@ -144,6 +158,9 @@
     fn take(&mut self, event: OwnerEvent) {
         match event {
             OwnerEvent::Told(origin, ToOwner::Submit(job), replies) => {
+                if origin != OWN {
+                    self.peers.entry(origin).or_insert_with(|| replies.clone());
+                }
                 self.submit(origin, job, replies);
             }
             OwnerEvent::Told(origin, ToOwner::Cancel(id), _) => {
@@ -153,10 +170,16 @@
             }
             OwnerEvent::Told(_, ToOwner::Free(handles), _) => self.give_up(handles),
             OwnerEvent::Left(origin) => {
+                self.peers.remove(&origin);
                 self.jobs.retain(|key, _| key.origin != origin);
                 self.queues.values_mut().for_each(|it| it.drop_jobs(|key| key.origin == origin));
             }
             OwnerEvent::Ended(end) => self.ended(end),
+            OwnerEvent::Freed(upstream, handles) => {
+                if let Some(queue) = self.queues.get_mut(&upstream.service) {
+                    queue.freed(&upstream.id, &handles);
+                }
+            }
         }
     }
 
@@ -199,8 +222,10 @@
                 stage: job.stage,
                 segment: *segment,
                 input: input.clone(),
+                rank: job.rank,
                 size: job.size,
                 domain: domain.clone(),
+                weight: job.weight,
                 due,
                 deadline: now + Duration::from_millis(job.left_ms),
                 since: now,
@@ -212,9 +237,7 @@
     }
 
     fn give_up(&mut self, handles: Vec<String>) {
-        let handles: Vec<Handle> = handles.into_iter().map(Handle::from).collect();
-        self.queues.values_mut().for_each(|it| it.freed(&handles));
-        for handle in handles {
+        for handle in handles.into_iter().map(Handle::from) {
             if let Some(address) = D::keeper(&handle) {
                 self.free.entry(address).or_default().push(handle);
             }
@@ -233,12 +256,37 @@
             }
             self.send_calls(&service, now);
         }
+        if now.duration_since(self.told.0) >= BACKLOG_PERIOD {
+            self.tell_backlogs(now);
+        }
         if !self.free.is_empty() && now.duration_since(self.freed) >= FREE_PERIOD {
             self.freed = now;
             self.send_free();
         }
     }
 
+    /// Tells every entry how long pieces wait, so that it can refuse what would come too late.
+    fn tell_backlogs(&mut self, now: Instant) {
+        let directory = self.shared.directory();
+        let mut any = false;
+        let had = self.told.1;
+        for (service, queue) in &self.queues {
+            if queue.is_empty() && !had {
+                continue;
+            }
+            any |= !queue.is_empty();
+            let open = directory.service(service).iter();
+            let lanes = open.filter(|it| it.is_open() && !it.is_paused(now)).count();
+            let waits = queue.backlog(lanes).map(|it| it.as_millis() as u32);
+            self.shared.backlogs.set(service, waits);
+            for peer in self.peers.values() {
+                // A connection that has ended is removed by its own event.
+                let _ = peer.send(FromOwner::Backlog(service.to_string(), waits));
+            }
+        }
+        self.told = (now, any);
+    }
+
     fn send_calls(&mut self, service: &Arc<str>, now: Instant) {
         let directory = self.shared.directory();
         let upstreams = directory.service(service);
@@ -351,9 +399,13 @@
                     self.give_up(vec![handle.to_string()]);
                 }
             }
-            Err(PieceFailure::NoRoom | PieceFailure::Failed) if !requeued => {
+            Err(PieceFailure::NoRoom) if !requeued => {
+                if let Some(queue) = self.queues.get_mut(&end.service) {
+                    queue.crowded(&end.upstream.id, piece.size, now);
+                }
                 self.requeue(piece.clone(), now);
             }
+            Err(PieceFailure::Failed) if !requeued => self.requeue(piece.clone(), now),
             Err(PieceFailure::NoRoom | PieceFailure::Failed) => {}
             Err(failure) => {
                 self.deliver(piece, Err(failure));
@@ -381,10 +433,13 @@
         for (address, handles) in self.free.drain() {
             let keeper = directory.all().find(|it| it.address == address);
             let Some(keeper) = keeper.cloned() else { continue };
+            let events = self.events.clone();
             tokio::spawn(async move {
-                if let Err(fault) = exchange::free::<D>(&keeper, &handles).await {
-                    log::debug!(upstream:% = keeper.id, cause:% = fault;
-                        "results could not be given up; they end by themselves");
+                match exchange::free::<D>(&keeper, &handles).await {
+                    // The owner's task ends only with the process.
+                    Ok(()) => drop(events.send(OwnerEvent::Freed(keeper, handles))),
+                    Err(fault) => log::debug!(upstream:% = keeper.id, cause:% = fault;
+                        "results could not be given up; they end by themselves"),
                 }
             });
         }
@@ -400,7 +455,8 @@
 ) {
     let start = Instant::now();
     let calls: Vec<_> = next.pieces.iter().map(|it| it.call(start)).collect();
-    let outcome = exchange::pieces::<D>(&upstream, &calls, start + CALL_LIMIT).await;
+    let by = start + next.expected * CALL_FACTOR + CALL_SLACK;
+    let outcome = exchange::pieces::<D>(&upstream, &calls, by).await;
     let took = start.elapsed();
     let end = CallEnd { service, upstream, call, pieces: next.pieces, took, outcome };
     // The owner's task ends only with the process.
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -12,11 +12,21 @@
 /// Results from this size on are worth waiting for a maker in the domain that uses them, in bytes.
 const LARGE: u64 = 200_000;
 
-/// How long a piece with a large result waits for a maker in its domain.
-const DOMAIN_WAIT: Duration = Duration::from_millis(120);
+/// How much sooner than it must a piece leaves the wait for a maker in its domain.
+const DOMAIN_MARGIN: Duration = Duration::from_millis(120);
 
-/// How long before its deadline a late piece becomes as urgent as one that is in time.
-const LATE_MARGIN: Duration = Duration::from_millis(1_500);
+/// The ranks that are told apart in the backlog; lower ones count as the last.
+pub const RANKS: usize = 4;
+
+/// How much of the announced throughput is reached with calls that are not full and pauses between
+/// them, in the mean of days under load.
+const EFFICIENCY: f64 = 0.8;
+
+/// For how long room that turned out to be taken counts as taken.
+const CROWDED: Duration = Duration::from_millis(700);
+
+/// The share of the room that is used: sizes are approximate.
+const ROOM_SHARE: f64 = 0.94;
 
 /// The weight of the latest call in an upstream's speed.
 const SPEED_WEIGHT: f64 = 0.4;
@@ -46,10 +56,14 @@
     pub segment: u32,
     /// What it works on.
     pub input: PieceInput,
+    /// The rank of its request; 0 goes first.
+    pub rank: u8,
     /// The size of its result in bytes.
     pub size: u64,
-    /// The failure domain in which the result is used.
+    /// The failure domain in which its inputs are, or its result is used.
     pub domain: Option<Arc<str>>,
+    /// The bytes that cross domains if it is made in another one.
+    pub weight: u64,
     /// When the result should be there.
     pub due: Instant,
     /// When it is of no use any more.
@@ -72,15 +86,13 @@
         }
     }
 
-    /// The moment by which pieces are ordered: when it is due while that can be met, and shortly
-    /// before its deadline after that. Pieces that can still be in time go before those that
-    /// can't, but no piece is left until its deadline passes.
-    fn urgency(&self, now: Instant) -> Instant {
-        if self.due > now {
-            self.due
-        } else {
-            self.deadline.checked_sub(LATE_MARGIN).unwrap_or(now)
-        }
+    /// The order of pieces: those that can still be in time, by when they are due; then those that
+    /// can't. Under overload the late ones must not make the others late, too. Among them the
+    /// later stages go first, for their requests cost the most already.
+    fn urgency(&self, now: Instant) -> (bool, std::cmp::Reverse<u32>, Instant) {
+        let late = self.due <= now;
+        let stage = if late { self.stage } else { 0 };
+        (late, std::cmp::Reverse(stage), self.due)
     }
 }
 
@@ -172,6 +184,21 @@
         self.waiting.retain(|it| !dead(it.job));
     }
 
+    /// For each rank, how long a piece is likely to wait for those of its rank and above.
+    pub fn backlog(&self, lanes: usize) -> [Duration; RANKS] {
+        let mut counts = [0usize; RANKS];
+        for piece in &self.waiting {
+            counts[usize::from(piece.rank).min(RANKS - 1)] += 1;
+        }
+        let call = self.plain(self.spec.batch).as_secs_f64();
+        let rate = lanes.max(1) as f64 * self.spec.batch as f64 / call.max(0.001) * EFFICIENCY;
+        let mut before = 0;
+        counts.map(|count| {
+            before += count;
+            Duration::from_secs_f64(before as f64 / rate)
+        })
+    }
+
     /// Chooses the next call, if one should go out now.
     pub fn next(&mut self, lanes: &[Lane], now: Instant) -> Option<NextCall> {
         if self.waiting.is_empty() {
@@ -222,13 +249,21 @@
         }
     }
 
-    /// Notes that results were given up.
-    pub fn freed(&mut self, handles: &[Arc<str>]) {
-        for memory in self.memory.values_mut() {
+    /// Notes that an upstream dropped results, as it was told to.
+    pub fn freed(&mut self, upstream: &str, handles: &[Arc<str>]) {
+        if let Some(memory) = self.memory.get_mut(upstream) {
             memory.kept.retain(|it| !handles.contains(&it.2));
         }
     }
 
+    /// Notes that an upstream had no room for a result: it keeps some that this queue doesn't know
+    /// of, from an owner before or with another size.
+    pub fn crowded(&mut self, upstream: &str, size: u64, now: Instant) {
+        if let Some(memory) = self.memory.get_mut(upstream) {
+            memory.kept.push((size, now + CROWDED, Arc::from("")));
+        }
+    }
+
     /// Forgets upstreams that are gone.
     pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
         self.memory.retain(|id, memory| memory.busy.is_some() || known(id));
@@ -245,7 +280,8 @@
             Some(memory) => memory.kept.iter().map(|it| it.0).sum(),
             None => 0,
         };
-        let mut room = self.spec.room.saturating_sub(kept);
+        let room = (self.spec.room as f64 * ROOM_SHARE) as u64;
+        let mut room = room.saturating_sub(kept);
         let mut chosen = Vec::new();
         for (at, piece) in self.waiting.iter().enumerate() {
             if chosen.len() >= self.spec.batch {
@@ -260,13 +296,15 @@
         chosen
     }
 
+    /// Whether a piece is better made in its domain, later: while it can still be in time there.
     fn waits_for_domain(&self, piece: &Piece, lane: &Lane, open: &[&Lane], now: Instant) -> bool {
         let Some(domain) = &piece.domain else { return false };
-        if piece.size < LARGE || *domain == lane.domain {
+        if piece.weight < LARGE || *domain == lane.domain {
             return false;
         }
         let served = open.iter().any(|it| it.domain == *domain);
-        served && now.duration_since(piece.since) < DOMAIN_WAIT
+        let call = self.spec.call + self.spec.item * (self.spec.batch as u32 / 2);
+        served && now + call + DOMAIN_MARGIN < piece.due
     }
 
     /// Whether another upstream would end the same call before `by`, its present one included.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -126,7 +126,7 @@
     let service = request.route.service(rand::random()).cloned().ok_or(Refusal::NoUpstream)?;
     shared.budget.request(&service, arrived);
     let engine = request.plan.services.get(&service).is_some_and(|it| it.engine.is_some());
-    let (attempt, deadline) = (request.ask.attempt.clone(), request.deadline);
+    let (attempt, deadline) = (request.ask.attempt.clone(), request.first_by);
     let (kind, late) = (request.route.kind, request.late_watch());
     let run = async {
         match kind {
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -111,6 +111,8 @@
     SlowBody,
     /// No upstream takes it.
     NoUpstream,
+    /// Its stages would take too long; it may come back after this time.
+    Overloaded(Duration),
     /// A stage could not be done.
     NoStage,
     /// The time is over, and nothing was sent.
@@ -130,7 +132,11 @@
             Refusal::BadHead => StatusCode::BAD_REQUEST,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Refusal::NoPlan | Refusal::NoUpstream | Refusal::NoStage | Refusal::Late => {
+            Refusal::NoPlan
+            | Refusal::NoUpstream
+            | Refusal::Overloaded(_)
+            | Refusal::NoStage
+            | Refusal::Late => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Refusal::LateRun => StatusCode::GATEWAY_TIMEOUT,
@@ -148,6 +154,7 @@
             Refusal::TooLarge => "too large",
             Refusal::SlowBody => "slow body",
             Refusal::NoUpstream => "no upstream",
+            Refusal::Overloaded(_) => "overloaded",
             Refusal::NoStage => "no stage",
             Refusal::Late => "late",
             Refusal::LateRun => "late, may have run",
@@ -160,15 +167,20 @@
         let mut reply = Response::new(ReplyBody::whole(Bytes::from_static(self.name().as_bytes())));
         *reply.status_mut() = self.status();
         if self.status() == StatusCode::SERVICE_UNAVAILABLE {
-            reply.headers_mut().insert(header::RETRY_AFTER, retry_after());
+            let after = match self {
+                Refusal::Overloaded(after) => after,
+                _ => Duration::ZERO,
+            };
+            reply.headers_mut().insert(header::RETRY_AFTER, retry_after(after));
         }
         reply
     }
 }
 
-/// When a refused caller should come back.
-fn retry_after() -> HeaderValue {
-    let wait = Duration::from_millis(RETRY_LEAST + rand::random::<u64>() % RETRY_SPREAD);
+/// When a refused caller should come back: after `least`, spread.
+fn retry_after(least: Duration) -> HeaderValue {
+    let spread = Duration::from_millis(RETRY_LEAST + rand::random::<u64>() % RETRY_SPREAD);
+    let wait = least + spread;
     let text = format!("{:.2}", wait.as_secs_f64());
     HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("1"))
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -12,13 +12,22 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::dialect::{Ask, Dialect, Handle, Marks};
-use crate::plan::{Customer, Plan, Route};
+use crate::plan::{Customer, Plan, Route, RouteKind};
 use crate::reply::{Refusal, strip_hop};
 use crate::upstream::Upstream;
 
 /// How long a caller is taken to wait where it doesn't say.
 const DEFAULT_WAIT: Duration = Duration::from_secs(30);
 
+/// Callers of streams leave after the longest of this time, so many targets, and so many pauses.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// See [`PATIENCE`].
+const PATIENT_TARGETS: u32 = 4;
+
+/// See [`PATIENCE`].
+const PATIENT_PAUSES: u32 = 8;
+
 /// The answer to a caller comes this much before its time is over, so that it arrives in time.
 const HEADROOM: Duration = Duration::from_millis(15);
 
@@ -35,6 +44,8 @@
     pub(crate) arrived: Instant,
     /// When the caller's time, or the route's, is over.
     pub(crate) deadline: Instant,
+    /// When the caller of a stream leaves if no event has come.
+    pub(crate) first_by: Instant,
     /// Whether an upstream may have run it.
     pub(crate) sent: Arc<AtomicBool>,
 }
@@ -61,11 +72,12 @@
         let customer = customer(&plan, &route, &ask)?;
         let wait = ask.deadline.unwrap_or(DEFAULT_WAIT).min(route.timeout);
         let deadline = arrived + wait.saturating_sub(HEADROOM);
+        let first_by = deadline.min(arrived + patience(&route));
         let body = read_body(&plan, &headers, body, deadline).await?;
         strip_hop(&mut headers);
         D::strip(&mut headers);
         let sent = Arc::new(AtomicBool::new(false));
-        Ok(Self { plan, route, ask, customer, method, uri, headers, body, arrived, deadline, sent })
+        Ok(Self { plan, route, ask, customer, method, uri, headers, body, arrived, deadline, first_by, sent })
     }
 
     /// When an answer is worth most.
@@ -126,6 +138,15 @@
     }
 }
 
+/// How long callers wait for the next event of a stream, the first one included.
+fn patience(route: &Route) -> Duration {
+    let patience = (route.target * PATIENT_TARGETS).max(route.pause * PATIENT_PAUSES);
+    match route.kind {
+        RouteKind::Stream => patience.max(PATIENCE).saturating_sub(HEADROOM),
+        RouteKind::Idempotent | RouteKind::AtMostOnce => route.timeout,
+    }
+}
+
 fn customer(plan: &Plan, route: &Route, ask: &Ask) -> Result<Option<Customer>, Refusal> {
     let Some(customers) = plan.customers.as_ref().filter(|_| !route.open) else {
         return Ok(None);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::backlog::Backlogs;
 use crate::budget::Budget;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
@@ -32,6 +33,7 @@
     pub(crate) budget: Budget,
     pub(crate) metrics: Metrics,
     pub(crate) drain: Drain,
+    pub(crate) backlogs: Arc<Backlogs>,
     dialect: PhantomData<D>,
 }
 
@@ -47,6 +49,7 @@
             budget,
             metrics,
             drain: Drain::default(),
+            backlogs: Arc::default(),
             dialect: PhantomData,
         }
     }
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -74,7 +74,7 @@
                 done[stage] = Some(Inputs::none(Arc::clone(batches)));
                 continue;
             }
-            let spec = spec(run, stage, &done);
+            let spec = spec(batches, run, stage, &done);
             jobs.push(async move { (stage, batches.run(&spec).await) });
         }
         if done.iter().all(Option::is_some) {
@@ -109,13 +109,30 @@
     route.stages[stage].after.iter().all(|it| done[*it].is_some())
 }
 
-fn spec<D: Dialect>(run: &StageRun<'_>, stage: usize, done: &[Option<Inputs<D>>]) -> JobSpec {
+fn spec<D: Dialect>(
+    batches: &Batches<D>,
+    run: &StageRun<'_>,
+    stage: usize,
+    done: &[Option<Inputs<D>>],
+) -> JobSpec {
     let it = &run.route.stages[stage];
+    let pieces = pieces(run.segments, stage);
+    let before = it.after.iter().filter_map(|it| done[*it].as_ref());
+    let handles: Vec<Handle> = before.flat_map(|it| it.handles.clone()).collect();
+    let fetched = input_bytes(run, stage);
+    let (used, uses) = output_use(run, stage);
+    let stays = batches.domain_of(&handles).filter(|_| fetched > 0);
+    // Each piece fetches all its inputs, and each of its followers fetches its result: it is made
+    // where most of these bytes stay in one domain.
+    let (domain, weight) = match (stays, used) {
+        (Some(domain), _) => (Some(domain), fetched),
+        (None, Some(domain)) => (Some(domain), it.size),
+        (None, None) => (None, it.size * u64::from(uses)),
+    };
     let input = if it.after.is_empty() {
         PieceInput::Key(run.segments.key.as_str().into())
     } else {
-        let before = it.after.iter().filter_map(|it| done[*it].as_ref());
-        PieceInput::Results(Arc::new(before.flat_map(|it| it.handles.clone()).collect()))
+        PieceInput::Results(Arc::new(handles))
     };
     let rest = rest_time(run, stage) + ENGINE_TIME;
     let due = run.target.checked_sub(rest).unwrap_or(run.target);
@@ -123,15 +140,46 @@
         service: Arc::clone(&it.service),
         attempt: Arc::clone(&run.attempt),
         stage: stage as u32,
-        pieces: pieces(run.segments, stage),
+        pieces,
         input,
         size: it.size,
-        domain: run.domain.clone(),
+        domain,
+        weight,
+        rank: run.rank,
         due: due + RANK_DELAY * u32::from(run.rank),
         deadline: run.deadline,
     }
 }
 
+/// The bytes of all inputs of one piece.
+fn input_bytes(run: &StageRun<'_>, stage: usize) -> u64 {
+    let stages = &run.route.stages;
+    let bytes = |it: &usize| stages[*it].size * u64::from(pieces(run.segments, *it));
+    stages[stage].after.iter().map(bytes).sum()
+}
+
+/// Where the results of a stage are used, if it is the last of its chain, and how often each is
+/// fetched.
+fn output_use(run: &StageRun<'_>, stage: usize) -> (Option<Arc<str>>, u32) {
+    let stages = run.route.stages.iter().enumerate();
+    let followers = stages.filter(|(_, it)| it.after.contains(&stage));
+    let uses: u32 = followers.map(|(at, _)| pieces(run.segments, at)).sum();
+    let last = uses == 0;
+    (run.domain.clone().filter(|_| last), uses)
+}
+
+/// How long the stages of a request are likely to take from now on.
+pub(crate) fn expected(run: &StageRun<'_>, wait: impl Fn(&str) -> Duration) -> Duration {
+    let count = run.route.stages.len();
+    let mut ends: Vec<Duration> = Vec::with_capacity(count);
+    for (stage, it) in run.route.stages.iter().enumerate() {
+        let start = it.after.iter().map(|it| ends[*it]).max().unwrap_or_default();
+        let waits = if pieces(run.segments, stage) > 0 { wait(&it.service) } else { Duration::ZERO };
+        ends.push(start + waits + own_time(run, stage));
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
 /// The time of the longest chain of stages after `stage`.
 fn rest_time(run: &StageRun<'_>, stage: usize) -> Duration {
     let stages = &run.route.stages;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::batch::Batches;
-use crate::dialect::{Dialect, PieceFailure, PromptPart};
+use crate::dialect::{Dialect, PieceFailure, PromptPart, Segments};
 use crate::events::{Event, Splitter};
 use crate::exchange::{self, Cause, Fault, Opened, Read};
 use crate::place::{Load, PlaceSpec, place};
@@ -37,6 +37,13 @@
 /// To how many engines that did not run it a request is offered at most.
 const OFFERS: usize = 4;
 
+/// A wait for other requests' pieces that is no reason to refuse.
+const SHORT_WAIT: Duration = Duration::from_millis(250);
+
+/// A request whose stages end within this share of its caller's patience is taken although it will
+/// be late.
+const WORTH_WAITING: f64 = 0.45;
+
 /// How often the stages of a request run.
 const STAGE_RUNS: u32 = 2;
 
@@ -81,6 +88,7 @@
         request: CallerRequest,
         service: &Arc<str>,
     ) -> Result<Reply, Refusal> {
+        self.admit(&request, service)?;
         let mut used = Used::default();
         let attached = match self.attach(&request, service, &mut used, None).await? {
             Tried::Stream(attached) => attached,
@@ -157,6 +165,45 @@
         }
     }
 
+    /// Refuses a request whose stages would take too long, before anything is done for it.
+    ///
+    /// What goes wrong without it: in a burst every request waits, all come late, and the work for
+    /// those whose callers left in the end is lost.
+    fn admit(&self, request: &CallerRequest, service: &Arc<str>) -> Result<(), Refusal> {
+        let Some(segments) = &request.ask.segments else { return Ok(()) };
+        let run = self.stage_run(request, segments, service);
+        let waits = |it: &str| self.shared.backlogs.wait(it, request.rank());
+        let expected = stages::expected(&run, waits);
+        let plain = stages::expected(&run, |_| Duration::ZERO);
+        let wait = expected.saturating_sub(plain);
+        let now = Instant::now();
+        let patience = request.first_by.saturating_duration_since(request.arrived);
+        let worth = request.route.target.max(patience.mul_f64(WORTH_WAITING));
+        if wait < SHORT_WAIT || now + expected <= request.arrived + worth {
+            return Ok(());
+        }
+        Err(Refusal::Overloaded(wait / 2))
+    }
+
+    fn stage_run<'a>(
+        &self,
+        request: &'a CallerRequest,
+        segments: &'a Segments,
+        service: &Arc<str>,
+    ) -> StageRun<'a> {
+        let domain = self.choose(request, service, &[]).map(|it| Arc::clone(&it.domain));
+        StageRun {
+            plan: &request.plan,
+            route: &request.route,
+            segments,
+            attempt: request.ask.attempt.as_str().into(),
+            domain,
+            target: request.target(),
+            deadline: request.first_by,
+            rank: request.rank(),
+        }
+    }
+
     async fn inputs(
         &self,
         request: &CallerRequest,
@@ -168,17 +215,7 @@
         };
         loop {
             used.stage_runs += 1;
-            let domain = self.choose(request, service, &[]).map(|it| Arc::clone(&it.domain));
-            let run = StageRun {
-                plan: &request.plan,
-                route: &request.route,
-                segments,
-                attempt: request.ask.attempt.as_str().into(),
-                domain,
-                target: request.target(),
-                deadline: request.deadline,
-                rank: request.rank(),
-            };
+            let run = self.stage_run(request, segments, service);
             match stages::run(&self.batches, &run).await {
                 Ok(inputs) => return Ok(inputs),
                 Err(PieceFailure::InputGone) if used.stage_runs < STAGE_RUNS => {}
@@ -226,7 +263,7 @@
 ) -> Result<Tried, Fault> {
     let tokens = request.ask.generation.as_ref().map_or(0, |it| u64::from(it.prompt));
     let mut running = upstream.begin(tokens);
-    let by = request.deadline;
+    let by = request.first_by;
     let opened = exchange::send::<D>(upstream, forward, &request.ask.attempt, by).await?;
     if opened.marks.not_run {
         let status = opened.response.status();
