Refuse what comes late in a drain; weigh engines by their domain's makers; learn reading times

From 2.9 s on it refuses. Ruled out: a crossing close, the request had been read and passed on. Due times: the rank's delay moved the time by which a piece must be done; now it orders only. The engine's time is learned by tokens instead of a constant.

--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -295,15 +295,13 @@
             .map(|it| Lane {
                 id: Arc::clone(&it.id),
                 domain: Arc::clone(&it.domain),
-                open: it.is_open() && !it.is_paused(now) && !self.flying.contains_key(&it.id),
+                open: it.is_open() && !it.is_paused(now),
             })
             .collect();
         let Some(queue) = self.queues.get_mut(service) else { return };
         queue.retain(|id| upstreams.iter().any(|it| &*it.id == id));
-        let mut lanes = lanes;
         while let Some(next) = queue.next(&lanes, now) {
             let Some(upstream) = upstreams.iter().find(|it| it.id == next.upstream) else { break };
-            lanes.iter_mut().filter(|it| it.id == next.upstream).for_each(|it| it.open = false);
             self.calls += 1;
             let overdue = now + next.expected.mul_f64(OVERDUE_FACTOR) + OVERDUE;
             let flying =
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -10,10 +10,13 @@
 use crate::plan::BatchSpec;
 
 /// Results from this size on are worth waiting for a maker in the domain that uses them, in bytes.
-const LARGE: u64 = 200_000;
+pub(crate) const LARGE: u64 = 200_000;
 
 /// How much sooner than it must a piece leaves the wait for a maker in its domain.
-const DOMAIN_MARGIN: Duration = Duration::from_millis(120);
+const DOMAIN_MARGIN: Duration = Duration::from_millis(200);
+
+/// How much later a piece counts as due for each step of lower rank.
+const RANK_DELAY: Duration = Duration::from_millis(120);
 
 /// The ranks that are told apart in the backlog; lower ones count as the last.
 pub const RANKS: usize = 4;
@@ -92,7 +95,7 @@
     fn urgency(&self, now: Instant) -> (bool, std::cmp::Reverse<u32>, Instant) {
         let late = self.due <= now;
         let stage = if late { self.stage } else { 0 };
-        (late, std::cmp::Reverse(stage), self.due)
+        (late, std::cmp::Reverse(stage), self.due + RANK_DELAY * u32::from(self.rank))
     }
 }
 
@@ -283,11 +286,12 @@
         let room = (self.spec.room as f64 * ROOM_SHARE) as u64;
         let mut room = room.saturating_sub(kept);
         let mut chosen = Vec::new();
+        let mut ahead: Vec<(&Arc<str>, usize)> = Vec::new();
         for (at, piece) in self.waiting.iter().enumerate() {
             if chosen.len() >= self.spec.batch {
                 break;
             }
-            if piece.size > room || self.waits_for_domain(piece, lane, open, now) {
+            if piece.size > room || self.waits_for_domain(piece, lane, open, &mut ahead, now) {
                 continue;
             }
             room -= piece.size;
@@ -296,15 +300,38 @@
         chosen
     }
 
-    /// Whether a piece is better made in its domain, later: while it can still be in time there.
-    fn waits_for_domain(&self, piece: &Piece, lane: &Lane, open: &[&Lane], now: Instant) -> bool {
+    /// Whether a piece is better made in its domain, later: while it can still be in time there,
+    /// after those that are `ahead` of it.
+    fn waits_for_domain<'a>(
+        &self,
+        piece: &'a Piece,
+        lane: &Lane,
+        open: &[&Lane],
+        ahead: &mut Vec<(&'a Arc<str>, usize)>,
+        now: Instant,
+    ) -> bool {
         let Some(domain) = &piece.domain else { return false };
         if piece.weight < LARGE || *domain == lane.domain {
             return false;
         }
-        let served = open.iter().any(|it| it.domain == *domain);
-        let call = self.spec.call + self.spec.item * (self.spec.batch as u32 / 2);
-        served && now + call + DOMAIN_MARGIN < piece.due
+        let near = open.iter().filter(|it| it.domain == *domain);
+        let busy = near.map(|it| self.memory.get(&it.id).and_then(|it| it.busy).unwrap_or(now));
+        let busy: Vec<Instant> = busy.collect();
+        let Some(first) = busy.iter().min() else { return false };
+        let before = match ahead.iter_mut().find(|it| it.0 == domain) {
+            Some(known) => {
+                known.1 += 1;
+                known.1
+            }
+            None => {
+                ahead.push((domain, 0));
+                0
+            }
+        };
+        let turns = before / (self.spec.batch * busy.len());
+        let call = self.plain(self.spec.batch / 2 + 1);
+        let end = *first.max(&now) + call * (turns as u32 + 1);
+        end + DOMAIN_MARGIN < piece.due
     }
 
     /// Whether another upstream would end the same call before `by`, its present one included.
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -1,7 +1,7 @@
 //! The phases of an entry's end, and the requests under way.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 
 /// Whether the entry ends, and what it still has to do.
 #[derive(Clone, Debug, Default)]
@@ -9,21 +9,38 @@
     inner: Arc<Inner>,
 }
 
+/// A phase of an entry's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+pub(crate) enum Phase {
+    /// Serves.
+    Serving,
+    /// Not ready any more; serves what comes, and answers say that the connection closes.
+    Leaving,
+    /// Refuses what comes: it could not be ended in time.
+    Refusing,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
-    ending: AtomicBool,
+    phase: AtomicU8,
     requests: AtomicUsize,
 }
 
 impl Drain {
-    /// Begins the end: not ready any more, and answers say that the connection closes.
-    pub(crate) fn begin(&self) {
-        self.inner.ending.store(true, Ordering::Relaxed);
+    /// Goes on to a phase.
+    pub(crate) fn enter_phase(&self, phase: Phase) {
+        self.inner.phase.fetch_max(phase as u8, Ordering::Relaxed);
     }
 
     /// Whether the entry ends.
     pub(crate) fn is_ending(&self) -> bool {
-        self.inner.ending.load(Ordering::Relaxed)
+        self.inner.phase.load(Ordering::Relaxed) >= Phase::Leaving as u8
+    }
+
+    /// Whether the entry refuses what comes.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.inner.phase.load(Ordering::Relaxed) >= Phase::Refusing as u8
     }
 
     /// The requests under way.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -99,7 +99,11 @@
         close = true;
         Refusal::BadHead.reply()
     } else {
-        match route(&shared, &streams, request, arrived).await {
+        let routed = match shared.drain.is_refusing() {
+            true => Err(Refusal::Ending),
+            false => route(&shared, &streams, request, arrived).await,
+        };
+        match routed {
             Ok(reply) => reply,
             Err(refusal) => {
                 shared.metrics.requests.with_label_values(&["any", refusal.name()]).inc();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use crate::batch::{Batches, Owner, OwnerConfig, accept};
 use crate::budget::{Budget, BudgetSpec};
 use crate::dialect::Dialect;
+use crate::drain::Phase;
 use crate::front;
 use crate::metrics::Metrics;
 use crate::shared::Shared;
@@ -21,6 +22,11 @@
 /// two misses count.
 const LEAVE: Duration = Duration::from_millis(3_400);
 
+/// How long an entry that ends takes new requests. Where most of a failure domain's entries end at
+/// once, the balancer goes on sending; what comes later than this might not end in time, and is
+/// refused while it is certain that it did not run.
+const TAKE: Duration = Duration::from_millis(2_900);
+
 /// How long it must have had nothing to do before it ends.
 const QUIET: Duration = Duration::from_millis(700);
 
@@ -100,12 +106,15 @@
     /// closes, and at last, when nothing is left or `grace` is almost over, returns.
     pub async fn drain(&self, grace: Duration) {
         let start = Instant::now();
-        self.shared.drain.begin();
+        self.shared.drain.enter_phase(Phase::Leaving);
         let last = start + grace.saturating_sub(MARGIN);
         let mut busy = start;
         loop {
             sleep(PERIOD).await;
             let now = Instant::now();
+            if now.duration_since(start) >= TAKE {
+                self.shared.drain.enter_phase(Phase::Refusing);
+            }
             if self.shared.drain.requests() > 0 {
                 busy = now;
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod gateway;
 pub mod guard;
 mod metrics;
+mod pace;
 pub mod place;
 mod plain;
 pub mod plan;
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -49,6 +49,7 @@
 pub fn place<'a>(
     parts: &[PromptPart],
     candidates: &'a [Arc<Upstream>],
+    weight: impl Fn(&Upstream) -> f64,
     load: impl Fn(&Upstream) -> Load,
     spec: PlaceSpec,
 ) -> Option<&'a Arc<Upstream>> {
@@ -57,16 +58,28 @@
     let total: f64 = candidates.iter().map(|it| load(it).weight()).sum();
     let mean = total / candidates.len().max(1) as f64;
     let bound = spec.slack.max(mean * spec.bound + 1.0);
-    let mut ranked: Vec<(u64, u64, &Arc<Upstream>)> =
-        candidates.iter().map(|it| (score(first.id, &it.id), score(deep.id, &it.id), it)).collect();
-    ranked.sort_unstable_by_key(|it| std::cmp::Reverse(it.0));
+    let mut ranked: Vec<(f64, f64, &Arc<Upstream>)> = candidates
+        .iter()
+        .map(|it| (rank(first.id, it, weight(it)), rank(deep.id, it, 1.0), it))
+        .collect();
+    ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
     let few = spec.spread.min(ranked.len());
-    ranked[..few].sort_unstable_by_key(|it| std::cmp::Reverse(it.1));
+    ranked[..few].sort_unstable_by(|a, b| a.1.total_cmp(&b.1));
     let free = ranked.iter().find(|it| load(it.2).weight() <= bound);
     let least = || ranked.iter().min_by(|a, b| load(a.2).weight().total_cmp(&load(b.2).weight()));
     free.or_else(least).map(|it| it.2)
 }
 
+/// The place of an upstream for a part: the lowest goes first, and each goes first as often as its
+/// weight says. A change of one weight moves only parts to or from that upstream.
+fn rank(part: u64, upstream: &Upstream, weight: f64) -> f64 {
+    let drawn = (score(part, &upstream.id) >> 11) as f64 / (1u64 << 53) as f64;
+    -drawn.max(f64::MIN_POSITIVE).ln() / weight.max(LEAST_WEIGHT)
+}
+
+/// The least weight of an upstream.
+const LEAST_WEIGHT: f64 = 0.05;
+
 /// The rank of `name` for `key`, the same at every entry.
 pub fn score(key: u64, name: &str) -> u64 {
     let mut hash = key ^ 0x9e37_79b9_7f4a_7c15;
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -99,6 +99,8 @@
 pub(crate) enum Refusal {
     /// No plan is known yet.
     NoPlan,
+    /// The entry ends.
+    Ending,
     /// No route matches.
     NoRoute,
     /// The key is unknown.
@@ -133,12 +135,11 @@
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Refusal::NoPlan
+            | Refusal::Ending
             | Refusal::NoUpstream
             | Refusal::Overloaded(_)
             | Refusal::NoStage
-            | Refusal::Late => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            | Refusal::Late => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::LateRun => StatusCode::GATEWAY_TIMEOUT,
             Refusal::Failed => StatusCode::BAD_GATEWAY,
         }
@@ -148,6 +149,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Refusal::NoPlan => "no plan",
+            Refusal::Ending => "ending",
             Refusal::NoRoute => "no route",
             Refusal::NoKey => "no key",
             Refusal::BadHead => "bad head",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -77,7 +77,20 @@
         strip_hop(&mut headers);
         D::strip(&mut headers);
         let sent = Arc::new(AtomicBool::new(false));
-        Ok(Self { plan, route, ask, customer, method, uri, headers, body, arrived, deadline, first_by, sent })
+        Ok(Self {
+            plan,
+            route,
+            ask,
+            customer,
+            method,
+            uri,
+            headers,
+            body,
+            arrived,
+            deadline,
+            first_by,
+            sent,
+        })
     }
 
     /// When an answer is worth most.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -17,6 +17,7 @@
 use crate::directory::Directory;
 use crate::drain::Drain;
 use crate::metrics::Metrics;
+use crate::pace::Paces;
 use crate::plan::Plan;
 
 /// How often idle connections are looked at.
@@ -34,6 +35,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) drain: Drain,
     pub(crate) backlogs: Arc<Backlogs>,
+    pub(crate) paces: Paces,
     dialect: PhantomData<D>,
 }
 
@@ -50,6 +52,7 @@
             metrics,
             drain: Drain::default(),
             backlogs: Arc::default(),
+            paces: Paces::default(),
             dialect: PhantomData,
         }
     }
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -11,12 +11,6 @@
 use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput, Segments};
 use crate::plan::{Plan, Route};
 
-/// What an engine takes from its inputs to its first event, for the stages' due times.
-const ENGINE_TIME: Duration = Duration::from_millis(180);
-
-/// How much later a piece is due for each step of lower rank.
-const RANK_DELAY: Duration = Duration::from_millis(120);
-
 /// What the stages of one request need.
 pub(crate) struct StageRun<'a> {
     pub(crate) plan: &'a Plan,
@@ -25,6 +19,8 @@
     pub(crate) attempt: Arc<str>,
     /// The failure domain of the engine that is likely to run the request.
     pub(crate) domain: Option<Arc<str>>,
+    /// What the engine is likely to take from its inputs to its first event.
+    pub(crate) engine: Duration,
     /// When the first event should be there.
     pub(crate) target: Instant,
     pub(crate) deadline: Instant,
@@ -121,20 +117,20 @@
     let handles: Vec<Handle> = before.flat_map(|it| it.handles.clone()).collect();
     let fetched = input_bytes(run, stage);
     let (used, uses) = output_use(run, stage);
-    let stays = batches.domain_of(&handles).filter(|_| fetched > 0);
     // Each piece fetches all its inputs, and each of its followers fetches its result: it is made
-    // where most of these bytes stay in one domain.
-    let (domain, weight) = match (stays, used) {
-        (Some(domain), _) => (Some(domain), fetched),
-        (None, Some(domain)) => (Some(domain), it.size),
-        (None, None) => (None, it.size * u64::from(uses)),
+    // where most of these bytes stay in one domain. Where that is the followers', it is open yet.
+    let sent = it.size * u64::from(uses.max(1));
+    let (domain, weight) = match used {
+        _ if fetched >= sent => (batches.domain_of(&handles), fetched),
+        Some(domain) => (Some(domain), sent),
+        None => (None, sent),
     };
     let input = if it.after.is_empty() {
         PieceInput::Key(run.segments.key.as_str().into())
     } else {
         PieceInput::Results(Arc::new(handles))
     };
-    let rest = rest_time(run, stage) + ENGINE_TIME;
+    let rest = rest_time(run, stage) + run.engine;
     let due = run.target.checked_sub(rest).unwrap_or(run.target);
     JobSpec {
         service: Arc::clone(&it.service),
@@ -146,7 +142,7 @@
         domain,
         weight,
         rank: run.rank,
-        due: due + RANK_DELAY * u32::from(run.rank),
+        due,
         deadline: run.deadline,
     }
 }
@@ -174,7 +170,8 @@
     let mut ends: Vec<Duration> = Vec::with_capacity(count);
     for (stage, it) in run.route.stages.iter().enumerate() {
         let start = it.after.iter().map(|it| ends[*it]).max().unwrap_or_default();
-        let waits = if pieces(run.segments, stage) > 0 { wait(&it.service) } else { Duration::ZERO };
+        let waits =
+            if pieces(run.segments, stage) > 0 { wait(&it.service) } else { Duration::ZERO };
         ends.push(start + waits + own_time(run, stage));
     }
     ends.into_iter().max().unwrap_or_default()
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,6 +1,7 @@
 //! Streams of an engine: placed by their prompt, passed on event by event, gone on with elsewhere
 //! where the route allows it.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -14,10 +15,12 @@
 
 use crate::batch::Batches;
 use crate::dialect::{Dialect, PieceFailure, PromptPart, Segments};
+use crate::directory::Directory;
 use crate::events::{Event, Splitter};
 use crate::exchange::{self, Cause, Fault, Opened, Read};
 use crate::place::{Load, PlaceSpec, place};
 use crate::plain::note;
+use crate::queue::LARGE;
 use crate::reply::{Broken, Refusal, Reply, ReplyBody, strip_hop};
 use crate::request::CallerRequest;
 use crate::shared::Shared;
@@ -138,6 +141,9 @@
             let forward = request.forward::<D>(&upstream, handles, last_event);
             let fault = match open::<D>(request, &upstream, forward).await {
                 Ok(tried) => {
+                    if let Some(generation) = &request.ask.generation {
+                        self.shared.paces.learn(service, generation, now.elapsed());
+                    }
                     self.shared.metrics.calls.with_label_values(&["answered"]).inc();
                     return Ok(tried);
                 }
@@ -173,8 +179,8 @@
         let Some(segments) = &request.ask.segments else { return Ok(()) };
         let run = self.stage_run(request, segments, service);
         let waits = |it: &str| self.shared.backlogs.wait(it, request.rank());
-        let expected = stages::expected(&run, waits);
-        let plain = stages::expected(&run, |_| Duration::ZERO);
+        let expected = stages::expected(&run, waits) + run.engine;
+        let plain = stages::expected(&run, |_| Duration::ZERO) + run.engine;
         let wait = expected.saturating_sub(plain);
         let now = Instant::now();
         let patience = request.first_by.saturating_duration_since(request.arrived);
@@ -198,6 +204,10 @@
             segments,
             attempt: request.ask.attempt.as_str().into(),
             domain,
+            engine: match &request.ask.generation {
+                Some(generation) => self.shared.paces.first_event(service, generation),
+                None => Duration::ZERO,
+            },
             target: request.target(),
             deadline: request.first_by,
             rank: request.rank(),
@@ -251,8 +261,37 @@
         let parts = request.ask.generation.as_ref().map_or(&[][..], |it| &it.parts);
         let spread = [PromptPart { id: rand::random(), tokens: 0 }];
         let parts = if parts.is_empty() { &spread } else { parts };
-        place(parts, &candidates, load, PlaceSpec::default()).cloned()
+        let weights = maker_weights(request, &directory, &candidates);
+        let weight = |it: &Upstream| weights.get(&it.domain).copied().unwrap_or(1.0);
+        place(parts, &candidates, weight, load, PlaceSpec::default()).cloned()
+    }
+}
+
+/// Weighs the engines of each failure domain by the makers of large results there, so that neither
+/// results cross domains nor makers of one domain wait while those of another have nothing to do.
+fn maker_weights(
+    request: &CallerRequest,
+    directory: &Directory,
+    engines: &[Arc<Upstream>],
+) -> HashMap<Arc<str>, f64> {
+    let mut weights: HashMap<Arc<str>, f64> = HashMap::new();
+    let stages = &request.route.stages;
+    let large = stages
+        .iter()
+        .enumerate()
+        .find(|(at, it)| it.size >= LARGE && !stages.iter().any(|other| other.after.contains(at)));
+    let Some((_, stage)) = large else { return weights };
+    for engine in engines {
+        weights.entry(Arc::clone(&engine.domain)).or_default();
+    }
+    let makers: Vec<_> =
+        directory.service(&stage.service).iter().filter(|it| it.is_open()).collect();
+    for (domain, weight) in &mut weights {
+        let made = makers.iter().filter(|it| it.domain == *domain).count() as f64;
+        let used = engines.iter().filter(|it| it.domain == *domain).count() as f64;
+        *weight = made / makers.len().max(1) as f64 * engines.len() as f64 / used;
     }
+    weights
 }
 
 /// Makes one call and waits for the first event.
