Owners that end hand their jobs back; slowness of an upstream fades

Changed: no budget for refused jobs, waiting jobs go back at once, an ending entry leaves the list that others are given, speed halves toward the announced one in 1.5 s.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -61,6 +61,8 @@
     Done,
     Failed(PieceFailure),
     Silent,
+    /// The owner took nothing.
+    Refused,
 }
 
 /// A job's pieces that are done and those that are left. Dropped before all are done, it gives the
@@ -98,22 +100,27 @@
     pub(crate) async fn run(&self, spec: &JobSpec) -> Result<Vec<Handle>, PieceFailure> {
         let left = (0..spec.pieces).collect();
         let mut progress = Progress { batches: self, done: BTreeMap::new(), left };
-        for turn in 0..OWNERS {
+        let mut again = false;
+        for _ in 0..OWNERS {
             let Some(address) = self.owner_of(&spec.service) else { break };
-            if turn > 0 {
+            if again {
                 let entries = self.shared.entries();
                 let count = progress.left.len() as u32;
                 if !self.shared.budget.take(&spec.service, count, entries, Instant::now()) {
                     break;
                 }
             }
-            match self.run_at(address, spec, turn > 0, &mut progress).await {
+            match self.run_at(address, spec, again, &mut progress).await {
                 Ended::Done => {
                     let done = std::mem::take(&mut progress.done);
                     return Ok(done.into_values().collect());
                 }
                 Ended::Failed(failure) => return Err(failure),
-                Ended::Silent => self.suspect(address, &spec.service),
+                Ended::Silent => {
+                    self.suspect(address, &spec.service, "silent");
+                    again = true;
+                }
+                Ended::Refused => self.suspect(address, &spec.service, "ending"),
             }
         }
         Err(PieceFailure::Failed)
@@ -171,8 +178,8 @@
         free.max_by_key(|it| score(key, &it.to_string()))
     }
 
-    fn suspect(&self, address: SocketAddr, service: &str) {
-        log::warn!(peer:% = address, service; "the owner of a service is silent; passing it over");
+    fn suspect(&self, address: SocketAddr, service: &str, cause: &str) {
+        log::warn!(peer:% = address, service, cause; "passing over the owner of a service");
         let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
         suspects.insert(address, Instant::now() + SUSPECT);
     }
@@ -241,7 +248,7 @@
     fn take(&mut self, answer: FromOwner) -> Option<Ended> {
         let results = match answer {
             FromOwner::Results(_, results) => results,
-            FromOwner::Refused(_) => return Some(Ended::Silent),
+            FromOwner::Refused(_) => return Some(Ended::Refused),
             FromOwner::Accepted(_) | FromOwner::Pulse | FromOwner::Backlog(..) => return None,
         };
         for (segment, result) in results {
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -104,6 +104,8 @@
     freed: Instant,
     /// Where each connection's answers go.
     peers: HashMap<u64, Replies>,
+    /// Whether waiting jobs were handed back, since this entry ends.
+    handed_back: bool,
     /// When backlogs were told last, and whether there were any.
     told: (Instant, bool),
 }
@@ -122,6 +124,7 @@
             free: HashMap::new(),
             freed: Instant::now(),
             peers: HashMap::new(),
+            handed_back: false,
             told: (Instant::now(), false),
         };
         tokio::spawn(run(state, incoming));
@@ -244,9 +247,31 @@
         }
     }
 
+    /// Hands the jobs of which nothing was sent yet back to other entries, once this one ends.
+    fn hand_back(&mut self) {
+        self.handed_back = true;
+        let flying: HashSet<JobKey> =
+            self.flying.values().flat_map(|it| &it.pieces).map(|it| it.job).collect();
+        let mut back = HashSet::new();
+        self.jobs.retain(|key, open| {
+            if key.origin == OWN || flying.contains(key) {
+                return true;
+            }
+            back.insert(*key);
+            // The submitter may have ended meanwhile.
+            let _ = open.replies.send(FromOwner::Refused(key.id));
+            false
+        });
+        log::info!(jobs = back.len(); "handed waiting jobs back");
+        self.queues.values_mut().for_each(|it| it.drop_jobs(|key| back.contains(&key)));
+    }
+
     /// Sends what should go out now.
     fn turn(&mut self) {
         let now = Instant::now();
+        if self.shared.drain.is_ending() && !self.handed_back {
+            self.hand_back();
+        }
         self.requeue_overdue(now);
         let services: Vec<Arc<str>> = self.queues.keys().cloned().collect();
         for service in services {
@@ -353,7 +378,7 @@
         let requeued = flying.as_ref().is_some_and(|it| it.call == end.call && it.requeued);
         let whole = end.outcome.is_ok();
         if let Some(queue) = self.queues.get_mut(&end.service) {
-            queue.ended(&end.upstream.id, end.pieces.len(), whole.then_some(end.took));
+            queue.ended(&end.upstream.id, end.pieces.len(), whole.then_some(end.took), now);
         }
         match end.outcome {
             Ok(ref results) => {
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -16,7 +16,7 @@
 const DOMAIN_MARGIN: Duration = Duration::from_millis(200);
 
 /// How much later a piece counts as due for each step of lower rank.
-const RANK_DELAY: Duration = Duration::from_millis(120);
+const RANK_DELAY: Duration = Duration::from_millis(400);
 
 /// The ranks that are told apart in the backlog; lower ones count as the last.
 pub const RANKS: usize = 4;
@@ -34,6 +34,9 @@
 /// The weight of the latest call in an upstream's speed.
 const SPEED_WEIGHT: f64 = 0.4;
 
+/// In which time half of what an upstream was slower fades from memory.
+const FADE: Duration = Duration::from_millis(1_500);
+
 /// An upstream this many times slower than announced gets work only where it ends soonest.
 const SLOW: f64 = 1.5;
 
@@ -115,15 +118,27 @@
 struct Memory {
     /// Until when its present call is likely to take.
     busy: Option<Instant>,
-    /// Its time for a call over the announced one.
+    /// Its time for a call over the announced one, as of `seen`.
     speed: f64,
+    /// When a call of it ended last.
+    seen: Option<Instant>,
     /// Results that it keeps: their size and when they end.
     kept: Vec<(u64, Instant, Arc<str>)>,
 }
 
 impl Default for Memory {
     fn default() -> Self {
-        Self { busy: None, speed: 1.0, kept: Vec::new() }
+        Self { busy: None, speed: 1.0, seen: None, kept: Vec::new() }
+    }
+}
+
+impl Memory {
+    /// The speed that is likely now. What goes wrong without the fading: an upstream that was slow
+    /// for a while gets no calls, so nobody learns that it is well again.
+    fn speed(&self, now: Instant) -> f64 {
+        let Some(seen) = self.seen else { return self.speed };
+        let halves = now.saturating_duration_since(seen).as_secs_f64() / FADE.as_secs_f64();
+        1.0 + (self.speed - 1.0) * 0.5f64.powf(halves)
     }
 }
 
@@ -214,7 +229,7 @@
             let memory = self.memory.entry(Arc::clone(&lane.id)).or_default();
             memory.kept.retain(|it| it.1 > now);
             if memory.busy.is_none() {
-                idle.push((lane, memory.speed));
+                idle.push((lane, memory.speed(now)));
             }
         }
         idle.sort_by(|a, b| a.1.total_cmp(&b.1));
@@ -234,13 +249,15 @@
     }
 
     /// Notes that a call of `pieces` has ended; `took` tells its time where it was a whole one.
-    pub fn ended(&mut self, upstream: &str, pieces: usize, took: Option<Duration>) {
+    pub fn ended(&mut self, upstream: &str, pieces: usize, took: Option<Duration>, now: Instant) {
         let plain = self.plain(pieces).as_secs_f64();
         let Some(memory) = self.memory.get_mut(upstream) else { return };
         memory.busy = None;
         if let Some(took) = took {
             let speed = took.as_secs_f64() / plain.max(0.001);
-            memory.speed += SPEED_WEIGHT * (speed.clamp(0.3, 20.0) - memory.speed);
+            let before = memory.speed(now);
+            memory.speed = before + SPEED_WEIGHT * (speed.clamp(0.3, 20.0) - before);
+            memory.seen = Some(now);
         }
     }
 
@@ -345,7 +362,7 @@
     ) -> bool {
         open.iter().filter(|it| it.id != lane.id).any(|it| {
             let memory = self.memory.get(&it.id);
-            let speed = memory.map_or(1.0, |it| it.speed);
+            let speed = memory.map_or(1.0, |it| it.speed(now));
             let busy = memory.and_then(|it| it.busy).unwrap_or(now);
             busy.max(now) + plain.mul_f64(speed) < by
         })
--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -9,6 +9,12 @@
     inner: Arc<Inner>,
 }
 
+impl Default for Inner {
+    fn default() -> Self {
+        Self { phase: AtomicU8::new(Phase::Serving as u8), requests: AtomicUsize::new(0) }
+    }
+}
+
 /// A phase of an entry's life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[repr(u8)]
@@ -21,7 +27,7 @@
     Refusing,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Inner {
     phase: AtomicU8,
     requests: AtomicUsize,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -107,6 +107,7 @@
     pub async fn drain(&self, grace: Duration) {
         let start = Instant::now();
         self.shared.drain.enter_phase(Phase::Leaving);
+        self.follower.leave();
         let last = start + grace.saturating_sub(MARGIN);
         let mut busy = start;
         loop {
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -61,6 +61,7 @@
 pub struct Follower {
     news: watch::Receiver<News>,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
+    leaving: watch::Sender<bool>,
     _task: JoinHandle<()>,
 }
 
@@ -69,8 +70,9 @@
     pub fn spawn(config: FollowerConfig, secret: Secret) -> Self {
         let (sender, news) = watch::channel(News::default());
         let seeds = Arc::new(Mutex::new(config.seeds.clone()));
-        let task = tokio::spawn(run(config, secret, sender, Arc::clone(&seeds)));
-        Self { news, seeds, _task: task }
+        let (leaving, left) = watch::channel(false);
+        let task = tokio::spawn(run(config, secret, sender, Arc::clone(&seeds), left));
+        Self { news, seeds, leaving, _task: task }
     }
 
     /// Returns where the news are seen.
@@ -78,6 +80,11 @@
         self.news.clone()
     }
 
+    /// Has other entries told that this one ends.
+    pub fn leave(&self) {
+        self.leaving.send_replace(true);
+    }
+
     /// Replaces the seed addresses, after the settings changed.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
         *self.seeds.lock().unwrap_or_else(PoisonError::into_inner) = seeds;
@@ -112,6 +119,7 @@
     secret: Secret,
     news: watch::Sender<News>,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
+    mut left: watch::Receiver<bool>,
 ) {
     let (events, mut incoming) = mpsc::channel(256);
     let me = Hello { kind: Kind::Entry, vm: config.vm.clone(), node: rand::random() };
@@ -135,6 +143,7 @@
         tokio::select! {
             _ = ticks.tick() => state.dial(),
             Some(event) = incoming.recv() => state.take(event),
+            Ok(()) = left.changed() => state.leave(),
         }
         state.fetch();
     }
@@ -177,6 +186,14 @@
         }
     }
 
+    /// Tells every member that this entry ends.
+    fn leave(&self) {
+        for sender in self.links.values().flatten() {
+            // A member that can't be told sees the connection end.
+            let _ = sender.try_send(&ToMember::Leave);
+        }
+    }
+
     fn count(&self) {
         let members = self.links.values().flatten().count();
         self.news.send_modify(|it| it.members = members);
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -96,6 +96,7 @@
                 changed = handout.changed() => if changed.is_err() { return Ok(()) },
                 message = receiver.recv() => match message? {
                     Some(ToMember::Hello(entry)) => self.enter(life, entry),
+                    Some(ToMember::Leave) => self.leave(life),
                     Some(ToMember::Fetch(version)) => {
                         let held = view.borrow().held.clone();
                         if held.version >= version {
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -29,6 +29,8 @@
 pub enum ToMember {
     /// The entry's first message.
     Hello(EntrySeen),
+    /// The entry ends and should not be named to others any more.
+    Leave,
     /// Asks for the plan with this version, or a newer one.
     Fetch(Version),
 }
