--- /dev/null
+++ b/crates/gateway/tests/pure.rs
@@ -0,0 +1,200 @@
+//! Decisions without sockets: events, lengths, places, budgets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gateway::Upstream;
+use gateway::budget::{Budget, BudgetSpec};
+use gateway::dialect::PromptPart;
+use gateway::events::Splitter;
+use gateway::guard::Scanner;
+use gateway::place::{Load, PlaceSpec, place};
+use tokio::time::Instant;
+
+struct EventCase {
+    name: &'static str,
+    reads: &'static [&'static str],
+    ids: &'static [Option<u64>],
+    rest: bool,
+}
+
+const EVENTS: &[EventCase] = &[
+    EventCase { name: "one", reads: &["id: 1\ndata: a\n\n"], ids: &[Some(1)], rest: false },
+    EventCase {
+        name: "two at once",
+        reads: &["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"],
+        ids: &[Some(1), Some(2)],
+        rest: false,
+    },
+    EventCase {
+        name: "cut between the line ends",
+        reads: &["id: 1\ndata: a\n", "\nid: 2\n", "\n"],
+        ids: &[Some(1), Some(2)],
+        rest: false,
+    },
+    EventCase {
+        name: "cut in an event",
+        reads: &["id: 1\n\nid: 2\nda"],
+        ids: &[Some(1)],
+        rest: true,
+    },
+    EventCase { name: "no number", reads: &["data: a\n\n"], ids: &[None], rest: false },
+    EventCase {
+        name: "a first line before the number",
+        reads: &["x: 3\nid: 4\ndata: a\n\n"],
+        ids: &[Some(4)],
+        rest: false,
+    },
+];
+
+#[test]
+fn events_come_out_whole() {
+    for case in EVENTS {
+        let mut splitter = Splitter::default();
+        let mut ids = Vec::new();
+        for read in case.reads {
+            splitter.push(read.as_bytes());
+            while let Some(event) = splitter.next_event() {
+                ids.push(event.id);
+            }
+        }
+        assert_eq!(ids, case.ids, "{}", case.name);
+        assert_eq!(splitter.has_rest(), case.rest, "{}", case.name);
+    }
+}
+
+struct LengthCase {
+    name: &'static str,
+    reads: &'static [&'static str],
+    conflict: bool,
+}
+
+const LENGTHS: &[LengthCase] = &[
+    LengthCase {
+        name: "a length",
+        reads: &["POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\na"],
+        conflict: false,
+    },
+    LengthCase {
+        name: "both in one head",
+        reads: &["POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n"],
+        conflict: true,
+    },
+    LengthCase {
+        name: "both, cut in a name",
+        reads: &[
+            "POST / HTTP/1.1\r\ntransfer-enco",
+            "ding: chunked\r\ncontent-le",
+            "ngth: 1\r\n\r\n",
+        ],
+        conflict: true,
+    },
+    LengthCase {
+        name: "one each in two heads",
+        reads: &[
+            "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\nPOST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        ],
+        conflict: false,
+    },
+];
+
+/// Symptom: an upstream runs a request that no caller sent.
+/// Sequence: a head gives a length and chunks; the body holds a request after its chunks.
+/// Cause: the rest of the body is taken for the connection's next request.
+#[test]
+fn a_head_with_two_lengths_is_seen() {
+    for case in LENGTHS {
+        let mut scanner = Scanner::default();
+        let seen = case.reads.iter().any(|it| scanner.push(it.as_bytes()));
+        assert_eq!(seen, case.conflict, "{}", case.name);
+    }
+}
+
+fn upstreams(count: usize) -> Vec<Arc<Upstream>> {
+    let make = |number: usize| {
+        let listed = registry::Upstream {
+            id: format!("u-{number}"),
+            service: "s".to_owned(),
+            address: ([10, 0, 0, 1], 1000 + number as u16).into(),
+            domain: format!("d-{}", number % 3),
+            slots: 8,
+            health: registry::Health::Ready,
+        };
+        Arc::new(Upstream::new(&listed, 4))
+    };
+    (0..count).map(make).collect()
+}
+
+fn prompt(first: u64, deep: u64) -> [PromptPart; 3] {
+    [(first, 800), (deep, 400), (deep + 1, 200)].map(|(id, tokens)| PromptPart { id, tokens })
+}
+
+fn idle(_: &Upstream) -> Load {
+    Load::default()
+}
+
+fn even(_: &Upstream) -> f64 {
+    1.0
+}
+
+#[test]
+fn prompts_that_share_parts_meet() {
+    let all = upstreams(12);
+    let spec = PlaceSpec::default();
+    let mut reversed = all.clone();
+    reversed.reverse();
+    let mut used = std::collections::BTreeSet::new();
+    for deep in 0..200 {
+        let parts = prompt(7, deep * 31);
+        let here = place(&parts, &all, even, idle, spec).expect("an upstream");
+        let there = place(&parts, &reversed, even, idle, spec).expect("an upstream");
+        assert_eq!(here.id, there.id, "two entries differ");
+        used.insert(Arc::clone(&here.id));
+    }
+    assert!(used.len() <= spec.spread, "a first part is spread over {} upstreams", used.len());
+}
+
+#[test]
+fn a_loaded_upstream_is_passed_over() {
+    let all = upstreams(12);
+    let parts = prompt(7, 9);
+    let spec = PlaceSpec::default();
+    let first = place(&parts, &all, even, idle, spec).expect("an upstream").id.clone();
+    let load =
+        |it: &Upstream| Load { running: if it.id == first { 40.0 } else { 1.0 }, tokens: 0.0 };
+    let second = place(&parts, &all, even, load, spec).expect("an upstream");
+    assert_ne!(second.id, first);
+}
+
+#[test]
+fn weights_move_prompts() {
+    let all = upstreams(12);
+    let heavy = |it: &Upstream| if &*it.domain == "d-0" { 2.0 } else { 0.5 };
+    let at_heavy = (0..300u64).filter(|it| {
+        let parts = prompt(it * 977, it * 31);
+        let chosen =
+            place(&parts, &all, heavy, idle, PlaceSpec { spread: 1, ..Default::default() });
+        chosen.is_some_and(|it| &*it.domain == "d-0")
+    });
+    // Two thirds of the weight; the bounds are six standard deviations wide.
+    let count = at_heavy.count();
+    assert!((150..250).contains(&count), "{count} of 300");
+}
+
+#[test]
+fn repeats_stay_within_ratio_and_burst() {
+    let start = Instant::now();
+    let spec = BudgetSpec { ratio: 0.2, window: Duration::from_secs(10), burst: 40.0 };
+    let budget = Budget::new(spec, start);
+    let service: Arc<str> = "s".into();
+    for _ in 0..100 {
+        budget.request(&service, start);
+    }
+    let granted = (0..100).filter(|_| budget.take(&service, 1, 8, start)).count();
+    // A fifth of 100 requests and an eighth of the burst.
+    assert!(granted <= 25, "{granted} repeats");
+    assert!(granted >= 18, "{granted} repeats");
+    let later = start + Duration::from_secs(11);
+    let again = (0..100).filter(|_| budget.take(&service, 1, 8, later)).count();
+    assert!(again <= 5, "{again} repeats of no request");
+}
--- /dev/null
+++ b/crates/gateway/tests/queue.rs
@@ -0,0 +1,199 @@
+//! Which pieces go into the next call, and where.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use gateway::dialect::PieceInput;
+use gateway::plan::BatchSpec;
+use gateway::queue::{JobKey, Lane, Piece, Queue};
+use tokio::time::Instant;
+
+const SPEC: BatchSpec = BatchSpec {
+    batch: 8,
+    call: Duration::from_millis(200),
+    item: Duration::from_millis(20),
+    room: 16_000_000,
+    ttl: Duration::from_secs(4),
+};
+
+fn lane(id: &str, domain: &str) -> Lane {
+    Lane { id: id.into(), domain: domain.into(), open: true }
+}
+
+/// A piece as a case gives it: job, how many, due in ms, bytes, domain, rank.
+#[derive(Clone, Copy)]
+struct Given {
+    job: u64,
+    pieces: u32,
+    due: i64,
+    bytes: u64,
+    domain: Option<&'static str>,
+    rank: u8,
+}
+
+const PLAIN: Given = Given { job: 1, pieces: 1, due: 900, bytes: 1_000, domain: None, rank: 0 };
+
+fn push(queue: &mut Queue, given: Given, now: Instant) {
+    for segment in 0..given.pieces {
+        let due = match u64::try_from(given.due) {
+            Ok(ms) => now + Duration::from_millis(ms),
+            Err(_) => now,
+        };
+        queue.push(Piece {
+            job: JobKey { origin: 1, id: given.job },
+            attempt: "a".into(),
+            stage: 0,
+            segment,
+            input: PieceInput::Key("k".into()),
+            rank: given.rank,
+            size: given.bytes,
+            domain: given.domain.map(Arc::from),
+            weight: given.bytes,
+            due,
+            deadline: now + Duration::from_secs(4),
+            since: now,
+            sent: 0,
+        });
+    }
+}
+
+struct Case {
+    name: &'static str,
+    given: &'static [Given],
+    lanes: &'static [(&'static str, &'static str)],
+    /// The upstream of the next call and the jobs of its pieces.
+    next: Option<(&'static str, &'static [u64])>,
+}
+
+const CASES: &[Case] = &[
+    Case { name: "nothing waits", given: &[], lanes: &[("u", "d")], next: None },
+    Case {
+        name: "pieces of several requests share a call",
+        given: &[
+            Given { job: 1, pieces: 2, ..PLAIN },
+            Given { job: 2, pieces: 2, due: 950, ..PLAIN },
+        ],
+        lanes: &[("u", "d")],
+        next: Some(("u", &[1, 1, 2, 2])),
+    },
+    Case {
+        name: "no more than a batch, the most urgent first",
+        given: &[
+            Given { job: 1, pieces: 6, due: 900, ..PLAIN },
+            Given { job: 2, pieces: 6, due: 500, ..PLAIN },
+        ],
+        lanes: &[("u", "d")],
+        next: Some(("u", &[2, 2, 2, 2, 2, 2, 1, 1])),
+    },
+    Case {
+        name: "what is late does not make others late",
+        given: &[
+            Given { job: 1, pieces: 7, due: -1, ..PLAIN },
+            Given { job: 2, pieces: 7, due: 900, ..PLAIN },
+        ],
+        lanes: &[("u", "d")],
+        next: Some(("u", &[2, 2, 2, 2, 2, 2, 2, 1])),
+    },
+    Case {
+        name: "a higher rank goes first",
+        given: &[
+            Given { job: 1, due: 600, rank: 2, ..PLAIN },
+            Given { job: 2, due: 900, rank: 0, ..PLAIN },
+        ],
+        lanes: &[("u", "d")],
+        next: Some(("u", &[2, 1])),
+    },
+    Case {
+        name: "no more results than there is room for",
+        given: &[Given { pieces: 8, bytes: 6_000_000, ..PLAIN }],
+        lanes: &[("u", "d")],
+        next: Some(("u", &[1, 1])),
+    },
+    Case {
+        name: "a large result waits for its domain while it has time",
+        given: &[Given { bytes: 1_500_000, domain: Some("d"), due: 2_000, ..PLAIN }],
+        lanes: &[("far", "e"), ("near", "d")],
+        next: Some(("near", &[1])),
+    },
+    Case {
+        name: "a large result without time is made anywhere",
+        given: &[Given { bytes: 1_500_000, domain: Some("d"), due: 300, ..PLAIN }],
+        lanes: &[("far", "e")],
+        next: Some(("far", &[1])),
+    },
+];
+
+#[test]
+fn the_next_call() {
+    let now = Instant::now();
+    for case in CASES {
+        let mut queue = Queue::new(SPEC);
+        for given in case.given {
+            push(&mut queue, *given, now);
+        }
+        let lanes: Vec<Lane> = case.lanes.iter().map(|it| lane(it.0, it.1)).collect();
+        let next = queue.next(&lanes, now);
+        let next = next.map(|it| {
+            let jobs = it.pieces.iter().map(|it| it.job.id).collect::<Vec<_>>();
+            (it.upstream.to_string(), jobs)
+        });
+        let wanted = case.next.map(|it| (it.0.to_owned(), it.1.to_vec()));
+        assert_eq!(next, wanted, "{}", case.name);
+    }
+}
+
+/// Symptom: large results cross domains although a maker of their own is free within their time.
+/// Sequence: the maker in the domain is busy; one elsewhere is idle.
+/// Cause: a busy maker counted as none.
+#[test]
+fn a_busy_maker_in_the_domain_is_waited_for() {
+    let now = Instant::now();
+    let lanes = [lane("near", "d"), lane("far", "e")];
+    let large = Given { bytes: 1_500_000, domain: Some("d"), due: 2_000, ..PLAIN };
+    let mut queue = Queue::new(SPEC);
+    push(&mut queue, Given { job: 1, ..large }, now);
+    assert_eq!(queue.next(&lanes, now).map(|it| it.upstream), Some("near".into()));
+    push(&mut queue, Given { job: 2, ..large }, now);
+    assert!(queue.next(&lanes, now).is_none(), "it should wait");
+}
+
+/// Symptom: after an upstream was slow for seconds it gets no calls for the rest of the day.
+/// Sequence: its call takes eight times the usual; then it is well again.
+/// Cause: only its own calls change what is remembered, and it gets none.
+#[test]
+fn slowness_is_forgotten_without_calls() {
+    let start = Instant::now();
+    let lanes = [lane("slow", "d"), lane("well", "d")];
+    let mut queue = Queue::new(SPEC);
+    push(&mut queue, PLAIN, start);
+    let first = queue.next(&lanes, start).expect("a call").upstream;
+    queue.ended(&first, 1, Some(Duration::from_millis(2_000)), start);
+    push(&mut queue, PLAIN, start);
+    let second = queue.next(&lanes, start).expect("a call").upstream;
+    assert_ne!(second, first, "the slow one should be passed over");
+    push(&mut queue, PLAIN, start);
+    assert!(queue.next(&lanes, start).is_none(), "waiting for the other ends sooner");
+    let later = start + Duration::from_secs(8);
+    push(&mut queue, Given { due: 9_000, ..PLAIN }, start);
+    assert_eq!(queue.next(&lanes, later).map(|it| it.upstream), Some(first));
+}
+
+/// Symptom: upstreams refuse pieces for want of room although results were given up.
+/// Sequence: results are given up; before the upstream is told, the next call goes out.
+/// Cause: room counted as free when nobody needed the results, not when they were dropped.
+#[test]
+fn room_is_free_once_the_upstream_dropped_the_results() {
+    let now = Instant::now();
+    let lanes = [lane("u", "d")];
+    let mut queue = Queue::new(SPEC);
+    let large = Given { bytes: 7_000_000, ..PLAIN };
+    push(&mut queue, Given { pieces: 2, ..large }, now);
+    assert_eq!(queue.next(&lanes, now).map(|it| it.pieces.len()), Some(2));
+    queue.ended("u", 2, Some(Duration::from_millis(240)), now);
+    queue.kept("u", 7_000_000, "h-1".into(), now);
+    queue.kept("u", 7_000_000, "h-2".into(), now);
+    push(&mut queue, large, now);
+    assert!(queue.next(&lanes, now).is_none(), "there is no room");
+    queue.freed("u", &["h-1".into()]);
+    assert_eq!(queue.next(&lanes, now).map(|it| it.pieces.len()), Some(1));
+}
--- /dev/null
+++ b/crates/registry/tests/cluster.rs
@@ -0,0 +1,77 @@
+//! Members that form a cluster by themselves and outlast the loss of some.
+
+mod env;
+
+use env::{Env, put, read};
+use registry::PutOutcome;
+use types::Version;
+
+/// Symptom: no configuration was ever acknowledged.
+/// Sequence: one member begins a cluster; the others ask to take part and are sent the log.
+/// Cause: a member that knows no membership could not answer the leader, whose address it had only
+/// from the membership.
+#[tokio::test(flavor = "multi_thread")]
+async fn members_form_a_cluster_from_seeds_alone() {
+    let env = Env::new(5, 2);
+    let mut members = Vec::new();
+    for number in 0..5 {
+        members.push(env.member(number, true).await);
+    }
+    let all: Vec<_> = members.iter().collect();
+    assert_eq!(put(&all, "7 first").await, Version(7));
+    assert_eq!(read(&all).await, "7 first");
+}
+
+/// Symptom: an order is acknowledged and gone after two disks are lost.
+/// Sequence: a member begins a cluster alone and is sent an order before others have joined.
+/// Cause: a quorum of one holds it.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_acknowledged_that_too_few_members_hold() {
+    let env = Env::new(3, 1);
+    let alone = env.member(0, true).await;
+    for _ in 0..20 {
+        assert_eq!(alone.put(b"1 early".to_vec()).await, PutOutcome::Unavailable);
+    }
+    let second = env.member(1, true).await;
+    let third = env.member(2, true).await;
+    assert_eq!(put(&[&alone, &second, &third], "1 early").await, Version(1));
+}
+
+/// Symptom: an invalid configuration is acknowledged, since its version is not the newest.
+/// Sequence: a valid plan is held; an unreadable one with a lower version comes.
+/// Cause: versions compared before the text is checked.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_invalid_plan_is_refused_at_any_version() {
+    let env = Env::new(1, 0);
+    let member = env.member(0, true).await;
+    put(&[&member], "5 good").await;
+    let refused = member.put(b"bad".to_vec()).await;
+    assert!(matches!(refused, PutOutcome::Invalid(_)), "{refused:?}");
+    assert_eq!(member.put(b"3 older".to_vec()).await, PutOutcome::Accepted(Version(5)));
+    assert_eq!(read(&[&member]).await, "5 good");
+}
+
+/// Symptom: an entry that restarts serves what was overtaken, or nothing.
+/// Sequence: plans are committed; an entry starts afterwards.
+/// Cause: it takes the first plan it hears of.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_gets_the_newest_plan_and_the_upstreams() {
+    let env = Env::new(3, 1);
+    let mut members = Vec::new();
+    for number in 0..3 {
+        members.push(env.member(number, true).await);
+    }
+    let all: Vec<_> = members.iter().collect();
+    put(&all, "1 old").await;
+    put(&all, "2 new").await;
+    let follower = env.follower();
+    let mut news = follower.news();
+    let whole = news.wait_for(|it| it.plan.is_some() && !it.upstreams.is_empty());
+    let news = whole.await.expect("the follower lives").clone();
+    let (version, text) = news.plan.expect("a plan");
+    assert_eq!((version, text.as_slice()), (Version(2), b"2 new".as_slice()));
+    let mut later = follower.news();
+    put(&all, "9 newest").await;
+    let newer = later.wait_for(|it| it.plan.as_ref().is_some_and(|it| it.0 == Version(9)));
+    assert!(newer.await.is_ok());
+}
--- /dev/null
+++ b/crates/registry/tests/env/mod.rs
@@ -0,0 +1,127 @@
+//! Members on loopback.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use registry::{
+    Codec, Follower, FollowerConfig, Health, ListSource, Member, MemberConfig, PutOutcome,
+    ReadOutcome, Upstream, deployment_secret,
+};
+use tempfile::TempDir;
+use tokio::time::{Instant, sleep};
+use types::{StepResult, Version};
+
+/// How long anything may take; far above what it takes on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Plans of tests are their version as text; `bad` can't be read.
+pub(crate) struct TextCodec;
+
+impl Codec for TextCodec {
+    fn check(&self, text: &[u8]) -> Result<Version, String> {
+        let text = std::str::from_utf8(text).map_err(|e| e.to_string())?;
+        let number = text.split(' ').next().unwrap_or_default();
+        number.parse().map(Version).map_err(|_| format!("{text} is no plan"))
+    }
+}
+
+/// A list with one upstream.
+pub(crate) struct OneUpstream;
+
+impl ListSource for OneUpstream {
+    async fn read(&self) -> StepResult<Vec<Upstream>> {
+        Ok(vec![Upstream {
+            id: "u-1".to_owned(),
+            service: "s".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, 1], 9)),
+            domain: "d".to_owned(),
+            slots: 1,
+            health: Health::Ready,
+        }])
+    }
+}
+
+/// The places of a deployment's members.
+pub(crate) struct Env {
+    folder: TempDir,
+    pub(crate) addresses: Vec<SocketAddr>,
+    losses: usize,
+}
+
+impl Env {
+    /// Makes places for `count` members, of which `losses` may be lost.
+    pub(crate) fn new(count: usize, losses: usize) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let sockets: Vec<TcpListener> =
+            (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+        let addresses = sockets.iter().map(|it| it.local_addr().expect("an address")).collect();
+        Self { folder, addresses, losses }
+    }
+
+    /// The data folder of a member.
+    pub(crate) fn data_dir(&self, number: usize) -> PathBuf {
+        self.folder.path().join(number.to_string())
+    }
+
+    /// The addresses that all processes are told.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        self.addresses.iter().take(3).copied().collect()
+    }
+
+    /// Starts a member.
+    pub(crate) async fn member(&self, number: usize, bootstrap: bool) -> Member<TextCodec> {
+        let config = MemberConfig {
+            vm: format!("vm-{number}").parse().expect("a name"),
+            data_dir: self.data_dir(number),
+            address: self.addresses[number],
+            seeds: self.seeds(),
+            bootstrap,
+            losses: self.losses,
+        };
+        let started = Member::spawn(config, TextCodec, OneUpstream, deployment_secret()).await;
+        started.expect("a member")
+    }
+
+    /// Starts a follower.
+    pub(crate) fn follower(&self) -> Follower {
+        let config = FollowerConfig {
+            entry: registry::EntrySeen {
+                name: "entry-1".to_owned(),
+                address: SocketAddr::from(([127, 0, 0, 1], 1)),
+                domain: "d".to_owned(),
+            },
+            vm: "entry-1".parse().expect("a name"),
+            seeds: self.seeds(),
+        };
+        Follower::spawn(config, deployment_secret())
+    }
+}
+
+/// Sends a plan to the members in turn until one acknowledges it.
+pub(crate) async fn put(members: &[&Member<TextCodec>], text: &str) -> Version {
+    let by = Instant::now() + PATIENCE;
+    while Instant::now() < by {
+        for member in members {
+            if let PutOutcome::Accepted(version) = member.put(text.as_bytes().to_vec()).await {
+                return version;
+            }
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{text} was not acknowledged");
+}
+
+/// Reads the plan from the members in turn until one is sure of it.
+pub(crate) async fn read(members: &[&Member<TextCodec>]) -> String {
+    let by = Instant::now() + PATIENCE;
+    while Instant::now() < by {
+        for member in members {
+            if let ReadOutcome::Plan(_, held) = member.read().await {
+                return String::from_utf8(held.text.clone()).expect("text");
+            }
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    panic!("no member is sure of the plan");
+}
