Entries share their loads through the registry's leader

Changed: each entry reports what it has under way to the leader every 150 ms, the leader hands the sum to all; places and least-loaded choices go by the sum. A first part is spread over a third of the engines.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use registry::{LoadReport, News, Stamp, UpstreamLoad};
+
 use crate::plan::Plan;
 use crate::upstream::Upstream;
 
@@ -14,13 +16,15 @@
 pub(crate) struct Directory {
     services: HashMap<Arc<str>, Vec<Arc<Upstream>>>,
     by_id: HashMap<Arc<str>, Arc<Upstream>>,
+    listed: Stamp,
+    positions: Vec<Arc<Upstream>>,
 }
 
 impl Directory {
     /// Makes the next directory; lives that were known before keep their connections and health.
-    pub(crate) fn next(&self, listed: &[registry::Upstream], plan: &Plan, entries: usize) -> Self {
-        let mut next = Self::default();
-        for it in listed {
+    pub(crate) fn next(&self, news: &News, plan: &Plan, entries: usize) -> Self {
+        let mut next = Self { listed: news.listed, ..Self::default() };
+        for it in news.upstreams.iter() {
             let share = share(plan, &it.service, entries);
             let upstream = match self.by_id.get(it.id.as_str()) {
                 Some(known) if known.address == it.address => Arc::clone(known),
@@ -30,6 +34,7 @@
             upstream.allow(share);
             let service = next.services.entry(Arc::clone(&upstream.service)).or_default();
             service.push(Arc::clone(&upstream));
+            next.positions.push(Arc::clone(&upstream));
             next.by_id.insert(Arc::clone(&upstream.id), upstream);
         }
         for (id, upstream) in &self.by_id {
@@ -46,6 +51,34 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// What this entry has under way.
+    pub(crate) fn report(&self) -> LoadReport {
+        let loads = self.positions.iter().enumerate().map(|(at, it)| UpstreamLoad {
+            position: at as u32,
+            running: it.running(),
+            tokens: it.tokens(),
+        });
+        let loads = loads.filter(|it| it.running > 0).collect();
+        LoadReport { listed: self.listed, loads }
+    }
+
+    /// Takes what all entries have under way, less what this one reported of it.
+    pub(crate) fn take_digest(&self, digest: &LoadReport, own: &LoadReport) {
+        if digest.listed != self.listed {
+            return;
+        }
+        let find = |all: &[UpstreamLoad], at: u32| {
+            let found = all.binary_search_by_key(&at, |it| it.position);
+            found.map_or_else(|_| UpstreamLoad::default(), |it| all[it])
+        };
+        for (at, upstream) in self.positions.iter().enumerate() {
+            let all = find(&digest.loads, at as u32);
+            let own = find(&own.loads, at as u32);
+            let running = all.running.saturating_sub(own.running);
+            upstream.set_others(running, all.tokens.saturating_sub(own.tokens));
+        }
+    }
+
     /// All upstreams.
     pub(crate) fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.by_id.values()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -92,6 +92,8 @@
         let seeds = config.seeds.clone();
         let follower = Follower::spawn(FollowerConfig { entry, vm: config.vm, seeds }, secret);
         tokio::spawn(Arc::clone(&shared).follow(follower.news()));
+        let loads = Arc::clone(&shared).share_loads(follower.reports(), follower.digest());
+        tokio::spawn(loads);
         tokio::spawn(front::serve(callers, Arc::clone(&shared), streams));
         tokio::spawn(front::serve_ready(balancer, Arc::clone(&shared)));
         Ok(Self { shared, follower })
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -22,8 +22,8 @@
 /// How a prompt is spread.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlaceSpec {
-    /// At how many upstreams a first part is kept.
-    pub spread: usize,
+    /// The part of the upstreams at which a first part is kept.
+    pub spread: f64,
     /// An upstream is passed over above this many times the mean load.
     pub bound: f64,
     /// Load that is never a reason to pass an upstream over, in requests.
@@ -32,7 +32,7 @@
 
 impl Default for PlaceSpec {
     fn default() -> Self {
-        Self { spread: 4, bound: 1.6, slack: 6.0 }
+        Self { spread: 0.34, bound: 1.6, slack: 6.0 }
     }
 }
 
@@ -53,7 +53,7 @@
     load: impl Fn(&Upstream) -> Load,
     spec: PlaceSpec,
 ) -> Option<&'a Arc<Upstream>> {
-    let first = parts.first()?;
+    let first = parts.first().filter(|_| !candidates.is_empty())?;
     let deep = if parts.len() > 2 { parts[parts.len() - 2] } else { *first };
     let total: f64 = candidates.iter().map(|it| load(it).weight()).sum();
     let mean = total / candidates.len().max(1) as f64;
@@ -63,7 +63,8 @@
         .map(|it| (rank(first.id, it, weight(it)), rank(deep.id, it, 1.0), it))
         .collect();
     ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-    let few = spec.spread.min(ranked.len());
+    let few = (spec.spread * ranked.len() as f64).ceil() as usize;
+    let few = few.clamp(1, ranked.len());
     ranked[..few].sort_unstable_by(|a, b| a.1.total_cmp(&b.1));
     let free = ranked.iter().find(|it| load(it.2).weight() <= bound);
     let least = || ranked.iter().min_by(|a, b| load(a.2).weight().total_cmp(&load(b.2).weight()));
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -145,7 +145,7 @@
     let open = upstreams.iter().filter(|it| it.is_open() && !tried.contains(&it.id));
     let rank = |it: &&Arc<Upstream>| {
         let away = u32::from(it.domain != shared.domain);
-        (it.is_paused(now), it.running() + away, rand::random::<u16>())
+        (it.is_paused(now), it.running_all() + away, rand::random::<u16>())
     };
     open.min_by_key(rank)
 }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use registry::{EntrySeen, News};
-use tokio::sync::watch;
-use tokio::time::{MissedTickBehavior, interval};
+use registry::{EntrySeen, LoadReport, News};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::backlog::Backlogs;
 use crate::budget::Budget;
@@ -23,6 +23,12 @@
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
 
+/// How often the entry tells what it has under way.
+const REPORT: Duration = Duration::from_millis(150);
+
+/// How long the loads of other entries count without a new word. Older ones mislead more than none.
+const DIGEST_AGE: Duration = Duration::from_millis(1_200);
+
 /// What all parts of an entry read.
 pub(crate) struct Shared<D> {
     plan: ArcSwapOption<Plan>,
@@ -101,6 +107,40 @@
         }
     }
 
+    /// Exchanges loads with the other entries for as long as the process lives.
+    pub(crate) async fn share_loads(
+        self: Arc<Self>,
+        reports: mpsc::Sender<LoadReport>,
+        mut digest: watch::Receiver<Arc<LoadReport>>,
+    ) {
+        let mut ticks = interval(REPORT);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut told = LoadReport::default();
+        let mut heard = Instant::now();
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {
+                    let directory = self.directory();
+                    if heard.elapsed() > DIGEST_AGE {
+                        directory.all().for_each(|it| it.set_others(0, 0));
+                    }
+                    let report = directory.report();
+                    if report != told && reports.try_send(report.clone()).is_ok() {
+                        told = report;
+                    }
+                }
+                changed = digest.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    heard = Instant::now();
+                    let digest = Arc::clone(&digest.borrow_and_update());
+                    self.directory().take_digest(&digest, &told);
+                }
+            }
+        }
+    }
+
     fn take(&self, news: &News) {
         let others = news.entries.iter().filter(|it| it.address != self.own).cloned();
         let others: Vec<EntrySeen> = others.collect();
@@ -113,7 +153,7 @@
             }
         }
         let plan = self.plan().unwrap_or_default();
-        let next = self.directory().next(&news.upstreams, &plan, self.entries());
+        let next = self.directory().next(news, &plan, self.entries());
         self.directory.store(Arc::new(next));
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -256,8 +256,10 @@
         if candidates.iter().any(|it| !it.is_paused(now)) {
             candidates.retain(|it| !it.is_paused(now));
         }
-        let load =
-            |it: &Upstream| Load { running: f64::from(it.running()), tokens: it.tokens() as f64 };
+        let load = |it: &Upstream| Load {
+            running: f64::from(it.running_all()),
+            tokens: it.tokens() as f64,
+        };
         let parts = request.ask.generation.as_ref().map_or(&[][..], |it| &it.parts);
         let spread = [PromptPart { id: rand::random(), tokens: 0 }];
         let parts = if parts.is_empty() { &spread } else { parts };
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -57,12 +57,20 @@
     draining: AtomicBool,
     running: AtomicU32,
     tokens: AtomicU64,
+    others: Others,
     health: Mutex<Health>,
     idle: Mutex<Vec<Idle>>,
     open: Arc<Semaphore>,
     allowed: AtomicU32,
 }
 
+/// What other entries have under way, as they told it last.
+#[derive(Debug, Default)]
+struct Others {
+    running: AtomicU32,
+    tokens: AtomicU64,
+}
+
 #[derive(Debug, Default)]
 struct Health {
     failures: u32,
@@ -99,6 +107,7 @@
             draining: AtomicBool::new(listed.health == registry::Health::Draining),
             running: AtomicU32::new(0),
             tokens: AtomicU64::new(0),
+            others: Others::default(),
             health: Mutex::default(),
             idle: Mutex::default(),
             open: Arc::new(Semaphore::new(allowed as usize)),
@@ -140,6 +149,22 @@
         self.tokens.load(Ordering::Relaxed)
     }
 
+    /// Takes what other entries have under way.
+    pub(crate) fn set_others(&self, running: u32, tokens: u64) {
+        self.others.running.store(running, Ordering::Relaxed);
+        self.others.tokens.store(tokens, Ordering::Relaxed);
+    }
+
+    /// The requests of all entries that it works on.
+    pub fn running_all(&self) -> u32 {
+        self.running() + self.others.running.load(Ordering::Relaxed)
+    }
+
+    /// The prompt tokens of all entries' requests that have no first event yet.
+    pub fn tokens_all(&self) -> u64 {
+        self.tokens() + self.others.tokens.load(Ordering::Relaxed)
+    }
+
     /// Counts a request with `tokens` to be read, until the guard is dropped.
     pub(crate) fn begin(self: &Arc<Self>, tokens: u64) -> Running {
         self.running.fetch_add(1, Ordering::Relaxed);
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -14,7 +14,7 @@
 use types::{Version, VmName};
 use wire::{Hello, Kind, Secret, Sender};
 
-use crate::message::{EntrySeen, Stamp, ToEntry, ToMember, Upstream, UpstreamList};
+use crate::message::{EntrySeen, LoadReport, Stamp, ToEntry, ToMember, Upstream, UpstreamList};
 
 /// The most members that are followed at once.
 const MEMBERS: usize = 7;
@@ -62,6 +62,8 @@
     news: watch::Receiver<News>,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
     leaving: watch::Sender<bool>,
+    digest: watch::Receiver<Arc<LoadReport>>,
+    reports: mpsc::Sender<LoadReport>,
     _task: JoinHandle<()>,
 }
 
@@ -71,8 +73,11 @@
         let (sender, news) = watch::channel(News::default());
         let seeds = Arc::new(Mutex::new(config.seeds.clone()));
         let (leaving, left) = watch::channel(false);
-        let task = tokio::spawn(run(config, secret, sender, Arc::clone(&seeds), left));
-        Self { news, seeds, leaving, _task: task }
+        let (loads, digest) = watch::channel(Arc::default());
+        let (reports, reported) = mpsc::channel(2);
+        let channels = Channels { news: sender, loads, left, reported };
+        let task = tokio::spawn(run(config, secret, channels, Arc::clone(&seeds)));
+        Self { news, seeds, leaving, digest, reports, _task: task }
     }
 
     /// Returns where the news are seen.
@@ -80,6 +85,16 @@
         self.news.clone()
     }
 
+    /// Returns where the loads of all entries together are seen.
+    pub fn digest(&self) -> watch::Receiver<Arc<LoadReport>> {
+        self.digest.clone()
+    }
+
+    /// Returns where this entry's loads are reported.
+    pub fn reports(&self) -> mpsc::Sender<LoadReport> {
+        self.reports.clone()
+    }
+
     /// Has other entries told that this one ends.
     pub fn leave(&self) {
         self.leaving.send_replace(true);
@@ -98,12 +113,21 @@
     Message(SocketAddr, ToEntry),
 }
 
+/// The loop's ends of the follower's channels.
+struct Channels {
+    news: watch::Sender<News>,
+    loads: watch::Sender<Arc<LoadReport>>,
+    left: watch::Receiver<bool>,
+    reported: mpsc::Receiver<LoadReport>,
+}
+
 struct Loop {
     config: FollowerConfig,
     secret: Secret,
     me: Hello,
     events: mpsc::Sender<Event>,
     news: watch::Sender<News>,
+    loads: watch::Sender<Arc<LoadReport>>,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
     links: HashMap<SocketAddr, Option<Sender<ToMember>>>,
     members: Vec<SocketAddr>,
@@ -112,15 +136,17 @@
     text: Option<(Version, Arc<Vec<u8>>)>,
     entries: Stamp,
     fetch: Option<(Version, SocketAddr, Instant)>,
+    /// The member that sent the newest list: the leader.
+    leader: Option<SocketAddr>,
 }
 
 async fn run(
     config: FollowerConfig,
     secret: Secret,
-    news: watch::Sender<News>,
+    channels: Channels,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
-    mut left: watch::Receiver<bool>,
 ) {
+    let Channels { news, loads, mut left, mut reported } = channels;
     let (events, mut incoming) = mpsc::channel(256);
     let me = Hello { kind: Kind::Entry, vm: config.vm.clone(), node: rand::random() };
     let mut state = Loop {
@@ -129,6 +155,7 @@
         me,
         events,
         news,
+        loads,
         seeds,
         links: HashMap::new(),
         members: Vec::new(),
@@ -136,6 +163,7 @@
         text: None,
         entries: Stamp::default(),
         fetch: None,
+        leader: None,
     };
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -144,6 +172,7 @@
             _ = ticks.tick() => state.dial(),
             Some(event) = incoming.recv() => state.take(event),
             Ok(()) = left.changed() => state.leave(),
+            Some(report) = reported.recv() => state.report(report),
         }
         state.fetch();
     }
@@ -186,6 +215,15 @@
         }
     }
 
+    /// Tells the leader what this entry has under way.
+    fn report(&self, report: LoadReport) {
+        let sender = self.leader.and_then(|it| self.links.get(&it)).and_then(Option::as_ref);
+        if let Some(sender) = sender {
+            // The next report makes up for one that is lost.
+            let _ = sender.try_send(&ToMember::Loads(report));
+        }
+    }
+
     /// Tells every member that this entry ends.
     fn leave(&self) {
         for sender in self.links.values().flatten() {
@@ -212,7 +250,10 @@
                 }
                 self.show();
             }
-            ToEntry::Upstreams(list) => self.take_upstreams(list),
+            ToEntry::Upstreams(list) => self.take_upstreams(from, list),
+            ToEntry::Loads(loads) => {
+                self.loads.send_replace(Arc::new(loads));
+            }
             ToEntry::Entries(stamp, entries) if stamp > self.entries => {
                 self.entries = stamp;
                 self.news.send_modify(|it| it.entries = Arc::new(entries));
@@ -222,7 +263,10 @@
         }
     }
 
-    fn take_upstreams(&self, list: UpstreamList) {
+    fn take_upstreams(&mut self, from: SocketAddr, list: UpstreamList) {
+        if list.stamp >= self.news.borrow().listed {
+            self.leader = Some(from);
+        }
         self.news.send_if_modified(|news| {
             let newer = list.stamp > news.listed;
             if newer {
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -1,13 +1,18 @@
 //! Hands the plan, the upstreams and the entries to the entries that are connected.
 
-use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval};
 use wire::{Connection, Receiver, Sender};
 
 use crate::driver::View;
-use crate::message::{EntrySeen, Stamp, ToEntry, ToMember, UpstreamList};
+use crate::message::{EntrySeen, LoadReport, Stamp, ToEntry, ToMember, UpstreamList, UpstreamLoad};
+
+/// How often the loads of all entries are added up and handed out.
+const LOADS_PERIOD: Duration = Duration::from_millis(150);
 
 /// What is handed out besides the plan.
 #[derive(Clone, Debug, Default)]
@@ -21,11 +26,18 @@
 pub(crate) struct Hub {
     handout: watch::Sender<Handout>,
     seen: Mutex<HashMap<u64, EntrySeen>>,
+    loads: Mutex<HashMap<u64, LoadReport>>,
+    digest: watch::Sender<Arc<LoadReport>>,
 }
 
 impl Hub {
     pub(crate) fn new() -> Self {
-        Self { handout: watch::Sender::new(Handout::default()), seen: Mutex::default() }
+        Self {
+            handout: watch::Sender::new(Handout::default()),
+            seen: Mutex::default(),
+            loads: Mutex::default(),
+            digest: watch::Sender::default(),
+        }
     }
 
     /// Hands out another list of upstreams.
@@ -33,6 +45,37 @@
         self.handout.send_modify(|it| it.upstreams = list);
     }
 
+    /// Adds up what the entries report, for as long as the member runs.
+    pub(crate) async fn add_loads(self: Arc<Self>) {
+        let mut ticks = interval(LOADS_PERIOD);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let listed = self.handout.borrow().upstreams.stamp;
+            let digest = LoadReport { listed, loads: self.sum(listed) };
+            self.digest.send_if_modified(|it| {
+                let changed = **it != digest;
+                if changed {
+                    *it = Arc::new(digest);
+                }
+                changed
+            });
+        }
+    }
+
+    /// The sum of the reports that refer to one list.
+    fn sum(&self, listed: Stamp) -> Vec<UpstreamLoad> {
+        let reports = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut sums: BTreeMap<u32, UpstreamLoad> = BTreeMap::new();
+        for load in reports.values().filter(|it| it.listed == listed).flat_map(|it| &it.loads) {
+            let sum = sums.entry(load.position).or_default();
+            sum.position = load.position;
+            sum.running += load.running;
+            sum.tokens += load.tokens;
+        }
+        sums.into_values().collect()
+    }
+
     fn enter(&self, life: u64, entry: EntrySeen) {
         log::info!(entry = entry.name.as_str(), address:% = entry.address; "an entry connected");
         self.change(|seen| {
@@ -41,6 +84,7 @@
     }
 
     fn leave(&self, life: u64) {
+        self.loads.lock().unwrap_or_else(PoisonError::into_inner).remove(&life);
         self.change(|seen| {
             if let Some(entry) = seen.remove(&life) {
                 log::info!(entry = entry.name.as_str(); "an entry is gone");
@@ -83,6 +127,7 @@
         mut view: watch::Receiver<View>,
     ) -> types::StepResult<()> {
         let mut handout = self.handout.subscribe();
+        let mut digest = self.digest.subscribe();
         let mut told = Told::default();
         loop {
             let seen = view.borrow_and_update().clone();
@@ -90,13 +135,20 @@
             let current = handout.borrow_and_update().clone();
             if seen.leads() {
                 told.tell_handout(sender, seen.term, current).await?;
+                let loads = Arc::clone(&digest.borrow_and_update());
+                told.tell_loads(sender, &loads).await?;
             }
             tokio::select! {
                 changed = view.changed() => if changed.is_err() { return Ok(()) },
+                changed = digest.changed() => if changed.is_err() { return Ok(()) },
                 changed = handout.changed() => if changed.is_err() { return Ok(()) },
                 message = receiver.recv() => match message? {
                     Some(ToMember::Hello(entry)) => self.enter(life, entry),
                     Some(ToMember::Leave) => self.leave(life),
+                    Some(ToMember::Loads(report)) => {
+                        let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
+                        loads.insert(life, report);
+                    }
                     Some(ToMember::Fetch(version)) => {
                         let held = view.borrow().held.clone();
                         if held.version >= version {
@@ -118,6 +170,7 @@
     members: Vec<std::net::SocketAddr>,
     upstreams: Stamp,
     entries: Stamp,
+    loads: Option<Arc<LoadReport>>,
 }
 
 impl Told {
@@ -134,6 +187,18 @@
         Ok(())
     }
 
+    async fn tell_loads(
+        &mut self,
+        sender: &Sender<ToEntry>,
+        loads: &Arc<LoadReport>,
+    ) -> types::StepResult<()> {
+        if self.loads.as_ref().is_some_and(|it| Arc::ptr_eq(it, loads)) {
+            return Ok(());
+        }
+        self.loads = Some(Arc::clone(loads));
+        sender.send(&ToEntry::Loads(LoadReport::clone(loads))).await
+    }
+
     async fn tell_handout(
         &mut self,
         sender: &Sender<ToEntry>,
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use follow::{Follower, FollowerConfig, News};
 pub use member::{Codec, Member, MemberConfig, PutOutcome, ReadOutcome};
-pub use message::{EntrySeen, Health, Stamp, Upstream, UpstreamList};
+pub use message::{EntrySeen, Health, LoadReport, Stamp, Upstream, UpstreamList, UpstreamLoad};
 pub use reader::ListSource;
 pub use repair::{DEAD_AFTER, LEARNER_GONE, PeerView, RepairView, next_membership};
 
--- a/crates/registry/src/member.rs
+++ b/crates/registry/src/member.rs
@@ -116,6 +116,7 @@
             .map_err(|e| StepError::new("start driver", e))?;
         let hub = Arc::new(Hub::new());
         tokio::spawn(accept(listener, inputs.clone(), Arc::clone(&hub), view.clone()));
+        tokio::spawn(Arc::clone(&hub).add_loads());
         tokio::spawn(reader::run(list, hub, view.clone()));
         Ok(Self { codec, inputs, view, peers, address })
     }
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -31,6 +31,8 @@
     Hello(EntrySeen),
     /// The entry ends and should not be named to others any more.
     Leave,
+    /// What the entry has under way at upstreams.
+    Loads(LoadReport),
     /// Asks for the plan with this version, or a newer one.
     Fetch(Version),
 }
@@ -56,6 +58,8 @@
     Upstreams(UpstreamList),
     /// The entries that are there, from the leader.
     Entries(Stamp, Vec<EntrySeen>),
+    /// What all entries together have under way at upstreams, from the leader.
+    Loads(LoadReport),
     /// The members that an entry may connect to.
     Members(Vec<SocketAddr>),
 }
@@ -120,3 +124,23 @@
     /// Whether it takes new work.
     pub health: Health,
 }
+
+/// What is under way at upstreams; those without anything are left out.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// The list of upstreams that the positions refer to.
+    pub listed: Stamp,
+    /// The loads.
+    pub loads: Vec<UpstreamLoad>,
+}
+
+/// What is under way at one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamLoad {
+    /// Its position in the list of upstreams.
+    pub position: u32,
+    /// Requests at work.
+    pub running: u32,
+    /// Prompt tokens of requests that have no first event yet.
+    pub tokens: u64,
+}
