--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -19,7 +19,7 @@
 const RANK_DELAY: Duration = Duration::from_millis(400);
 
 /// The ranks that are told apart in the backlog; lower ones count as the last.
-pub const RANKS: usize = 4;
+pub const RANKS: usize = 10;
 
 /// How much of the announced throughput is reached with calls that are not full and pauses between
 /// them, in the mean of days under load.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -19,6 +19,15 @@
 /// How long a caller is taken to wait where it doesn't say.
 const DEFAULT_WAIT: Duration = Duration::from_secs(30);
 
+/// The priority of a customer that has none.
+const DEFAULT_PRIORITY: u8 = 1;
+
+/// How many priorities of routes are told apart within one of customers.
+const ROUTE_RANKS: u8 = 3;
+
+/// The last rank; engines know ten.
+const LAST_RANK: u8 = 9;
+
 /// Callers of streams leave after the longest of this time, so many targets, and so many pauses.
 const PATIENCE: Duration = Duration::from_secs(2);
 
@@ -98,10 +107,12 @@
         self.arrived + self.route.target
     }
 
-    /// Its rank; 0 goes first.
+    /// Its rank; 0 goes first. The customer's goes before the route's, which orders requests of
+    /// customers that rank alike.
     pub(crate) fn rank(&self) -> u8 {
-        let own = self.customer.as_ref().and_then(|it| it.priority);
-        own.unwrap_or(self.route.priority)
+        let customer = self.customer.as_ref().and_then(|it| it.priority);
+        let customer = customer.unwrap_or(DEFAULT_PRIORITY).min(LAST_RANK / ROUTE_RANKS);
+        (customer * ROUTE_RANKS + self.route.priority.min(ROUTE_RANKS - 1)).min(LAST_RANK)
     }
 
     /// Makes the request for an upstream.
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -47,6 +47,10 @@
 /// be late.
 const WORTH_WAITING: f64 = 0.45;
 
+/// How much smaller that share is for each step of lower priority: what is less urgent is refused
+/// before what is more urgent.
+const RANK_SHARE: f64 = 0.6;
+
 /// How often the stages of a request run.
 const STAGE_RUNS: u32 = 2;
 
@@ -184,7 +188,8 @@
         let wait = expected.saturating_sub(plain);
         let now = Instant::now();
         let patience = request.first_by.saturating_duration_since(request.arrived);
-        let worth = request.route.target.max(patience.mul_f64(WORTH_WAITING));
+        let share = WORTH_WAITING * RANK_SHARE.powi(i32::from(request.route.priority.min(2)));
+        let worth = request.route.target.max(patience.mul_f64(share));
         if wait < SHORT_WAIT || now + expected <= request.arrived + worth {
             return Ok(());
         }
