Give inputs up once they are fetched where makers are crowded; don't outwait inputs

Ruled out: the fetch time (120 and 200 ms alike); telling only the calling owner (room is counted by the makers' owner, no gain).

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -26,6 +26,9 @@
 /// How long an owner that was silent is passed over.
 const SUSPECT: Duration = Duration::from_millis(1_500);
 
+/// A service whose pieces wait this long has too little room.
+const CROWDED: Duration = Duration::from_millis(60);
+
 /// To how many owners a job is handed at most.
 const OWNERS: usize = 3;
 
@@ -44,6 +47,13 @@
     pub(crate) deadline: Instant,
 }
 
+/// The results of a job, in order.
+pub(crate) struct Made {
+    pub(crate) handles: Vec<Handle>,
+    /// When the first of them came.
+    pub(crate) first: Instant,
+}
+
 /// The submitter's side of all services.
 pub(crate) struct Batches<D> {
     shared: Arc<Shared<D>>,
@@ -69,8 +79,10 @@
 /// results up.
 struct Progress<'a, D: Dialect> {
     batches: &'a Batches<D>,
+    input: &'a PieceInput,
     done: BTreeMap<u32, Handle>,
     left: BTreeSet<u32>,
+    first: Option<Instant>,
 }
 
 impl<D: Dialect> Batches<D> {
@@ -97,9 +109,15 @@
     ///
     /// # Errors
     /// With the first failure of a piece.
-    pub(crate) async fn run(&self, spec: &JobSpec) -> Result<Vec<Handle>, PieceFailure> {
+    pub(crate) async fn run(&self, spec: &JobSpec) -> Result<Made, PieceFailure> {
         let left = (0..spec.pieces).collect();
-        let mut progress = Progress { batches: self, done: BTreeMap::new(), left };
+        let mut progress = Progress {
+            batches: self,
+            input: &spec.input,
+            done: BTreeMap::new(),
+            left,
+            first: None,
+        };
         let mut again = false;
         for _ in 0..OWNERS {
             let Some(address) = self.owner_of(&spec.service) else { break };
@@ -113,7 +131,8 @@
             match self.run_at(address, spec, again, &mut progress).await {
                 Ended::Done => {
                     let done = std::mem::take(&mut progress.done);
-                    return Ok(done.into_values().collect());
+                    let first = progress.first.unwrap_or_else(Instant::now);
+                    return Ok(Made { handles: done.into_values().collect(), first });
                 }
                 Ended::Failed(failure) => return Err(failure),
                 Ended::Silent => {
@@ -153,6 +172,22 @@
         }
     }
 
+    /// Gives up inputs that were fetched, while the request still runs, where pieces wait for their
+    /// makers. Room for results is what bounds these: results of 60 kB filled it for the time of
+    /// another call, and calls with a backlog took 14 pieces of 22. Where there is no backlog the
+    /// results stay until their request is done, in case their followers must run again.
+    fn free_crowded(&self, handles: &[Handle]) {
+        let directory = self.shared.directory();
+        let crowded = |it: &&Handle| {
+            let address = D::keeper(it);
+            let keeper = directory.all().find(|it| Some(it.address) == address);
+            let wait = keeper.map(|it| self.shared.backlogs.wait(&it.service, u8::MAX));
+            wait.is_some_and(|it| it >= CROWDED)
+        };
+        let crowded: Vec<Handle> = handles.iter().filter(crowded).cloned().collect();
+        self.free(&crowded);
+    }
+
     /// The failure domain in which most of some results are kept.
     pub(crate) fn domain_of(&self, handles: &[Handle]) -> Option<Arc<str>> {
         let directory = self.shared.directory();
@@ -249,12 +284,19 @@
         let results = match answer {
             FromOwner::Results(_, results) => results,
             FromOwner::Refused(_) => return Some(Ended::Refused),
+            FromOwner::Fetched(_) => {
+                if let PieceInput::Results(handles) = self.input {
+                    self.batches.free_crowded(handles);
+                }
+                return None;
+            }
             FromOwner::Accepted(_) | FromOwner::Pulse | FromOwner::Backlog(..) => return None,
         };
         for (segment, result) in results {
             match result {
                 Ok(handle) if self.left.remove(&segment) => {
                     self.done.insert(segment, handle.into());
+                    self.first.get_or_insert_with(Instant::now);
                 }
                 Ok(_) => {}
                 Err(failure) => return Some(Ended::Failed(failure)),
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -86,7 +86,10 @@
         let mut waiting = self.lock();
         waiting.heard = Some(Instant::now());
         let id = match &message {
-            FromOwner::Accepted(id) | FromOwner::Refused(id) | FromOwner::Results(id, _) => *id,
+            FromOwner::Accepted(id)
+            | FromOwner::Refused(id)
+            | FromOwner::Fetched(id)
+            | FromOwner::Results(id, _) => *id,
             FromOwner::Pulse => return,
             FromOwner::Backlog(service, waits) => {
                 self.backlogs.set(service, *waits);
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -58,6 +58,8 @@
     Refused(u64),
     /// The job was taken.
     Accepted(u64),
+    /// The upstreams have fetched the inputs of all pieces of a job.
+    Fetched(u64),
     /// Results of some pieces of a job.
     Results(u64, Vec<(u32, Result<String, PieceFailure>)>),
     /// The owner lives and works on jobs of this entry.
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -36,6 +36,10 @@
 /// See [`CALL_FACTOR`].
 const CALL_SLACK: Duration = Duration::from_secs(1);
 
+/// How long an upstream takes to fetch the inputs of a call, from its sending on. At 10 Gbit/s some
+/// ms; several calls may fetch from one maker at once.
+const FETCH: Duration = Duration::from_millis(150);
+
 /// How long given-up results are collected before the upstream is told.
 const FREE_PERIOD: Duration = Duration::from_millis(30);
 
@@ -91,6 +95,9 @@
     overdue: Instant,
     pieces: Vec<Piece>,
     requeued: bool,
+    /// When its upstream has fetched the inputs, and whether the submitters were told.
+    fetched: Instant,
+    told_fetched: bool,
 }
 
 struct State<D> {
@@ -273,6 +280,7 @@
             self.hand_back();
         }
         self.requeue_overdue(now);
+        self.tell_fetched(now);
         let services: Vec<Arc<str>> = self.queues.keys().cloned().collect();
         for service in services {
             let expired = self.queues.get_mut(&service).map(|it| it.take_expired(now));
@@ -329,14 +337,42 @@
             let Some(upstream) = upstreams.iter().find(|it| it.id == next.upstream) else { break };
             self.calls += 1;
             let overdue = now + next.expected.mul_f64(OVERDUE_FACTOR) + OVERDUE;
-            let flying =
-                Flying { call: self.calls, overdue, pieces: next.pieces.clone(), requeued: false };
+            let flying = Flying {
+                call: self.calls,
+                overdue,
+                pieces: next.pieces.clone(),
+                requeued: false,
+                fetched: now + FETCH,
+                told_fetched: false,
+            };
             self.flying.insert(Arc::clone(&next.upstream), flying);
             let (events, upstream) = (self.events.clone(), Arc::clone(upstream));
             tokio::spawn(call::<D>(events, Arc::clone(service), upstream, self.calls, next));
         }
     }
 
+    /// Tells the submitters of calls under way once their inputs are fetched.
+    fn tell_fetched(&mut self, now: Instant) {
+        for flying in self.flying.values_mut() {
+            if flying.told_fetched || now < flying.fetched || flying.requeued {
+                continue;
+            }
+            flying.told_fetched = true;
+            let mut jobs = HashSet::new();
+            for piece in &flying.pieces {
+                let has_inputs = matches!(piece.input, PieceInput::Results(_));
+                let waits = self.queues.values().any(|it| it.has(piece.job));
+                if !has_inputs || waits || !jobs.insert(piece.job) {
+                    continue;
+                }
+                if let Some(open) = self.jobs.get(&piece.job) {
+                    // The submitter may have ended meanwhile.
+                    let _ = open.replies.send(FromOwner::Fetched(piece.job.id));
+                }
+            }
+        }
+    }
+
     /// Puts the pieces of calls that are overdue back, where the budget allows it.
     fn requeue_overdue(&mut self, now: Instant) {
         let mut again: Vec<Piece> = Vec::new();
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -187,6 +187,11 @@
         self.waiting.push(piece);
     }
 
+    /// Whether a piece of a job waits.
+    pub fn has(&self, job: JobKey) -> bool {
+        self.waiting.iter().any(|it| it.job == job)
+    }
+
     /// Drops the pieces of a job.
     pub fn cancel(&mut self, job: JobKey) {
         self.waiting.retain(|it| it.job != job);
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -11,6 +11,9 @@
 use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput, Segments};
 use crate::plan::{Plan, Route};
 
+/// How much sooner than announced a result counts as dropped.
+const KEPT_MARGIN: Duration = Duration::from_millis(250);
+
 /// What the stages of one request need.
 pub(crate) struct StageRun<'a> {
     pub(crate) plan: &'a Plan,
@@ -31,12 +34,14 @@
 pub(crate) struct Inputs<D: Dialect> {
     batches: Arc<Batches<D>>,
     handles: Vec<Handle>,
+    /// When their makers drop them.
+    until: Option<Instant>,
 }
 
 impl<D: Dialect> Inputs<D> {
     /// No results.
     pub(crate) fn none(batches: Arc<Batches<D>>) -> Self {
-        Self { batches, handles: Vec::new() }
+        Self { batches, handles: Vec::new(), until: None }
     }
 
     /// The results.
@@ -77,8 +82,10 @@
             break;
         }
         match jobs.next().await {
-            Some((stage, Ok(handles))) => {
-                done[stage] = Some(Inputs { batches: Arc::clone(batches), handles });
+            Some((stage, Ok(made))) => {
+                let until = kept_until(run, stage, made.first);
+                let batches = Arc::clone(batches);
+                done[stage] = Some(Inputs { batches, handles: made.handles, until });
             }
             Some((_, Err(failure))) => return Err(failure),
             // A stage was left out on this pass, so the next one can start.
@@ -114,6 +121,7 @@
     let it = &run.route.stages[stage];
     let pieces = pieces(run.segments, stage);
     let before = it.after.iter().filter_map(|it| done[*it].as_ref());
+    let until = before.clone().filter_map(|it| it.until).min();
     let handles: Vec<Handle> = before.flat_map(|it| it.handles.clone()).collect();
     let fetched = input_bytes(run, stage);
     let (used, uses) = output_use(run, stage);
@@ -143,10 +151,17 @@
         weight,
         rank: run.rank,
         due,
-        deadline: run.deadline,
+        // Pieces that outwait their inputs would be asked for in vain.
+        deadline: until.map_or(run.deadline, |it| it.min(run.deadline)),
     }
 }
 
+/// When the results of a stage are dropped by their makers, from when the first of them came.
+fn kept_until(run: &StageRun<'_>, stage: usize, first: Instant) -> Option<Instant> {
+    let service = run.plan.services.get(&run.route.stages[stage].service)?;
+    Some(first + service.batch?.ttl.saturating_sub(KEPT_MARGIN))
+}
+
 /// The bytes of all inputs of one piece.
 fn input_bytes(run: &StageRun<'_>, stage: usize) -> u64 {
     let stages = &run.route.stages;
