--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -51,6 +51,11 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The number of the list that this is made from.
+    pub(crate) fn listed(&self) -> Stamp {
+        self.listed
+    }
+
     /// What this entry has under way.
     pub(crate) fn report(&self) -> LoadReport {
         let loads = self.positions.iter().enumerate().map(|(at, it)| UpstreamLoad {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -132,6 +132,7 @@
     let engine = request.plan.services.get(&service).is_some_and(|it| it.engine.is_some());
     let (attempt, deadline) = (request.ask.attempt.clone(), request.first_by);
     let (kind, late) = (request.route.kind, request.late_watch());
+    let version = request.plan.version;
     let run = async {
         match kind {
             RouteKind::Stream => streams.run(request, &service).await,
@@ -153,10 +154,9 @@
         RouteKind::Stream => "stream",
     };
     shared.metrics.requests.with_label_values(&[name, &outcome]).inc();
-    if let Err(refusal) = &result {
-        log::info!(request = attempt.as_str(), service:% = service, outcome = refusal.name(),
-            age_ms = arrived.elapsed().as_millis() as u64; "a request was not served");
-    }
+    log::info!(request = attempt.as_str(), service:% = service, kind = name,
+        outcome = outcome.as_str(), plan:% = version,
+        age_ms = arrived.elapsed().as_millis() as u64; "answered a request");
     result
 }
 
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -62,6 +62,9 @@
         tried.push(Arc::clone(&upstream.id));
         let arrived_before = arrived;
         arrived = true;
+        log::info!(request = request.ask.attempt.as_str(), upstream:% = upstream.id,
+            running = upstream.running_all(), listed:% = directory.listed(), tried = tried.len();
+            "chose an upstream");
         let last = !repeats || runs + 1 >= request.route.attempts;
         let by = if last { request.deadline } else { first_limit(request, now) };
         match once::<D>(request, &upstream, by).await {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -142,6 +142,10 @@
                 return Err(if used.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
             }
             used.tried.push(Arc::clone(&upstream.id));
+            log::info!(request = request.ask.attempt.as_str(), upstream:% = upstream.id,
+                running = upstream.running_all(), tokens = upstream.tokens_all(),
+                listed:% = self.shared.directory().listed(), inputs = handles.len(), last = last_event,
+                age_ms = request.arrived.elapsed().as_millis() as u64; "chose an engine");
             let forward = request.forward::<D>(&upstream, handles, last_event);
             let fault = match open::<D>(request, &upstream, forward).await {
                 Ok(tried) => {
@@ -193,6 +197,9 @@
         if wait < SHORT_WAIT || now + expected <= request.arrived + worth {
             return Ok(());
         }
+        log::info!(request = request.ask.attempt.as_str(), rank = request.rank(),
+            wait_ms = wait.as_millis() as u64, expected_ms = expected.as_millis() as u64,
+            worth_ms = worth.as_millis() as u64; "refused a request: its stages take too long");
         Err(Refusal::Overloaded(wait / 2))
     }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -29,6 +29,9 @@
 /// silent without a reset, and only the kernel's own timer shows it to who waits for an answer.
 const SILENT: Duration = Duration::from_millis(1_500);
 
+/// The pause between two probes of an idle connection; the kernel counts in whole seconds.
+const PROBE: Duration = Duration::from_secs(1);
+
 /// The first pause of an upstream that failed; it doubles with each failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 
@@ -243,7 +246,7 @@
 async fn open(address: SocketAddr) -> Result<(ConnectionSender, AbortHandle), NoConnection> {
     let unreachable = |_| NoConnection::Unreachable;
     let stream = TcpStream::connect(address).await.map_err(unreachable)?;
-    let keepalive = TcpKeepalive::new().with_time(SILENT).with_interval(SILENT / 2);
+    let keepalive = TcpKeepalive::new().with_time(SILENT).with_interval(PROBE);
     let socket = SockRef::from(&stream);
     let tuned = stream
         .set_nodelay(true)
--- a/crates/mothplank/src/cli.rs
+++ b/crates/mothplank/src/cli.rs
@@ -5,6 +5,7 @@
 
 use clap::builder::ValueParser;
 use clap::{Arg, ArgAction, ArgGroup, Command, value_parser};
+use platform::names::SETTINGS_VARIABLE;
 
 use crate::exit_codes;
 
@@ -74,19 +75,19 @@
 fn gateway() -> Command {
     Command::new("gateway")
         .about("Run the entry of a platform: passes requests through to upstreams")
-        .after_help(
-            "Reads the settings file that the platform names in MOTHPLANK_BOOT. SIGTERM drains, \
-             SIGHUP reads the settings again.",
-        )
+        .after_help(format!(
+            "Reads the settings file that the platform names in {SETTINGS_VARIABLE}. SIGTERM \
+             drains, SIGHUP reads the settings again."
+        ))
 }
 
 fn registry() -> Command {
     Command::new("registry")
         .about("Run a member of a platform's registry: the plan in force, upstreams, entries")
-        .after_help(
-            "Reads the settings file that the platform names in MOTHPLANK_BOOT. SIGTERM hands \
-             leadership over and ends the process, SIGHUP reads the settings again.",
-        )
+        .after_help(format!(
+            "Reads the settings file that the platform names in {SETTINGS_VARIABLE}. SIGTERM \
+             hands leadership over and ends the process, SIGHUP reads the settings again."
+        ))
 }
 
 fn settings() -> Arg {
