--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -195,6 +195,9 @@
         let share = WORTH_WAITING * RANK_SHARE.powi(i32::from(request.route.priority.min(2)));
         let worth = request.route.target.max(patience.mul_f64(share));
         if wait < SHORT_WAIT || now + expected <= request.arrived + worth {
+            log::info!(request = request.ask.attempt.as_str(), rank = request.rank(),
+                wait_ms = wait.as_millis() as u64, expected_ms = expected.as_millis() as u64;
+                "admitted a request to its stages");
             return Ok(());
         }
         log::info!(request = request.ask.attempt.as_str(), rank = request.rank(),
