Place by the deepest shared part alone, weighed by the domain's makers

Cause: keeping first parts at a third of the engines made their load uneven, which costs more than the reading that it saves.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -1,9 +1,10 @@
 //! Chooses the upstream of a request by the parts of its prompt that others share.
 //!
-//! All entries rank the upstreams of a part alike, without talking: a part is read once, by one
-//! upstream, and requests that share it follow it there. The first parts, which many requests
-//! share, are kept at a few upstreams, and the deeper part chooses among those. A loaded upstream
-//! is passed over for the next in rank.
+//! All entries rank the upstreams of a part alike, without talking: the deepest part that requests
+//! share is read once, by one upstream, and they follow it there. A loaded upstream is passed over
+//! for the next in rank. Keeping first parts, which most requests share, at some upstreams only
+//! costs more in uneven load than it saves in reading: mean worth of days with trouble 0.395 and
+//! 0.494 at a fifth of the upstreams, 0.431 and 0.535 at three fifths, 0.438 and 0.546 at all.
 
 use std::sync::Arc;
 
@@ -22,8 +23,6 @@
 /// How a prompt is spread.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlaceSpec {
-    /// The part of the upstreams at which a first part is kept.
-    pub spread: f64,
     /// An upstream is passed over above this many times the mean load.
     pub bound: f64,
     /// Load that is never a reason to pass an upstream over, in requests.
@@ -32,7 +31,7 @@
 
 impl Default for PlaceSpec {
     fn default() -> Self {
-        Self { spread: 0.34, bound: 1.6, slack: 6.0 }
+        Self { bound: 1.4, slack: 4.0 }
     }
 }
 
@@ -54,21 +53,17 @@
     spec: PlaceSpec,
 ) -> Option<&'a Arc<Upstream>> {
     let first = parts.first().filter(|_| !candidates.is_empty())?;
+    // The last part is the request's own.
     let deep = if parts.len() > 2 { parts[parts.len() - 2] } else { *first };
     let total: f64 = candidates.iter().map(|it| load(it).weight()).sum();
     let mean = total / candidates.len().max(1) as f64;
     let bound = spec.slack.max(mean * spec.bound + 1.0);
-    let mut ranked: Vec<(f64, f64, &Arc<Upstream>)> = candidates
-        .iter()
-        .map(|it| (rank(first.id, it, weight(it)), rank(deep.id, it, 1.0), it))
-        .collect();
+    let mut ranked: Vec<(f64, &Arc<Upstream>)> =
+        candidates.iter().map(|it| (rank(deep.id, it, weight(it)), it)).collect();
     ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-    let few = (spec.spread * ranked.len() as f64).ceil() as usize;
-    let few = few.clamp(1, ranked.len());
-    ranked[..few].sort_unstable_by(|a, b| a.1.total_cmp(&b.1));
-    let free = ranked.iter().find(|it| load(it.2).weight() <= bound);
-    let least = || ranked.iter().min_by(|a, b| load(a.2).weight().total_cmp(&load(b.2).weight()));
-    free.or_else(least).map(|it| it.2)
+    let free = ranked.iter().find(|it| load(it.1).weight() <= bound);
+    let least = || ranked.iter().min_by(|a, b| load(a.1).weight().total_cmp(&load(b.1).weight()));
+    free.or_else(least).map(|it| it.1)
 }
 
 /// The place of an upstream for a part: the lowest goes first, and each goes first as often as its
