--- a/crates/mothplank/src/commands/host.rs
+++ b/crates/mothplank/src/commands/host.rs
@@ -24,6 +24,9 @@
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(1);
 
+/// The release that runs.
+const RELEASE: &str = env!("CARGO_PKG_VERSION");
+
 /// Runs a program on one thread until SIGTERM: `open` starts it, `changed` takes new settings, and
 /// `end` ends it.
 ///
@@ -47,7 +50,7 @@
         .build()
         .wrap_err("cannot start the runtime")?;
     runtime.block_on(async {
-        log::info!(vm:% = vm, release = env!("CARGO_PKG_VERSION"); "starting");
+        log::info!(vm:% = vm, release = RELEASE; "starting");
         let mut term = signal(SignalKind::terminate())?;
         let mut hangup = signal(SignalKind::hangup())?;
         let program = open.await?;
