--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -126,6 +126,28 @@
     }
 }
 
+/// Sends a caller's request and waits for the head of its own, sealed answer.
+pub(crate) async fn request<D: Dialect>(
+    upstream: &Arc<Upstream>,
+    request: Request<Full<Bytes>>,
+    attempt: &str,
+    by: Instant,
+) -> Result<Opened, Fault> {
+    let opened = send::<D>(upstream, request, attempt, by).await?;
+    if opened.marks.not_run {
+        let status = opened.response.status();
+        discard(opened, by).await;
+        return Err(Fault::refused(status));
+    }
+    if !opened.marks.same_attempt {
+        return Err(Fault::unknown(Cause::Garbled("another request's answer")));
+    }
+    if !opened.marks.sealed {
+        return Err(Fault::unknown(Cause::Garbled("no seal")));
+    }
+    Ok(opened)
+}
+
 /// What was read of a body.
 pub(crate) enum Read {
     /// All of it.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -162,25 +162,13 @@
     let _running = upstream.begin(0);
     let before = request.sent.load(Ordering::Relaxed);
     let forward = request.forward::<D>(upstream, &[], None);
-    let sent = exchange::send::<D>(upstream, forward, &request.ask.attempt, by).await;
+    let sent = exchange::request::<D>(upstream, forward, &request.ask.attempt, by).await;
     let opened = sent.inspect_err(|fault| {
         if fault.not_run {
             request.sent.store(before, Ordering::Relaxed);
         }
     })?;
-    if opened.marks.not_run {
-        request.sent.store(before, Ordering::Relaxed);
-        let status = opened.response.status();
-        exchange::discard(opened, by).await;
-        return Err(Fault::refused(status));
-    }
     let Opened { mut response, lease, marks } = opened;
-    if !marks.same_attempt {
-        return Err(Fault::unknown(Cause::Garbled("another request's answer")));
-    }
-    if !marks.sealed {
-        return Err(Fault::unknown(Cause::Garbled("no seal")));
-    }
     let status = response.status();
     let mut headers = std::mem::take(response.headers_mut());
     strip_hop(&mut headers);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -320,19 +320,8 @@
     let tokens = request.ask.generation.as_ref().map_or(0, |it| u64::from(it.prompt));
     let mut running = upstream.begin(tokens);
     let by = request.first_by;
-    let opened = exchange::send::<D>(upstream, forward, &request.ask.attempt, by).await?;
-    if opened.marks.not_run {
-        let status = opened.response.status();
-        exchange::discard(opened, by).await;
-        return Err(Fault::refused(status));
-    }
+    let opened = exchange::request::<D>(upstream, forward, &request.ask.attempt, by).await?;
     let Opened { mut response, lease, marks } = opened;
-    if !marks.same_attempt {
-        return Err(Fault::unknown(Cause::Garbled("another request's answer")));
-    }
-    if !marks.sealed {
-        return Err(Fault::unknown(Cause::Garbled("no seal")));
-    }
     let mut headers = std::mem::take(response.headers_mut());
     strip_hop(&mut headers);
     if !response.status().is_success() {
