--- /dev/null
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -0,0 +1,129 @@
+//! What comes of calls: results are delivered once, lost pieces go back into their queue.
+
+use std::sync::Arc;
+
+use tokio::time::Instant;
+
+use super::{CallEnd, State};
+use crate::batch::message::FromOwner;
+use crate::batch::queue::Piece;
+use crate::dialect::{Dialect, PieceFailure, PieceResult};
+
+/// How often one piece may be sent.
+const SENDS: u32 = 3;
+
+impl<D: Dialect> State<D> {
+    /// Puts the pieces of calls that are overdue back, where the budget allows it.
+    pub(super) fn requeue_overdue(&mut self, now: Instant) {
+        let mut again: Vec<Piece> = Vec::new();
+        for flying in self.flying.values_mut() {
+            if flying.requeued || now < flying.overdue {
+                continue;
+            }
+            flying.requeued = true;
+            let jobs = &self.jobs;
+            let open =
+                |it: &&Piece| jobs.get(&it.job).is_some_and(|job| job.left.contains(&it.segment));
+            again.extend(flying.pieces.iter().filter(open).cloned());
+        }
+        for piece in again {
+            self.requeue(piece, now);
+        }
+    }
+
+    /// Puts a piece back, or fails it where it was sent too often.
+    fn requeue(&mut self, piece: Piece, now: Instant) {
+        let Some(service) = self.service_of(&piece) else { return };
+        let entries = self.shared.entries();
+        if piece.sent >= SENDS || !self.shared.budget.take(&service, 1, entries, now) {
+            self.deliver(&piece, Err(PieceFailure::Failed));
+            return;
+        }
+        if let Some(queue) = self.queues.get_mut(&service) {
+            queue.push(piece);
+        }
+    }
+
+    fn service_of(&self, piece: &Piece) -> Option<Arc<str>> {
+        self.jobs.get(&piece.job).map(|it| Arc::clone(&it.service))
+    }
+
+    pub(super) fn ended(&mut self, end: CallEnd) {
+        let now = Instant::now();
+        let flying = self.flying.remove(&end.upstream.id);
+        let requeued = flying.as_ref().is_some_and(|it| it.call == end.call && it.requeued);
+        let whole = end.outcome.is_ok();
+        if let Some(queue) = self.queues.get_mut(&end.service) {
+            queue.ended(&end.upstream.id, end.pieces.len(), whole.then_some(end.took), now);
+        }
+        match end.outcome {
+            Ok(ref results) => {
+                end.upstream.succeeded();
+                for (piece, result) in end.pieces.iter().zip(results) {
+                    self.take_result(&end, piece, result.clone(), requeued, now);
+                }
+            }
+            Err(fault) => {
+                log::warn!(upstream:% = end.upstream.id, service:% = end.service,
+                    pieces = end.pieces.len(), cause:% = fault,
+                    ms = end.took.as_millis() as u64; "a call with pieces failed");
+                if !fault.not_run || fault.unreachable {
+                    end.upstream.failed(fault.unreachable);
+                }
+                if requeued {
+                    return;
+                }
+                for piece in end.pieces {
+                    self.requeue(piece, now);
+                }
+            }
+        }
+    }
+
+    fn take_result(
+        &mut self,
+        end: &CallEnd,
+        piece: &Piece,
+        result: PieceResult,
+        requeued: bool,
+        now: Instant,
+    ) {
+        match result {
+            Ok(handle) => {
+                if let Some(queue) = self.queues.get_mut(&end.service) {
+                    queue.kept(&end.upstream.id, piece.size, Arc::clone(&handle), now);
+                }
+                if !self.deliver(piece, Ok(Arc::clone(&handle))) {
+                    // Nobody waits for it any more.
+                    self.give_up(vec![handle.to_string()]);
+                }
+            }
+            Err(PieceFailure::NoRoom) if !requeued => {
+                if let Some(queue) = self.queues.get_mut(&end.service) {
+                    queue.crowded(&end.upstream.id, piece.size, now);
+                }
+                self.requeue(piece.clone(), now);
+            }
+            Err(PieceFailure::Failed) if !requeued => self.requeue(piece.clone(), now),
+            Err(PieceFailure::NoRoom | PieceFailure::Failed) => {}
+            Err(failure) => {
+                self.deliver(piece, Err(failure));
+            }
+        }
+    }
+
+    /// Answers a piece, once; returns whether somebody waited for it.
+    pub(super) fn deliver(&mut self, piece: &Piece, result: PieceResult) -> bool {
+        let Some(open) = self.jobs.get_mut(&piece.job) else { return false };
+        if !open.left.remove(&piece.segment) {
+            return false;
+        }
+        let result = result.map(|it| it.to_string());
+        let told = FromOwner::Results(piece.job.id, vec![(piece.segment, result)]);
+        let sent = open.replies.send(told).is_ok();
+        if open.left.is_empty() {
+            self.jobs.remove(&piece.job);
+        }
+        sent
+    }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,6 +1,8 @@
 //! Streams of an engine: placed by their prompt, passed on event by event, gone on with elsewhere
 //! where the route allows it.
 
+mod pump;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -21,25 +23,20 @@
 use crate::place::{Load, PlaceSpec, place};
 use crate::plain::note;
 use crate::queue::LARGE;
-use crate::reply::{Broken, Refusal, Reply, ReplyBody, strip_hop};
+use crate::reply::{Refusal, Reply, ReplyBody, strip_hop};
 use crate::request::CallerRequest;
 use crate::shared::Shared;
 use crate::stages::{self, Inputs, StageRun};
 use crate::upstream::{Lease, Running, Upstream};
 
+use self::pump::Pump;
+
 /// Events that wait for a slow caller before the engine's connection is read no further.
 const EVENTS: usize = 32;
 
 /// The largest answer of an engine that is no stream, in bytes.
 const FAILURE_LIMIT: usize = 64 << 10;
 
-/// A resumable stream that is silent for this long goes on elsewhere, or for three of the pauses
-/// that its route allows if that is longer; callers leave after two seconds or eight such pauses.
-const STALL: Duration = Duration::from_millis(1_200);
-
-/// See [`STALL`].
-const STALL_PAUSES: u32 = 3;
-
 /// To how many engines that did not run it a request is offered at most.
 const OFFERS: usize = 4;
 
@@ -364,131 +361,3 @@
         running,
     })))
 }
-
-/// Passes a stream on to its caller.
-struct Pump<D: Dialect> {
-    streams: Arc<Streams<D>>,
-    service: Arc<str>,
-    request: CallerRequest,
-    used: Used,
-    /// The last event that the caller was sent.
-    last: Option<u64>,
-    events: mpsc::Sender<Result<Bytes, Broken>>,
-}
-
-/// How a part of a stream ended.
-enum PartEnd {
-    Whole,
-    CallerLeft,
-    Late,
-    Lost(&'static str),
-}
-
-impl<D: Dialect> Pump<D> {
-    async fn run(mut self, attached: Attached) {
-        let mut attached = attached;
-        loop {
-            let upstream = Arc::clone(&attached.upstream);
-            let why = match self.pass(attached).await {
-                PartEnd::Whole => {
-                    upstream.succeeded();
-                    return;
-                }
-                PartEnd::CallerLeft => return,
-                PartEnd::Late => "its time is over",
-                PartEnd::Lost(why) => {
-                    upstream.failed(false);
-                    match self.resume(why).await {
-                        Some(next) => {
-                            attached = next;
-                            continue;
-                        }
-                        None => why,
-                    }
-                }
-            };
-            log::info!(request = self.request.ask.attempt.as_str(), upstream:% = upstream.id,
-                last = self.last, cause = why; "a stream broke off");
-            // The caller sees the connection break, for the stream is not complete.
-            let _ = self.events.send(Err(Broken)).await;
-            return;
-        }
-    }
-
-    /// Passes on one engine's events.
-    async fn pass(&mut self, attached: Attached) -> PartEnd {
-        let Attached { mut body, lease, keep_alive, mut splitter, first, running, .. } = attached;
-        let _running = running;
-        let resumable = self.request.route.resumable;
-        let mut next = first;
-        loop {
-            while let Some(event) = next.take().or_else(|| splitter.next_event()) {
-                if let Some(end) = self.send(event).await {
-                    return end;
-                }
-            }
-            let stall = Instant::now() + STALL.max(self.request.route.pause * STALL_PAUSES);
-            let by =
-                if resumable { stall.min(self.request.deadline) } else { self.request.deadline };
-            let frame = tokio::select! {
-                frame = timeout_at(by, body.frame()) => frame,
-                () = self.events.closed() => return PartEnd::CallerLeft,
-            };
-            match frame {
-                Ok(Some(Ok(frame))) => splitter.push(&frame.into_data().unwrap_or_default()),
-                Ok(Some(Err(_))) => return PartEnd::Lost("connection lost"),
-                Ok(None) if splitter.has_rest() => return PartEnd::Lost("ended in an event"),
-                Ok(None) => {
-                    lease.keep(keep_alive);
-                    return PartEnd::Whole;
-                }
-                Err(_) if Instant::now() >= self.request.deadline => return PartEnd::Late,
-                Err(_) => return PartEnd::Lost("silent"),
-            }
-        }
-    }
-
-    /// Sends one event, unless the caller has it.
-    async fn send(&mut self, event: Event) -> Option<PartEnd> {
-        if let (Some(id), Some(last)) = (event.id, self.last) {
-            if id <= last {
-                return None;
-            }
-            if id > last + 1 {
-                return Some(PartEnd::Lost("an event is missing"));
-            }
-        }
-        if event.id.is_some() {
-            self.last = event.id;
-        }
-        let sent =
-            tokio::time::timeout_at(self.request.deadline, self.events.send(Ok(event.bytes)));
-        match sent.await {
-            Ok(Ok(())) => None,
-            Ok(Err(_)) => Some(PartEnd::CallerLeft),
-            Err(_) => Some(PartEnd::Late),
-        }
-    }
-
-    /// Goes on at another engine, where the route allows it.
-    async fn resume(&mut self, why: &'static str) -> Option<Attached> {
-        let route = &self.request.route;
-        self.used.runs += 1;
-        self.used.arrived = true;
-        if !route.resumable || self.used.runs >= route.attempts || self.last.is_none() {
-            return None;
-        }
-        log::info!(request = self.request.ask.attempt.as_str(), last = self.last, cause = why;
-            "a stream goes on elsewhere");
-        let streams = Arc::clone(&self.streams);
-        let next = streams.attach(&self.request, &self.service, &mut self.used, self.last);
-        let next = tokio::select! {
-            next = next => next,
-            () = self.events.closed() => return None,
-        };
-        match next {
-            Ok(Tried::Stream(attached)) => Some(*attached),
-            Ok(Tried::Answer(_)) | Err(_) => None,
-        }
-    }
-}
