Bound the time of a head apart from the idle time, and the memory of all bodies

Cause: hyper has one timer for a head and for the wait before it. It was set to the plan's idle time, so a caller that began a head and sent a byte now and then held its connection for all of it. Bodies were bounded one by one; sixty callers with 4 MB each would have outgrown an entry's 260 MB.

Ruled out: hyper's timer at the head's time (ends idle connections, which callers reuse up to four fifths of the idle time); streaming every body (a repeatable request needs it whole for its second try).

Before: the new test of the path fails, the half-sent head holds its connection beyond 30 s. After: 12 of 12 tests of the path pass; the room's test passes.

Bodies are still read whole, now within 64 MB together; what finds no room is refused as not run.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -17,6 +17,7 @@
 
 use crate::dialect::Dialect;
 use crate::guard::{Conflict, Guarded};
+use crate::head_time::{HeadTimer, Readings};
 use crate::plain;
 use crate::plan::{Limits, RouteKind};
 use crate::reply::{Refusal, Reply, ReplyBody};
@@ -75,11 +76,12 @@
         async move { Ok::<_, Infallible>(answer(shared, streams, seen, request).await) }
     });
     // A caller that leaves ends its connection, which drops the handler and all its work.
+    let readings = Readings::default();
     let served = http1::Builder::new()
-        .timer(TokioTimer::new())
+        .timer(HeadTimer::new(readings.clone(), limits.header_time))
         .header_read_timeout(limits.idle_time)
         .max_buf_size(limits.header_bytes.max(16 << 10) * 2)
-        .serve_connection(TokioIo::new(Guarded::new(stream, conflict)), service);
+        .serve_connection(TokioIo::new(Guarded::new(stream, conflict, readings)), service);
     if let Err(error) = served.await {
         log::debug!(cause:% = error; "a caller's connection broke off");
     }
@@ -107,7 +109,7 @@
             Ok(reply) => reply,
             Err(refusal) => {
                 shared.metrics.requests.with_label_values(&["any", refusal.name()]).inc();
-                close = matches!(refusal, Refusal::TooLarge | Refusal::SlowBody);
+                close = matches!(refusal, Refusal::TooLarge | Refusal::SlowBody | Refusal::NoRoom);
                 refusal.reply()
             }
         }
@@ -126,7 +128,7 @@
     arrived: Instant,
 ) -> Result<Reply, Refusal> {
     let plan = shared.plan().ok_or(Refusal::NoPlan)?;
-    let request = CallerRequest::read::<D>(plan, request, arrived).await?;
+    let request = CallerRequest::read::<D>(plan, request, arrived, shared.bodies.hold()).await?;
     let service = request.route.service(rand::random()).cloned().ok_or(Refusal::NoUpstream)?;
     shared.budget.request(&service, arrived);
     let engine = request.plan.services.get(&service).is_some_and(|it| it.engine.is_some());
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -13,6 +13,8 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
+use crate::head_time::Readings;
+
 const LENGTH: &[u8] = b"content-length:";
 const ENCODING: &[u8] = b"transfer-encoding:";
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -84,11 +86,12 @@
     stream: S,
     scanner: Scanner,
     conflict: Conflict,
+    readings: Readings,
 }
 
 impl<S> Guarded<S> {
-    pub(crate) fn new(stream: S, conflict: Conflict) -> Self {
-        Self { stream, scanner: Scanner::default(), conflict }
+    pub(crate) fn new(stream: S, conflict: Conflict, readings: Readings) -> Self {
+        Self { stream, scanner: Scanner::default(), conflict, readings }
     }
 }
 
@@ -101,7 +104,11 @@
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
         let read = &buffer.filled()[before..];
-        if !read.is_empty() && self.scanner.push(read) {
+        if read.is_empty() {
+            return polled;
+        }
+        self.readings.note();
+        if self.scanner.push(read) {
             self.conflict.0.store(true, Ordering::Relaxed);
         }
         polled
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -111,6 +111,8 @@
     TooLarge,
     /// The body did not come in time.
     SlowBody,
+    /// Bodies take up all the memory they may.
+    NoRoom,
     /// No upstream takes it.
     NoUpstream,
     /// Its stages would take too long; it may come back after this time.
@@ -136,6 +138,7 @@
             Refusal::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Refusal::NoPlan
             | Refusal::Ending
+            | Refusal::NoRoom
             | Refusal::NoUpstream
             | Refusal::Overloaded(_)
             | Refusal::NoStage
@@ -155,6 +158,7 @@
             Refusal::BadHead => "bad head",
             Refusal::TooLarge => "too large",
             Refusal::SlowBody => "slow body",
+            Refusal::NoRoom => "no room",
             Refusal::NoUpstream => "no upstream",
             Refusal::Overloaded(_) => "overloaded",
             Refusal::NoStage => "no stage",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,6 +14,7 @@
 use crate::dialect::{Ask, Dialect, Handle, Marks};
 use crate::plan::{Customer, Plan, Route, RouteKind};
 use crate::reply::{Refusal, strip_hop};
+use crate::room::Held;
 use crate::upstream::Upstream;
 
 /// How long a caller is taken to wait where it doesn't say.
@@ -50,6 +51,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Lasts as long as the body.
+    _held: Held,
     pub(crate) arrived: Instant,
     /// When the caller's time, or the route's, is over.
     pub(crate) deadline: Instant,
@@ -68,6 +71,7 @@
         plan: Arc<Plan>,
         request: Request<Incoming>,
         arrived: Instant,
+        mut held: Held,
     ) -> Result<Self, Refusal> {
         let (head, body) = request.into_parts();
         let Parts { method, uri, mut headers, .. } = head;
@@ -82,7 +86,7 @@
         let wait = ask.deadline.unwrap_or(DEFAULT_WAIT).min(route.timeout);
         let deadline = arrived + wait.saturating_sub(HEADROOM);
         let first_by = deadline.min(arrived + patience(&route));
-        let body = read_body(&plan, &headers, body, deadline).await?;
+        let body = read_body(&plan, &headers, body, &mut held, deadline).await?;
         strip_hop(&mut headers);
         D::strip(&mut headers);
         let sent = Arc::new(AtomicBool::new(false));
@@ -95,6 +99,7 @@
             uri,
             headers,
             body,
+            _held: held,
             arrived,
             deadline,
             first_by,
@@ -183,6 +188,7 @@
     plan: &Plan,
     headers: &HeaderMap,
     body: Incoming,
+    held: &mut Held,
     by: Instant,
 ) -> Result<Bytes, Refusal> {
     let limit = plan.limits.body_bytes;
@@ -205,6 +211,9 @@
             if whole.len() + data.len() > limit {
                 return Err(Refusal::TooLarge);
             }
+            if !held.grow(data.len()) {
+                return Err(Refusal::NoRoom);
+            }
             whole.extend_from_slice(&data);
         }
     }
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::pace::Paces;
 use crate::plan::Plan;
+use crate::room::{BODY_ROOM, Room};
 
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
@@ -42,6 +43,7 @@
     pub(crate) drain: Drain,
     pub(crate) backlogs: Arc<Backlogs>,
     pub(crate) paces: Paces,
+    pub(crate) bodies: Room,
     dialect: PhantomData<D>,
 }
 
@@ -59,6 +61,7 @@
             drain: Drain::default(),
             backlogs: Arc::default(),
             paces: Paces::default(),
+            bodies: Room::new(BODY_ROOM),
             dialect: PhantomData,
         }
     }
--- a/crates/gateway/tests/pure.rs
+++ b/crates/gateway/tests/pure.rs
@@ -9,6 +9,7 @@
 use gateway::events::Splitter;
 use gateway::guard::Scanner;
 use gateway::place::{Load, PlaceSpec, place};
+use gateway::room::Room;
 use tokio::time::Instant;
 
 struct EventCase {
@@ -197,3 +198,20 @@
     let again = (0..100).filter(|_| budget.take(&service, 1, 8, later)).count();
     assert!(again <= 5, "{again} repeats of no request");
 }
+
+/// Symptom: an entry runs out of memory and is killed with all it has under way.
+/// Sequence: many callers send large bodies, slowly, at the same time.
+/// Cause: each body is bounded and their sum is not, or room that was given up stays taken.
+#[test]
+fn bodies_together_stay_within_their_room() {
+    let room = Room::new(10);
+    let (mut one, mut two) = (room.hold(), room.hold());
+    assert!(one.grow(6));
+    assert!(!two.grow(5), "more than there is");
+    assert!(two.grow(4));
+    assert!(!one.grow(1));
+    drop(one);
+    assert!(two.grow(6), "the room of a body that is gone is free again");
+    drop(two);
+    assert!(room.hold().grow(10));
+}
