Print what is said of a key that gets no final answer

After: each change of the answers to a key is printed while it waits. The check itself is unchanged.

Conclusion: open; the next failure will name the reason.

--- a/crates/mothplank/tests/request_once.rs
+++ b/crates/mothplank/tests/request_once.rs
@@ -297,10 +297,14 @@
                         return;
                     }
                     let (key, pipeline) = name(i);
+                    let mut said = String::new();
                     wait_for(&format!("a final answer to {key}"), || {
                         let deadline = Duration::from_secs(10);
                         env.runtime.block_on(callers.send(&key, pipeline, deadline));
-                        callers.history.of(&key).last().is_some_and(is_final).then_some(())
+                        let last = callers.history.of(&key).pop()?;
+                        let ends = is_final(&last);
+                        tell_change(&key, &last, &mut said);
+                        ends.then_some(())
                     });
                 }
             });
@@ -308,6 +312,16 @@
     });
 }
 
+/// Prints an answer that is not final and differs from the one before: where none ever is, these
+/// lines say why.
+fn tell_change(key: &str, last: &Sending, said: &mut String) {
+    let now = format!("{:?} {} {}", last.answer.said, last.answer.status, last.answer.reason());
+    if now != *said && !is_final(last) {
+        eprintln!("{key}, entry {}: {now}: {}", last.entry, last.answer.json()["detail"]);
+    }
+    *said = now;
+}
+
 /// Checks that what was told "not run", and did not run after all, ended as a complete answer or
 /// with the word of an attempt that came later.
 fn can_still_run(history: &History, runs: &[Run], keys: usize) {
