Let entries that are cut off from the registry follow the others' news

Cause: an entry that the registry loses is taken off the list of entries after 2 s, and the others choose another owner for its services. The entry itself went on with its old list: two owners sent calls to the same upstreams without knowledge of each other's calls and results.

Change: an entry without a member asks three others twice a second for their news (lists of entries and upstreams), which are taken where they are newer. An entry that is not on the newest list is no owner, unless no other answers.

Ruled out: plans by the same way (the bound holds only for entries in touch, and a quorum vouches for the first).

An entry in touch sends nothing more than before.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -6,11 +6,13 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use rand::seq::IteratorRandom;
+use registry::{News, Relay};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 use wire::{Hello, Secret};
 
-use crate::batch::link::{Link, PULSE};
+use crate::batch::link::{Inlets, Link, PULSE};
 use crate::batch::message::{FromOwner, Job, JobInput, ToOwner};
 use crate::batch::owner::{OWN, Owner, OwnerEvent};
 use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput};
@@ -32,6 +34,12 @@
 /// To how many owners a job is handed at most.
 const OWNERS: usize = 3;
 
+/// How often an entry without a member asks others for their news.
+const ASK: Duration = Duration::from_millis(500);
+
+/// How many others it asks; some of them may have no member either.
+const ASKED: usize = 3;
+
 /// The pieces of one stage of one request.
 pub(crate) struct JobSpec {
     pub(crate) service: Arc<str>,
@@ -64,6 +72,7 @@
     next: AtomicU64,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     suspects: Mutex<HashMap<SocketAddr, Instant>>,
+    relays: mpsc::Sender<Relay>,
 }
 
 /// How a job ended at one owner.
@@ -92,6 +101,7 @@
         secret: Secret,
         me: Hello,
         own: SocketAddr,
+        relays: mpsc::Sender<Relay>,
     ) -> Self {
         Self {
             shared,
@@ -102,6 +112,7 @@
             next: AtomicU64::new(0),
             links: Mutex::default(),
             suspects: Mutex::default(),
+            relays,
         }
     }
 
@@ -119,8 +130,8 @@
             first: None,
         };
         let mut again = false;
-        for _ in 0..OWNERS {
-            let Some(address) = self.owner_of(&spec.service) else { break };
+        for turn in 1..=OWNERS {
+            let Some(address) = self.owner_of(&spec.service, turn == OWNERS) else { break };
             if again {
                 let entries = self.shared.entries();
                 let count = progress.left.len() as u32;
@@ -162,7 +173,7 @@
         }
         for (service, handles) in by_service {
             let message = ToOwner::Free(handles);
-            match self.owner_of(&service) {
+            match self.owner_of(&service, false) {
                 Some(address) if address != self.own => self.link(address).tell(message),
                 _ => {
                     let (replies, _) = mpsc::unbounded_channel();
@@ -201,16 +212,37 @@
         counts.into_iter().max_by_key(|it| it.1).map(|it| it.0)
     }
 
-    /// The owner of a service from this entry's view.
-    fn owner_of(&self, service: &str) -> Option<SocketAddr> {
+    /// The owner of a service from this entry's view. An entry that others count as gone is no
+    /// owner: they have chosen another, and two owners send calls to the same upstreams without
+    /// knowledge of each other. But `alone`, where no other answers, it is.
+    fn owner_of(&self, service: &str, alone: bool) -> Option<SocketAddr> {
         let now = Instant::now();
         let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
         suspects.retain(|_, until| now < *until);
         let key = score(0, service);
         let peers = self.shared.peers();
-        let others = peers.iter().map(|it| it.address).chain([self.own]);
-        let free = others.filter(|it| !suspects.contains_key(it) || *it == self.own);
-        free.max_by_key(|it| score(key, &it.to_string()))
+        let others = peers.iter().map(|it| it.address).filter(|it| !suspects.contains_key(it));
+        let counts = alone || self.shared.is_listed();
+        let free = others.chain(counts.then_some(self.own));
+        free.max_by_key(|it| score(key, &it.to_string())).or(Some(self.own))
+    }
+
+    /// Asks other entries for the registry's news while this one has no member, for as long as the
+    /// process lives.
+    pub(crate) async fn ask_around(self: Arc<Self>, news: watch::Receiver<News>) {
+        let mut ticks = interval(ASK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            if news.borrow().members > 0 {
+                continue;
+            }
+            let peers = self.shared.peers();
+            let addresses = peers.iter().map(|it| it.address);
+            for address in addresses.sample(&mut rand::rng(), ASKED) {
+                self.link(address).tell(ToOwner::Follow);
+            }
+        }
     }
 
     fn suspect(&self, address: SocketAddr, service: &str, cause: &str) {
@@ -224,7 +256,8 @@
         links.retain(|_, it| !it.is_ended());
         let open = || {
             let backlogs = Arc::clone(&self.shared.backlogs);
-            Link::open(address, self.secret.clone(), self.me.clone(), backlogs)
+            let inlets = Inlets { backlogs, relays: self.relays.clone() };
+            Link::open(address, self.secret.clone(), self.me.clone(), inlets)
         };
         Arc::clone(links.entry(address).or_insert_with(open))
     }
@@ -290,7 +323,10 @@
                 }
                 return None;
             }
-            FromOwner::Accepted(_) | FromOwner::Pulse | FromOwner::Backlog(..) => return None,
+            FromOwner::Accepted(_)
+            | FromOwner::Pulse
+            | FromOwner::News(_)
+            | FromOwner::Backlog(..) => return None,
         };
         for (segment, result) in results {
             match result {
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use registry::{News, Relay, Stamp};
+use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 use wire::{Connection, Hello, Kind, Listener, Secret};
 
@@ -19,11 +20,22 @@
 /// How long a dial may take.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// For how long news are passed on after they were asked for; some of the periods in which entries
+/// without a member ask.
+pub(crate) const FOLLOW: Duration = Duration::from_secs(2);
+
+/// Where what owners tell of all jobs goes.
+#[derive(Clone)]
+pub(crate) struct Inlets {
+    pub(crate) backlogs: Arc<Backlogs>,
+    pub(crate) relays: mpsc::Sender<Relay>,
+}
+
 /// A connection to an owner.
 pub(crate) struct Link {
     sender: mpsc::UnboundedSender<ToOwner>,
     waiting: Mutex<Waiting>,
-    backlogs: Arc<Backlogs>,
+    inlets: Inlets,
 }
 
 #[derive(Default)]
@@ -39,10 +51,10 @@
         address: SocketAddr,
         secret: Secret,
         me: Hello,
-        backlogs: Arc<Backlogs>,
+        inlets: Inlets,
     ) -> Arc<Self> {
         let (sender, outgoing) = mpsc::unbounded_channel();
-        let link = Arc::new(Self { sender, waiting: Mutex::default(), backlogs });
+        let link = Arc::new(Self { sender, waiting: Mutex::default(), inlets });
         tokio::spawn(drive(Arc::clone(&link), address, secret, me, outgoing));
         link
     }
@@ -92,7 +104,12 @@
             | FromOwner::Results(id, _) => *id,
             FromOwner::Pulse => return,
             FromOwner::Backlog(service, waits) => {
-                self.backlogs.set(service, *waits);
+                self.inlets.backlogs.set(service, *waits);
+                return;
+            }
+            FromOwner::News(relay) => {
+                // Without room the news that wait are as new.
+                let _ = self.inlets.relays.try_send(Relay::clone(relay));
                 return;
             }
         };
@@ -140,13 +157,13 @@
 }
 
 /// Takes other entries' connections.
-pub(crate) async fn accept(mut listener: Listener, owner: Owner) {
+pub(crate) async fn accept(mut listener: Listener, owner: Owner, news: watch::Receiver<News>) {
     let mut origin = 0;
     loop {
         match listener.accept().await {
             Ok((hello, connection)) if hello.kind == Kind::Entry => {
                 origin += 1;
-                tokio::spawn(serve(origin, connection, owner.clone()));
+                tokio::spawn(serve(origin, connection, owner.clone(), news.clone()));
             }
             Ok(_) => {}
             Err(error) => {
@@ -158,12 +175,13 @@
 }
 
 /// Serves one submitter until its connection ends.
-async fn serve(origin: u64, connection: Connection, owner: Owner) {
+async fn serve(origin: u64, connection: Connection, owner: Owner, mut news: watch::Receiver<News>) {
     let (sender, mut receiver) = connection.split::<FromOwner, ToOwner>();
     let (replies, mut answers) = mpsc::unbounded_channel();
     let mut pulse = interval(PULSE);
     pulse.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut left: HashMap<u64, usize> = HashMap::new();
+    let mut passing = Passing::default();
     loop {
         let busy = !left.is_empty();
         let answer = tokio::select! {
@@ -177,6 +195,11 @@
                             left.remove(id);
                         }
                         ToOwner::Free(_) => {}
+                        ToOwner::Follow => {
+                            passing.until = Some(Instant::now() + FOLLOW);
+                            news.mark_changed();
+                            continue;
+                        }
                     }
                     owner.tell(OwnerEvent::Told(origin, message, replies.clone()));
                     continue;
@@ -188,6 +211,12 @@
                 None => break,
             },
             _ = pulse.tick(), if busy => FromOwner::Pulse,
+            Ok(()) = news.changed(), if passing.is_asked() => {
+                match passing.next(&news.borrow_and_update()) {
+                    Some(relay) => FromOwner::News(Box::new(relay)),
+                    None => continue,
+                }
+            }
         };
         if let FromOwner::Results(id, results) = &answer {
             let done = left.get_mut(id).is_some_and(|it| {
@@ -207,3 +236,26 @@
     }
     owner.tell(OwnerEvent::Left(origin));
 }
+
+/// The news that one submitter is told.
+#[derive(Default)]
+struct Passing {
+    until: Option<Instant>,
+    told: (Stamp, Stamp),
+}
+
+impl Passing {
+    fn is_asked(&self) -> bool {
+        self.until.is_some_and(|it| Instant::now() < it)
+    }
+
+    /// The news to pass on, if there are any that the submitter was not told.
+    fn next(&mut self, news: &News) -> Option<Relay> {
+        let newest = (news.seated, news.listed);
+        if newest == self.told {
+            return None;
+        }
+        self.told = newest;
+        Some(news.relay())
+    }
+}
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -1,5 +1,6 @@
 //! What entries tell the owner of a service, and what it answers.
 
+use registry::Relay;
 use serde::{Deserialize, Serialize};
 
 use crate::batch::queue::RANKS;
@@ -49,6 +50,8 @@
     Cancel(u64),
     /// Gives results up.
     Free(Vec<String>),
+    /// Asks for the registry's news for [`FOLLOW`](super::link::FOLLOW): the sender has no member.
+    Follow,
 }
 
 /// What an owner tells an entry.
@@ -64,6 +67,8 @@
     Results(u64, Vec<(u32, Result<String, PieceFailure>)>),
     /// The owner lives and works on jobs of this entry.
     Pulse,
+    /// The registry's news, as the owner knows them.
+    News(Box<Relay>),
     /// How long pieces of a service wait at this owner, by rank, in ms.
     Backlog(String, [u32; RANKS]),
 }
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -178,6 +178,8 @@
                 self.queues.values_mut().for_each(|it| it.cancel(key));
             }
             OwnerEvent::Told(_, ToOwner::Free(handles), _) => self.give_up(handles),
+            // The connection passes news on by itself.
+            OwnerEvent::Told(_, ToOwner::Follow, _) => {}
             OwnerEvent::Left(origin) => {
                 self.peers.remove(&origin);
                 self.jobs.retain(|key, _| key.origin != origin);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -3,7 +3,7 @@
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -36,6 +36,7 @@
     directory: ArcSwap<Directory>,
     peers: ArcSwap<Vec<EntrySeen>>,
     entries: AtomicUsize,
+    listed: AtomicBool,
     own: SocketAddr,
     pub(crate) domain: Arc<str>,
     pub(crate) budget: Budget,
@@ -54,6 +55,7 @@
             directory: ArcSwap::default(),
             peers: ArcSwap::default(),
             entries: AtomicUsize::new(1),
+            listed: AtomicBool::new(false),
             own,
             domain,
             budget,
@@ -81,6 +83,11 @@
         self.peers.load_full()
     }
 
+    /// Whether the other entries count this one among them.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.listed.load(Ordering::Relaxed)
+    }
+
     /// How many entries there are, this one included; never less than there were.
     pub(crate) fn entries(&self) -> usize {
         self.entries.load(Ordering::Relaxed)
@@ -147,6 +154,7 @@
     fn take(&self, news: &News) {
         let others = news.entries.iter().filter(|it| it.address != self.own).cloned();
         let others: Vec<EntrySeen> = others.collect();
+        self.listed.store(others.len() < news.entries.len(), Ordering::Relaxed);
         self.entries.fetch_max(others.len() + 1, Ordering::Relaxed);
         self.peers.store(Arc::new(others));
         if let Some((version, text)) = &news.plan {
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -14,7 +14,9 @@
 use types::{Version, VmName};
 use wire::{Hello, Kind, Secret, Sender};
 
-use crate::message::{EntrySeen, LoadReport, Stamp, ToEntry, ToMember, Upstream, UpstreamList};
+use crate::message::{
+    EntrySeen, LoadReport, Relay, Stamp, ToEntry, ToMember, Upstream, UpstreamList,
+};
 
 /// The most members that are followed at once.
 const MEMBERS: usize = 7;
@@ -53,10 +55,20 @@
     pub listed: Stamp,
     /// The entries that are there.
     pub entries: Arc<Vec<EntrySeen>>,
+    /// Its number.
+    pub seated: Stamp,
     /// How many members are connected.
     pub members: usize,
 }
 
+impl News {
+    /// What an entry that is not in touch should know of these.
+    pub fn relay(&self) -> Relay {
+        let upstreams = UpstreamList { stamp: self.listed, upstreams: self.upstreams.to_vec() };
+        Relay { seated: self.seated, entries: self.entries.to_vec(), upstreams }
+    }
+}
+
 /// A running follower.
 pub struct Follower {
     news: watch::Receiver<News>,
@@ -64,6 +76,7 @@
     leaving: watch::Sender<bool>,
     digest: watch::Receiver<Arc<LoadReport>>,
     reports: mpsc::Sender<LoadReport>,
+    relays: mpsc::Sender<Relay>,
     _task: JoinHandle<()>,
 }
 
@@ -75,9 +88,10 @@
         let (leaving, left) = watch::channel(false);
         let (loads, digest) = watch::channel(Arc::default());
         let (reports, reported) = mpsc::channel(2);
-        let channels = Channels { news: sender, loads, left, reported };
+        let (relays, relayed) = mpsc::channel(2);
+        let channels = Channels { news: sender, loads, left, reported, relayed };
         let task = tokio::spawn(run(config, secret, channels, Arc::clone(&seeds)));
-        Self { news, seeds, leaving, digest, reports, _task: task }
+        Self { news, seeds, leaving, digest, reports, relays, _task: task }
     }
 
     /// Returns where the news are seen.
@@ -95,6 +109,11 @@
         self.reports.clone()
     }
 
+    /// Returns where news that other entries pass on are taken.
+    pub fn relays(&self) -> mpsc::Sender<Relay> {
+        self.relays.clone()
+    }
+
     /// Has other entries told that this one ends.
     pub fn leave(&self) {
         self.leaving.send_replace(true);
@@ -119,6 +138,7 @@
     loads: watch::Sender<Arc<LoadReport>>,
     left: watch::Receiver<bool>,
     reported: mpsc::Receiver<LoadReport>,
+    relayed: mpsc::Receiver<Relay>,
 }
 
 struct Loop {
@@ -134,7 +154,6 @@
     /// The version each member holds, and whether it is up to date.
     held: HashMap<SocketAddr, (Version, bool)>,
     text: Option<(Version, Arc<Vec<u8>>)>,
-    entries: Stamp,
     fetch: Option<(Version, SocketAddr, Instant)>,
     /// The member that sent the newest list: the leader.
     leader: Option<SocketAddr>,
@@ -146,7 +165,7 @@
     channels: Channels,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
 ) {
-    let Channels { news, loads, mut left, mut reported } = channels;
+    let Channels { news, loads, mut left, mut reported, mut relayed } = channels;
     let (events, mut incoming) = mpsc::channel(256);
     let me = Hello { kind: Kind::Entry, vm: config.vm.clone(), node: rand::random() };
     let mut state = Loop {
@@ -161,7 +180,6 @@
         members: Vec::new(),
         held: HashMap::new(),
         text: None,
-        entries: Stamp::default(),
         fetch: None,
         leader: None,
     };
@@ -173,6 +191,7 @@
             Some(event) = incoming.recv() => state.take(event),
             Ok(()) = left.changed() => state.leave(),
             Some(report) = reported.recv() => state.report(report),
+            Some(relay) = relayed.recv() => state.take_relay(relay),
         }
         state.fetch();
     }
@@ -254,19 +273,36 @@
             ToEntry::Loads(loads) => {
                 self.loads.send_replace(Arc::new(loads));
             }
-            ToEntry::Entries(stamp, entries) if stamp > self.entries => {
-                self.entries = stamp;
-                self.news.send_modify(|it| it.entries = Arc::new(entries));
-            }
-            ToEntry::Entries(..) => {}
+            ToEntry::Entries(stamp, entries) => self.take_entries(stamp, entries),
             ToEntry::Members(members) => self.members = members,
         }
     }
 
+    /// Takes what another entry passes on. Loads still go to the leader of before, if any.
+    fn take_relay(&self, relay: Relay) {
+        self.take_entries(relay.seated, relay.entries);
+        self.take_list(relay.upstreams);
+    }
+
+    fn take_entries(&self, stamp: Stamp, entries: Vec<EntrySeen>) {
+        self.news.send_if_modified(|news| {
+            let newer = stamp > news.seated;
+            if newer {
+                news.seated = stamp;
+                news.entries = Arc::new(entries);
+            }
+            newer
+        });
+    }
+
     fn take_upstreams(&mut self, from: SocketAddr, list: UpstreamList) {
         if list.stamp >= self.news.borrow().listed {
             self.leader = Some(from);
         }
+        self.take_list(list);
+    }
+
+    fn take_list(&self, list: UpstreamList) {
         self.news.send_if_modified(|news| {
             let newer = list.stamp > news.listed;
             if newer {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -19,7 +19,9 @@
 
 pub use follow::{Follower, FollowerConfig, News};
 pub use member::{Codec, Member, MemberConfig, PutOutcome, ReadOutcome};
-pub use message::{EntrySeen, Health, LoadReport, Stamp, Upstream, UpstreamList, UpstreamLoad};
+pub use message::{
+    EntrySeen, Health, LoadReport, Relay, Stamp, Upstream, UpstreamList, UpstreamLoad,
+};
 pub use reader::ListSource;
 pub use repair::{DEAD_AFTER, LEARNER_GONE, PeerView, RepairView, next_membership};
 
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -99,6 +99,17 @@
     pub upstreams: Vec<Upstream>,
 }
 
+/// What an entry in touch with the registry passes on to one that is not.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Relay {
+    /// Orders the lists of entries.
+    pub seated: Stamp,
+    /// The entries that are there.
+    pub entries: Vec<EntrySeen>,
+    /// The upstreams.
+    pub upstreams: UpstreamList,
+}
+
 /// Whether an upstream takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Health {
--- a/crates/registry/tests/cluster.rs
+++ b/crates/registry/tests/cluster.rs
@@ -2,8 +2,9 @@
 
 mod env;
 
-use env::{Env, put, read};
-use registry::PutOutcome;
+use env::{Env, PATIENCE, put, read};
+use registry::{EntrySeen, PutOutcome, Relay, Stamp, UpstreamList};
+use tokio::time::timeout;
 use types::Version;
 
 /// Symptom: no configuration was ever acknowledged.
@@ -75,3 +76,49 @@
     let newer = later.wait_for(|it| it.plan.as_ref().is_some_and(|it| it.0 == Version(9)));
     assert!(newer.await.is_ok());
 }
+
+struct RelayCase {
+    name: &'static str,
+    count: u64,
+    entries: &'static [&'static str],
+    /// The entries that the follower knows afterwards.
+    known: &'static [&'static str],
+}
+
+const RELAYS: &[RelayCase] = &[
+    RelayCase { name: "the first", count: 2, entries: &["a", "b"], known: &["a", "b"] },
+    RelayCase { name: "an older one", count: 1, entries: &["c"], known: &["a", "b"] },
+    RelayCase { name: "the same again", count: 2, entries: &["c"], known: &["a", "b"] },
+    RelayCase { name: "a newer one", count: 3, entries: &["b"], known: &["b"] },
+];
+
+/// Symptom: calls to the same upstreams from two owners, pieces whose inputs are gone.
+/// Sequence: an entry is cut off from all members; the others count it as gone and choose another
+/// owner, the entry goes on with the list that it had.
+/// Cause: nobody tells it, although other entries can. What they tell is taken where it is newer,
+/// and only then.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_without_members_takes_news_of_others() {
+    let env = Env::new(1, 0);
+    let follower = env.follower();
+    let mut news = follower.news();
+    for case in RELAYS {
+        let entry = |name: &&str| EntrySeen {
+            name: (*name).to_owned(),
+            address: env.addresses[0],
+            domain: "d".to_owned(),
+        };
+        let entries = case.entries.iter().map(entry).collect();
+        let seated = Stamp { term: 1, count: case.count };
+        // The numbers of the lists of upstreams show when the relay was taken.
+        let stamp = Stamp { term: 1, count: news.borrow().listed.count + 1 };
+        let upstreams = UpstreamList { stamp, upstreams: Vec::new() };
+        let relay = Relay { seated, entries, upstreams };
+        follower.relays().send(relay).await.expect("the follower runs");
+        let taken = timeout(PATIENCE, news.wait_for(|it| it.listed == stamp)).await;
+        let news = taken.expect("in time").expect("the follower runs").clone();
+        let known: Vec<&str> = news.entries.iter().map(|it| it.name.as_str()).collect();
+        assert_eq!(known, case.known, "{}", case.name);
+        assert_eq!(news.relay().seated, news.seated, "{}", case.name);
+    }
+}
--- a/crates/registry/tests/env/mod.rs
+++ b/crates/registry/tests/env/mod.rs
@@ -13,7 +13,7 @@
 use types::{StepResult, Version};
 
 /// How long anything may take; far above what it takes on a busy machine.
-const PATIENCE: Duration = Duration::from_secs(30);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
 
 /// Plans of tests are their version as text; `bad` can't be read.
 pub(crate) struct TextCodec;
