Release a claim that was given up whoever holds its key meanwhile

Sequence: the answer to a claim is lost and the attempt gives up. Its release is rejected (no leader, or not sent in time), so the entry asked for the claim again to tell 'no quorum' from 'no longer mine'. Another attempt held the key, the answer was 'running', and the entry stopped without a committed release. The other attempt ends, the first claim arrives late (held back by a cut link, or proposed again by a member), finds the key free and no note of a release, and is granted to an attempt that is gone.

Ruled out: claims called certain though they were not (follower, asker, pending proposals read through); a life that ends without a word (each end of it releases or finishes).

Change: a release is tried until it is committed or the state says that the key has ended; a member says that by the claim's answer in place of a rejection that could mean either. The two cases of the table that fixed the old exchange are replaced by as strict ones.

Before: the new case 'another attempt holds the key while the first release is rejected' failed (409 claim-lost, no second release).

Members go before entries in a rolling upgrade: an older member still rejects where the key has ended, which an entry of this version tries again until it drains.

--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -149,14 +149,8 @@
         // the new life, a resend of that claim would be told that it still runs.
         let entered =
             timeout_at(by, self.entered.wait_for(|it| *it)).await.is_ok_and(|it| it.is_ok());
-        let is_release = matches!(command, Command::Release { .. });
         let answer = match entered {
             true => match self.sessions.asker.command(command, by).await {
-                Ok((_, Reply::Claim(answer))) if is_release => {
-                    // The claim stays: whoever asked must not say that the request did not run.
-                    let reason = format!("the claim is not free: {answer:?}");
-                    ControlMessage::Rejected { ticket, reason }
-                }
                 Ok((_, Reply::Claim(answer))) => ControlMessage::Claim { ticket, answer },
                 Ok(_) => ControlMessage::Committed { ticket },
                 Err(denied) => refusal(ticket, &denied),
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -57,10 +57,10 @@
     let answer = match claim.ask(&request).await {
         Ok(answer) => answer,
         Err(ClaimError::Rejected(why)) => return claim.unasked(&request, &why),
-        Err(ClaimError::Uncertain(why)) => {
+        Err(error) => {
             // Released all the same: the claim may yet come to stand, and would hold the key.
-            let _ = claim.release(&request).await;
-            return claim.unasked(&request, &why);
+            let _ = claim.release().await;
+            return claim.unasked(&request, &error.to_string());
         }
     };
     match answer {
@@ -119,6 +119,7 @@
         Ok(ClaimAnswer::Full) => "full",
         Err(ClaimError::Rejected(_)) => "rejected",
         Err(ClaimError::Uncertain(_)) => "uncertain",
+        Err(ClaimError::Ended(_)) => "ended",
     }
 }
 
@@ -140,6 +141,7 @@
                     return Ok(answer);
                 }
                 Err(ClaimError::Uncertain(why)) => lost = Some(why),
+                Err(ended @ ClaimError::Ended(_)) => lost = Some(ended.to_string()),
                 Err(ClaimError::Rejected(why)) => {
                     let short = self.core.quorum.lost() < FAILOVER && has_time();
                     // Certain of this try only: one before may yet come to stand.
@@ -236,7 +238,7 @@
         progress: &Progress,
         halt: Halt,
     ) -> Reply {
-        let released = self.release(request).await;
+        let released = self.release().await;
         let problem = match granted.released(&released) {
             Some(unclaimed) => Problem::of(progress, Some(unclaimed), again(halt)),
             None => Problem::under_way(doubtful(&halt)),
@@ -246,13 +248,15 @@
 
     /// Gives the claim up; returns once that is committed.
     ///
-    /// A rejected release says only that this try had no effect: there is no quorum, or the claim
-    /// is no longer this attempt's, and then no try ever has one. Asking for the claim again, with
-    /// the same ticket, tells the two apart.
+    /// A rejected release had no effect, so it is tried again, whoever holds the key meanwhile. What
+    /// goes wrong otherwise: a claim of this attempt is still on its way, for its first answer was
+    /// lost; another attempt holds the key, and this one stops; the other ends, the claim arrives
+    /// and is granted to an attempt that is gone. Every resend is then told that the request is
+    /// under way, until this process ends. The committed release keeps that claim out.
     ///
     /// # Errors
-    /// Where the claim is no longer this attempt's, or a drain left no time.
-    async fn release(&self, request: &Request) -> Result<(), ClaimError> {
+    /// Where the key has ended, or a drain left no time.
+    async fn release(&self) -> Result<(), ClaimError> {
         loop {
             let released = self
                 .until_committed("release", || {
@@ -260,12 +264,9 @@
                     self.core.session.release(key, ticket, by)
                 })
                 .await;
-            if !matches!(released, Err(ClaimError::Rejected(_))) {
-                return released;
-            }
-            match self.claim(request, Instant::now() + COMMIT).await {
-                Ok(ClaimAnswer::Granted) | Err(_) if !self.is_drained() => sleep(PAUSE).await,
-                _ => return released,
+            match released {
+                Err(ClaimError::Rejected(_)) if !self.is_drained() => sleep(PAUSE).await,
+                released => return released,
             }
         }
     }
@@ -274,7 +275,8 @@
         (self.key.clone(), self.ticket.clone(), Instant::now() + COMMIT)
     }
 
-    /// Tries until the claim's end is committed or rejected, or a drain leaves no more time.
+    /// Tries until the claim's end is committed, rejected or too late, or a drain leaves no more
+    /// time.
     async fn until_committed<F, C>(&self, step: &str, commit: C) -> Result<(), ClaimError>
     where
         F: Future<Output = Result<(), ClaimError>> + Send,
@@ -285,7 +287,7 @@
             let result = commit().await;
             self.core.metrics.commit(step, began.elapsed());
             match &result {
-                Ok(()) | Err(ClaimError::Rejected(_)) => return result,
+                Ok(()) | Err(ClaimError::Rejected(_) | ClaimError::Ended(_)) => return result,
                 Err(_) if self.is_drained() => return result,
                 Err(error) => {
                     let key = &self.key.key;
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -185,14 +185,21 @@
         Case {
             encode: Does::Refuses,
             releases: vec![rejected(), Ok(())],
-            asked: &["claim", "release", "claim", "release"],
+            asked: &["claim", "release", "release"],
             ..Case::new("the first release is rejected").says(503, "not-run", "no-upstream")
         },
         Case {
-            claims: vec![Ok(ClaimAnswer::Granted), Ok(ClaimAnswer::OwnerLost)],
+            claims: vec![Ok(ClaimAnswer::Granted), Ok(ClaimAnswer::Running)],
+            encode: Does::Refuses,
+            releases: vec![rejected(), Ok(())],
+            asked: &["claim", "release", "release"],
+            ..Case::new("another attempt holds the key while the first release is rejected")
+                .says(503, "not-run", "no-upstream")
+        },
+        Case {
             encode: Does::Refuses,
-            releases: vec![rejected()],
-            asked: &["claim", "release", "claim"],
+            releases: vec![Err(ClaimError::Ended(ClaimAnswer::OwnerLost))],
+            asked: &["claim", "release"],
             ..Case::new("the claim is no longer ours").says(409, "unknown", "claim-lost")
         },
         Case {
--- a/crates/follower/src/follower.rs
+++ b/crates/follower/src/follower.rs
@@ -69,6 +69,8 @@
     Rejected(String),
     /// It may have had, or may yet have, its effect.
     Uncertain(String),
+    /// The key has ended, and stays so.
+    Ended(ClaimAnswer),
 }
 
 impl fmt::Display for ClaimError {
@@ -76,6 +78,7 @@
         match self {
             ClaimError::Rejected(why) => write!(f, "claim rejected: {why}"),
             ClaimError::Uncertain(why) => write!(f, "claim uncertain: {why}"),
+            ClaimError::Ended(answer) => write!(f, "the key has ended: {answer:?}"),
         }
     }
 }
@@ -172,7 +175,8 @@
     /// Gives up a claim whose call was never sent; returns once that is committed.
     ///
     /// # Errors
-    /// Where it is not known to be committed by then; the caller must not say `not-run`.
+    /// `Ended` where the key has ended, by whichever attempt; else where the release is not known to
+    /// be committed by then. The caller must not say `not-run`.
     pub async fn release(
         &self,
         key: ClaimKey,
@@ -205,7 +209,8 @@
     async fn commit(&self, operation: Operation, by: Instant) -> Result<(), ClaimError> {
         match self.request(operation, by).await? {
             Answer::Committed => Ok(()),
-            answer => Err(ClaimError::Uncertain(format!("unexpected answer {answer:?}"))),
+            Answer::Claim(answer) => Err(ClaimError::Ended(answer)),
+            answer @ Answer::NoRoom => Err(ClaimError::Uncertain(format!("unexpected answer {answer:?}"))),
         }
     }
 
--- a/crates/follower/tests/claim.rs
+++ b/crates/follower/tests/claim.rs
@@ -5,7 +5,7 @@
 use common::{Member, answer, key, later, proof, request, running, soon, spawn, within};
 use follower::ClaimError;
 use types::{ClaimAnswer, Version};
-use wire::session::{ControlMessage, EntryMessage};
+use wire::session::{ControlMessage, EntryMessage, Ticket};
 
 /// Symptom: a non-repeatable request fails whenever a control member restarts.
 /// Sequence: the claim is sent, and the connection is lost before its answer.
@@ -135,3 +135,44 @@
     session.send(ControlMessage::Committed { ticket }).await;
     assert_eq!(within("the release", release).await.unwrap(), Ok(()));
 }
+
+struct Release {
+    name: &'static str,
+    /// What the member answers, one after the other.
+    answers: Vec<fn(Ticket) -> ControlMessage>,
+    ended: Result<(), ClaimError>,
+}
+
+fn releases() -> Vec<Release> {
+    let rejected: fn(Ticket) -> ControlMessage =
+        |ticket| ControlMessage::Rejected { ticket, reason: "no leader".to_owned() };
+    let committed: fn(Ticket) -> ControlMessage = |ticket| ControlMessage::Committed { ticket };
+    let lost: fn(Ticket) -> ControlMessage =
+        |ticket| ControlMessage::Claim { ticket, answer: ClaimAnswer::OwnerLost };
+    vec![
+        Release { name: "committed", answers: vec![committed], ended: Ok(()) },
+        Release { name: "rejected once", answers: vec![rejected, committed], ended: Ok(()) },
+        Release {
+            name: "the key has ended",
+            answers: vec![rejected, lost],
+            ended: Err(ClaimError::Ended(ClaimAnswer::OwnerLost)),
+        },
+    ]
+}
+
+/// Symptom: a release is tried for ever, or given up while a claim is still on its way.
+/// Sequence: the member cannot commit it yet, or the key has ended meanwhile.
+/// Cause would be: one word for both.
+#[tokio::test]
+async fn a_release_tells_a_key_that_ended_from_a_try_without_effect() {
+    for case in releases() {
+        let mut member = Member::bind().await;
+        let (follower, _events, mut session) = running(&mut member, 1).await;
+        let release = tokio::spawn(async move { follower.release(key(), proof(), later()).await });
+        for answer in case.answers {
+            let EntryMessage::Release { ticket, .. } = session.next().await else { panic!() };
+            session.send(answer(ticket)).await;
+        }
+        assert_eq!(within("the end", release).await.unwrap(), case.ended, "{}", case.name);
+    }
+}
--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -106,7 +106,7 @@
         /// The version in force. A `Service` message with it came before, if it was new.
         version: Version,
     },
-    /// The answer to `Claim`.
+    /// The answer to `Claim`; to `Release` where the key has ended already, and stays so.
     Claim {
         /// The request's number.
         ticket: Ticket,
