End pieces at once that cannot be made before their deadline

Cause: pieces that are late go behind all that can still be in time. In a long burst they waited there until their deadline, and the request was refused only then: held back although it was given up, and its callers left without another try.

--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -193,8 +193,11 @@
             encode: Does::Refuses,
             releases: vec![rejected(), Ok(())],
             asked: &["claim", "release", "release"],
-            ..Case::new("another attempt holds the key while the first release is rejected")
-                .says(503, "not-run", "no-upstream")
+            ..Case::new("another attempt holds the key while the first release is rejected").says(
+                503,
+                "not-run",
+                "no-upstream",
+            )
         },
         Case {
             encode: Does::Refuses,
--- a/crates/follower/src/follower.rs
+++ b/crates/follower/src/follower.rs
@@ -210,7 +210,9 @@
         match self.request(operation, by).await? {
             Answer::Committed => Ok(()),
             Answer::Claim(answer) => Err(ClaimError::Ended(answer)),
-            answer @ Answer::NoRoom => Err(ClaimError::Uncertain(format!("unexpected answer {answer:?}"))),
+            answer @ Answer::NoRoom => {
+                Err(ClaimError::Uncertain(format!("unexpected answer {answer:?}")))
+            }
         }
     }
 
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -284,10 +284,7 @@
         self.tell_fetched(now);
         let services: Vec<Arc<str>> = self.queues.keys().cloned().collect();
         for service in services {
-            let expired = self.queues.get_mut(&service).map(|it| it.take_expired(now));
-            for piece in expired.unwrap_or_default() {
-                self.deliver(&piece, Err(PieceFailure::Late));
-            }
+            self.end_late(&service, now);
             self.send_calls(&service, now);
         }
         if now.duration_since(self.told.0) >= BACKLOG_PERIOD {
@@ -299,9 +296,26 @@
         }
     }
 
+    /// Ends the pieces whose deadline has passed, and those that can't be made before it.
+    fn end_late(&mut self, service: &Arc<str>, now: Instant) {
+        let lanes = self.lanes(service, now);
+        let Some(queue) = self.queues.get_mut(service) else { return };
+        let mut late = queue.take_expired(now);
+        late.append(&mut queue.take_hopeless(lanes, now));
+        for piece in late {
+            self.deliver(&piece, Err(PieceFailure::Late));
+        }
+    }
+
+    /// How many upstreams of a service take calls.
+    fn lanes(&self, service: &str, now: Instant) -> usize {
+        let directory = self.shared.directory();
+        let upstreams = directory.service(service).iter();
+        upstreams.filter(|it| it.is_open() && !it.is_paused(now)).count()
+    }
+
     /// Tells every entry how long pieces wait, so that it can refuse what would come too late.
     fn tell_backlogs(&mut self, now: Instant) {
-        let directory = self.shared.directory();
         let mut any = false;
         let had = self.told.1;
         for (service, queue) in &self.queues {
@@ -309,9 +323,7 @@
                 continue;
             }
             any |= !queue.is_empty();
-            let open = directory.service(service).iter();
-            let lanes = open.filter(|it| it.is_open() && !it.is_paused(now)).count();
-            let waits = queue.backlog(lanes).map(|it| it.as_millis() as u32);
+            let waits = queue.backlog(self.lanes(service, now)).map(|it| it.as_millis() as u32);
             self.shared.backlogs.set(service, waits);
             for peer in self.peers.values() {
                 // A connection that has ended is removed by its own event.
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -202,6 +202,26 @@
         self.waiting.extract_if(.., |it| it.deadline <= now).collect()
     }
 
+    /// Removes the pieces that can't be made before their deadline, for `lanes` upstreams work on
+    /// those before them. What goes wrong otherwise: in a long burst late requests wait for nothing
+    /// until their callers leave, who could have tried again, and what was made for them is lost.
+    pub fn take_hopeless(&mut self, lanes: usize, now: Instant) -> Vec<Piece> {
+        if lanes == 0 {
+            return Vec::new();
+        }
+        self.waiting.sort_by_key(|it| it.urgency(now));
+        let (full, last) = (self.plain(self.spec.batch), self.plain(1));
+        let per_turn = lanes * self.spec.batch.max(1);
+        let mut ahead = 0;
+        let hopeless = |piece: &mut Piece| {
+            let turns = ahead / per_turn;
+            let misses = now + full * turns as u32 + last > piece.deadline;
+            ahead += usize::from(!misses);
+            misses
+        };
+        self.waiting.extract_if(.., hopeless).collect()
+    }
+
     /// Removes all pieces of jobs that `dead` tells.
     pub fn drop_jobs(&mut self, dead: impl Fn(JobKey) -> bool) {
         self.waiting.retain(|it| !dead(it.job));
