Keep out a claim whose attempt ended without a grant

The answer was taken for the whole, though a sending before it was open.

Members and entries: entries go first in a rolling upgrade, for a member now answers a release of an ended key by the claim's answer.

Change: each layer that sends a claim again says whether a sending before is open (member's asker, follower, entry); an answer that such a sending could still change is followed by a committed release, which keeps it out.

Seen red, then green: 'running, and a sending before was lost' (entry: claim, claim, and no release), 'lost, then held by another' (asker: certain).

--- a/crates/control/src/asker/mod.rs
+++ b/crates/control/src/asker/mod.rs
@@ -31,28 +31,52 @@
     /// Once an attempt ended uncertain it may take effect at any later time, so a later attempt
     /// that certainly did not run makes the whole no more certain.
     pub(crate) async fn ask(&self, ask: Ask, by: Instant) -> Answer {
+        self.ask_doubting(ask, by).await.0
+    }
+
+    /// The same; tells too whether an attempt before the answer may yet take effect.
+    async fn ask_doubting(&self, ask: Ask, by: Instant) -> (Answer, bool) {
         let mut uncertain = None;
         loop {
             let denied = match self.attempt(ask.clone(), by).await {
-                Ok(told) => return Ok(told),
+                Ok(told) => return (Ok(told), uncertain.is_some()),
                 Err(Denied::Refused(why)) if uncertain.is_none() => {
-                    return Err(Denied::Refused(why));
+                    return (Err(Denied::Refused(why)), false);
                 }
                 Err(denied) => denied,
             };
             if matches!(denied, Denied::Uncertain(_)) {
                 if !ask.is_idempotent() {
-                    return Err(denied);
+                    return (Err(denied), true);
                 }
                 uncertain = Some(denied.clone());
             }
             if Instant::now() + PAUSE >= by {
-                return Err(uncertain.unwrap_or(denied));
+                let doubt = uncertain.is_some();
+                return (Err(uncertain.unwrap_or(denied)), doubt);
             }
             sleep(PAUSE).await;
         }
     }
 
+    /// Commits a command of an entry. An answer to a claim that an attempt before it may yet change
+    /// counts as uncertain: the entry asks again, and knows then.
+    pub(crate) async fn entry_command(
+        &self,
+        command: Command,
+        by: Instant,
+    ) -> Result<Reply, Denied> {
+        let is_claim = matches!(command, Command::Claim { .. });
+        let (answer, doubt) = self.ask_doubting(Ask::Command(Box::new(command)), by).await;
+        match answer? {
+            Told::Reply(_, Reply::Claim(answer)) if is_claim && doubt && !answer.is_settled() => {
+                Err(Denied::Uncertain(format!("{answer:?}, and an attempt before it is open")))
+            }
+            Told::Reply(_, reply) => Ok(reply),
+            told => Err(Denied::Uncertain(format!("unexpected answer {told:?}"))),
+        }
+    }
+
     /// Commits a command; the index tells where.
     pub(crate) async fn command(
         &self,
--- a/crates/control/src/asker/tests.rs
+++ b/crates/control/src/asker/tests.rs
@@ -7,7 +7,9 @@
 use state::{Command, Reply};
 use tokio::sync::watch;
 use tokio::time::Instant;
-use types::{Incarnation, LogIndex, NodeId, UnixMillis};
+use types::{
+    ClaimAnswer, ClaimKey, ClaimRequest, ClaimTicket, Incarnation, LogIndex, NodeId, UnixMillis,
+};
 
 use super::Asker;
 use crate::ask::{Answer, Ask, Denied, Told};
@@ -99,3 +101,41 @@
         assert_eq!(answer, expected, "{name}");
     }
 }
+
+fn claim() -> Command {
+    let ticket =
+        ClaimTicket { vm: "e1".parse().expect("a name"), owner: Incarnation(1), attempt: 1 };
+    let key = ClaimKey { customer: "c".parse().expect("a name"), key: "k".parse().expect("a key") };
+    let request = ClaimRequest { key, fingerprint: [0; 32], ticket };
+    Command::Claim { request, at: UnixMillis(1) }
+}
+
+fn told(answer: ClaimAnswer) -> Answer {
+    Ok(Told::Reply(LogIndex(1), Reply::Claim(answer)))
+}
+
+#[tokio::test]
+async fn a_refused_claim_is_uncertain_while_an_attempt_before_is_open() {
+    // Symptom: every resend of a request is told that it is under way, and nothing is.
+    // Sequence: the first attempt to commit a claim is lost on its way, the second finds the key
+    // held by another request, and the first is committed once that has ended.
+    // Cause: the second's answer is taken for the whole's.
+    struct Case {
+        name: &'static str,
+        answers: Vec<Answer>,
+        certain: bool,
+    }
+    let case = |name, answers, certain| Case { name, answers, certain };
+    let running = || told(ClaimAnswer::Running);
+    let granted = || told(ClaimAnswer::Granted);
+    let cases = [
+        case("held by another", vec![running()], true),
+        case("no leader, then held by another", vec![not_run(), running()], true),
+        case("lost, then held by another", vec![uncertain(), running()], false),
+        case("lost, then granted", vec![uncertain(), granted()], true),
+    ];
+    for Case { name, answers, certain } in cases {
+        let answer = asker(answers).entry_command(claim(), Instant::now() + SPAN).await;
+        assert_eq!(answer.is_ok(), certain, "{name}: {answer:?}");
+    }
+}
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -150,8 +150,8 @@
         let entered =
             timeout_at(by, self.entered.wait_for(|it| *it)).await.is_ok_and(|it| it.is_ok());
         let answer = match entered {
-            true => match self.sessions.asker.command(command, by).await {
-                Ok((_, Reply::Claim(answer))) => ControlMessage::Claim { ticket, answer },
+            true => match self.sessions.asker.entry_command(command, by).await {
+                Ok(Reply::Claim(answer)) => ControlMessage::Claim { ticket, answer },
                 Ok(_) => ControlMessage::Committed { ticket },
                 Err(denied) => refusal(ticket, &denied),
             },
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use follower::ClaimError;
+use follower::{ClaimError, Claimed};
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use types::{ClaimAnswer, ClaimKey, ClaimRequest, ClaimTicket, RefusalReason};
@@ -55,11 +55,15 @@
     let claim = Claim { core: &core, key, ticket: core.ticket() };
     let asked = Asked::now();
     let answer = match claim.ask(&request).await {
-        Ok(answer) => answer,
+        Ok(Claimed { answer, doubt }) => {
+            if doubt && !answer.is_settled() {
+                claim.keep_out().await;
+            }
+            answer
+        }
         Err(ClaimError::Rejected(why)) => return claim.unasked(&request, &why),
         Err(error) => {
-            // Released all the same: the claim may yet come to stand, and would hold the key.
-            let _ = claim.release().await;
+            claim.keep_out().await;
             return claim.unasked(&request, &error.to_string());
         }
     };
@@ -108,8 +112,8 @@
     Problem::of(&Progress::at_arrival(), asked.denied(answer), halt)
 }
 
-fn word(answer: &Result<ClaimAnswer, ClaimError>) -> &'static str {
-    match answer {
+fn word(claimed: &Result<Claimed, ClaimError>) -> &'static str {
+    match claimed.as_ref().map(|it| &it.answer) {
         Ok(ClaimAnswer::Granted) => "granted",
         Ok(ClaimAnswer::Running) => "running",
         Ok(ClaimAnswer::Done(_)) => "done",
@@ -130,15 +134,15 @@
     /// A rejected claim is asked for again too while the quorum was lost a moment ago: a leader that
     /// falls is replaced well within a request's deadline. Once that has not come about, requests
     /// are refused at once.
-    async fn ask(&self, request: &Request) -> Result<ClaimAnswer, ClaimError> {
+    async fn ask(&self, request: &Request) -> Result<Claimed, ClaimError> {
         let mut lost = None;
         let has_time = || Instant::now() + PAUSE < request.by();
         loop {
             let by = request.by().min(Instant::now() + CLAIM);
             match self.claim(request, by).await {
-                Ok(answer) => {
+                Ok(Claimed { answer, doubt }) => {
                     self.core.quorum.found();
-                    return Ok(answer);
+                    return Ok(Claimed { answer, doubt: doubt || lost.is_some() });
                 }
                 Err(ClaimError::Uncertain(why)) => lost = Some(why),
                 Err(ended @ ClaimError::Ended(_)) => lost = Some(ended.to_string()),
@@ -157,7 +161,7 @@
         }
     }
 
-    async fn claim(&self, request: &Request, by: Instant) -> Result<ClaimAnswer, ClaimError> {
+    async fn claim(&self, request: &Request, by: Instant) -> Result<Claimed, ClaimError> {
         let (key, ticket) = (self.key.clone(), self.ticket.clone());
         let ask = ClaimRequest { key, fingerprint: request.fingerprint, ticket };
         let began = Instant::now();
@@ -167,6 +171,19 @@
         answer
     }
 
+    /// Has the state refuse what is left of this attempt's claim.
+    ///
+    /// What goes wrong otherwise: a sending of the claim that was never answered is held back by a
+    /// link or a member; the attempt ends without a grant; the key is free again by the time the
+    /// sending arrives, and it is granted to an attempt that is gone. Every resend is then told that
+    /// the request is under way, until this process ends.
+    async fn keep_out(&self) {
+        if let Err(error) = self.release().await {
+            let key = &self.key.key;
+            log::info!(key:% = key, peer = "control"; "no release of what was not granted: {error}");
+        }
+    }
+
     /// Says that no word of the state was to be had.
     fn unasked(&self, request: &Request, why: &str) -> Reply {
         let reason = Reason::Refused(RefusalReason::NoQuorum);
@@ -248,11 +265,8 @@
 
     /// Gives the claim up; returns once that is committed.
     ///
-    /// A rejected release had no effect, so it is tried again, whoever holds the key meanwhile. What
-    /// goes wrong otherwise: a claim of this attempt is still on its way, for its first answer was
-    /// lost; another attempt holds the key, and this one stops; the other ends, the claim arrives
-    /// and is granted to an attempt that is gone. Every resend is then told that the request is
-    /// under way, until this process ends. The committed release keeps that claim out.
+    /// A rejected release had no effect, so it is tried again, whoever holds the key meanwhile: only
+    /// a committed one keeps out a sending of the claim that is still on its way.
     ///
     /// # Errors
     /// Where the key has ended, or a drain left no time.
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use follower::{ClaimError, Follower, Snapshot};
-use types::{ClaimAnswer, ClaimKey, ClaimRequest, ClaimTicket, StoredAnswer, UpstreamName};
+use follower::{ClaimError, Claimed, Follower, Snapshot};
+use types::{ClaimKey, ClaimRequest, ClaimTicket, StoredAnswer, UpstreamName};
 use wire::session::UsageReport;
 
 /// A session with control.
@@ -25,7 +25,7 @@
         &self,
         request: ClaimRequest,
         by: Instant,
-    ) -> impl Future<Output = Result<ClaimAnswer, ClaimError>> + Send;
+    ) -> impl Future<Output = Result<Claimed, ClaimError>> + Send;
 
     /// Stores the answer of a claim.
     fn finish(
@@ -71,7 +71,7 @@
         &self,
         request: ClaimRequest,
         by: Instant,
-    ) -> impl Future<Output = Result<ClaimAnswer, ClaimError>> + Send {
+    ) -> impl Future<Output = Result<Claimed, ClaimError>> + Send {
         Follower::claim(self, request, by)
     }
 
--- a/crates/entry/tests/claims.rs
+++ b/crates/entry/tests/claims.rs
@@ -221,6 +221,16 @@
             claims: one(ClaimAnswer::Running),
             ..Case::new("running").says(409, "unknown", "running")
         },
+        Case {
+            claims: vec![uncertain(), Ok(ClaimAnswer::Running)],
+            asked: &["claim", "claim", "release"],
+            ..Case::new("running, and a sending before was lost").says(409, "unknown", "running")
+        },
+        Case {
+            claims: vec![uncertain(), stored(Some("{\"a\":1}"))],
+            asked: &["claim", "claim"],
+            ..Case::new("done, and a sending before was lost")
+        },
         Case { claims: vec![stored(Some("{\"a\":1}"))], ..Case::new("done") },
         Case { claims: vec![stored(None)], ..Case::new("done, too large to keep") },
         Case {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use entry::{Entry, EntryConfig, Session};
-use follower::{ClaimError, Snapshot};
+use follower::{ClaimError, Claimed, Snapshot};
 use serde_json::{Value, json};
 use settings::EntryPart;
 use sha2::{Digest, Sha256};
@@ -92,9 +92,10 @@
         &self,
         request: ClaimRequest,
         _by: Instant,
-    ) -> impl Future<Output = Result<ClaimAnswer, ClaimError>> + Send {
+    ) -> impl Future<Output = Result<Claimed, ClaimError>> + Send {
         self.asked.lock().unwrap().push(Asked::Claim(request));
-        std::future::ready(Self::next(&self.claims, Ok(ClaimAnswer::Granted)))
+        let answer = Self::next(&self.claims, Ok(ClaimAnswer::Granted));
+        std::future::ready(answer.map(Claimed::sure))
     }
 
     async fn finish(
--- a/crates/follower/src/follower.rs
+++ b/crates/follower/src/follower.rs
@@ -16,7 +16,7 @@
 
 use crate::SessionView;
 use crate::link::{Order, Shared};
-use crate::requests::{Answer, Operation, Pending, Trace};
+use crate::requests::{Answer, Claimed, Operation, Pending, Trace};
 use crate::session;
 
 /// How many events wait for the entry to take them.
@@ -141,17 +141,13 @@
     /// `Uncertain` where the answer is lost: the claim may then stand, or come to stand, in the
     /// state. `Rejected` where it was certainly never taken, at once where no quorum was heard of
     /// lately.
-    pub async fn claim(
-        &self,
-        request: ClaimRequest,
-        by: Instant,
-    ) -> Result<ClaimAnswer, ClaimError> {
+    pub async fn claim(&self, request: ClaimRequest, by: Instant) -> Result<Claimed, ClaimError> {
         if self.age(Instant::now()).is_none_or(|age| age > QUORUM_AGE) {
             let why = format!("no quorum has answered for {QUORUM_AGE:?}");
             return Err(ClaimError::Rejected(why));
         }
         match self.request(Operation::Claim(request), by).await? {
-            Answer::Claim(answer) => Ok(answer),
+            Answer::Claim(claimed) => Ok(claimed),
             // The member answered another question; whether the claim stands is not known.
             answer => Err(ClaimError::Uncertain(format!("unexpected answer {answer:?}"))),
         }
@@ -209,7 +205,7 @@
     async fn commit(&self, operation: Operation, by: Instant) -> Result<(), ClaimError> {
         match self.request(operation, by).await? {
             Answer::Committed => Ok(()),
-            Answer::Claim(answer) => Err(ClaimError::Ended(answer)),
+            Answer::Claim(claimed) => Err(ClaimError::Ended(claimed.answer)),
             answer @ Answer::NoRoom => {
                 Err(ClaimError::Uncertain(format!("unexpected answer {answer:?}")))
             }
--- a/crates/follower/src/lib.rs
+++ b/crates/follower/src/lib.rs
@@ -21,3 +21,4 @@
 pub use install::{Offer, Versions};
 pub use link::SessionView;
 pub use report::{LoadDelta, merge_usage};
+pub use requests::Claimed;
--- a/crates/follower/src/requests.rs
+++ b/crates/follower/src/requests.rs
@@ -88,11 +88,28 @@
     }
 }
 
+/// The answer to a claim, and what may still come of its other sendings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claimed {
+    /// The answer.
+    pub answer: ClaimAnswer,
+    /// Whether an earlier sending was never answered and may yet reach the state. Where the answer is
+    /// no grant, that one may be granted later.
+    pub doubt: bool,
+}
+
+impl Claimed {
+    /// Takes an answer to the only sending.
+    pub fn sure(answer: ClaimAnswer) -> Self {
+        Self { answer, doubt: false }
+    }
+}
+
 /// What came of an operation.
 #[derive(Debug)]
 pub(crate) enum Answer {
     /// The answer to a claim.
-    Claim(ClaimAnswer),
+    Claim(Claimed),
     /// It is committed.
     Committed,
     /// There is no room for it; it was not sent.
@@ -169,9 +186,12 @@
     }
 
     /// Takes the answer of an operation; one that nobody waits for is dropped.
-    pub(crate) fn answered(&mut self, ticket: Ticket, answer: Answer) {
+    pub(crate) fn answered(&mut self, ticket: Ticket, mut answer: Answer) {
         if let Some((_, pending)) = self.sent.remove(&ticket) {
             self.forget(&pending);
+            if let Answer::Claim(claimed) = &mut answer {
+                claimed.doubt = pending.doubt;
+            }
             let _ = pending.reply.send(answer);
         }
     }
--- a/crates/follower/src/session.rs
+++ b/crates/follower/src/session.rs
@@ -16,7 +16,7 @@
 use crate::link::{Order, Shared};
 use crate::outbox::Outbox;
 use crate::questions::Questions;
-use crate::requests::{Answer, Requests};
+use crate::requests::{Answer, Claimed, Requests};
 use crate::{
     Choice, DigestGate, Event, FollowerConfig, LoadDelta, Snapshot, Versions, merge_usage,
 };
@@ -283,7 +283,7 @@
                 return self.confirmed(ticket, version);
             }
             ControlMessage::Claim { ticket, answer } => {
-                self.requests.answered(ticket, Answer::Claim(answer));
+                self.requests.answered(ticket, Answer::Claim(Claimed::sure(answer)));
             }
             ControlMessage::Committed { ticket } => {
                 self.requests.answered(ticket, Answer::Committed);
--- a/crates/follower/tests/claim.rs
+++ b/crates/follower/tests/claim.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Member, answer, key, later, proof, request, running, soon, spawn, within};
-use follower::ClaimError;
+use follower::{ClaimError, Claimed};
 use types::{ClaimAnswer, Version};
 use wire::session::{ControlMessage, EntryMessage, Ticket};
 
@@ -23,7 +23,8 @@
     assert_eq!(again, first);
     let answer = ClaimAnswer::Granted;
     session.send(ControlMessage::Claim { ticket, answer }).await;
-    assert_eq!(within("the answer", claim).await.unwrap(), Ok(ClaimAnswer::Granted));
+    let claimed = Claimed { answer: ClaimAnswer::Granted, doubt: true };
+    assert_eq!(within("the answer", claim).await.unwrap(), Ok(claimed));
 }
 
 #[tokio::test]
@@ -37,7 +38,8 @@
     session.send(ControlMessage::Uncertain { ticket, reason: "lost".to_owned() }).await;
     let EntryMessage::Claim { ticket, .. } = session.next().await else { panic!() };
     session.send(ControlMessage::Claim { ticket, answer: ClaimAnswer::Running }).await;
-    assert_eq!(within("the answer", claim).await.unwrap(), Ok(ClaimAnswer::Running));
+    let claimed = Claimed { answer: ClaimAnswer::Running, doubt: true };
+    assert_eq!(within("the answer", claim).await.unwrap(), Ok(claimed));
 }
 
 /// Symptom: a caller is told not-run, and its resend is refused for good, or it ran after all.
--- a/crates/types/src/claim.rs
+++ b/crates/types/src/claim.rs
@@ -71,3 +71,17 @@
     /// There is no room for another key; the request is refused, not run.
     Full,
 }
+
+impl ClaimAnswer {
+    /// Tells whether an earlier sending of the same claim gets this answer too, whenever it reaches
+    /// the state. Else it may find the key free by then, and be granted.
+    pub fn is_settled(&self) -> bool {
+        match self {
+            ClaimAnswer::Granted | ClaimAnswer::Done(_) | ClaimAnswer::Expired => true,
+            ClaimAnswer::Running
+            | ClaimAnswer::OwnerLost
+            | ClaimAnswer::Mismatch
+            | ClaimAnswer::Full => false,
+        }
+    }
+}
