Vouch only for plans that the present leader has settled

Cause: a member that follows was taken to be up to date once it had applied the commit that it knew. A new leader first tells the commit of before; an acknowledged entry behind it is committed only with the first entry of the new term. Every restart of all members had this gap; sooner elections and dials made it show.

Ruled out: the leader itself (it waited for its own term already); the entries' rule (they took what a member vouched for).

Change: a member is up to date only where the committed entry is of the present term.

--- a/crates/registry/src/driver.rs
+++ b/crates/registry/src/driver.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{oneshot, watch};
 use types::{LogIndex, NodeId, StepResult};
 
+use crate::current::CurrentView;
 use crate::folder::{Folder, Opened, decode, encode};
 use crate::message::PeerMessage;
 use crate::peers::Peers;
@@ -401,10 +402,15 @@
         let leader = leader.and_then(|it| self.address(it));
         let role = status.role;
         let settled = status.settled && !status.transferring;
-        let current = leader.is_some()
-            && (role != Role::Leader || settled)
-            && self.applied >= status.commit
-            && self.node.membership().contains(self.id);
+        let current = CurrentView {
+            term: status.term,
+            led: leader.is_some(),
+            member: self.node.membership().contains(self.id),
+            commit: status.commit,
+            commit_term: self.node.term_at(status.commit),
+            applied: self.applied,
+        };
+        let current = current.is_current() && (role != Role::Leader || settled);
         let term = status.term.0;
         let members = self.node.membership().voters.values().filter_map(|it| address_of(it));
         let members: Vec<SocketAddr> = members.collect();
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod message;
 pub mod plan;
 
+mod current;
 mod driver;
 mod folder;
 mod follow;
@@ -17,6 +18,7 @@
 mod reader;
 mod repair;
 
+pub use current::CurrentView;
 pub use follow::{Follower, FollowerConfig, News};
 pub use member::{Codec, Member, MemberConfig, PutOutcome, ReadOutcome};
 pub use message::{
