Start sooner after a loss of all power

Their first dials met hosts that were still off and waited 700 ms, then 300 ms; the members' first election timeout was as long as any other, and a leader came at 44.16 s, 0.5 s after the last member. All requests of that time were refused, and refused again.

Change: dials of members and entries end after 250 ms and are made again after 100 ms; a node's first election timeout is 250 to 500 ms (it asks before it stands, and where a leader is alive the others refuse); a request waits up to 700 ms for the first plan and list.

Ruled out: holding requests for longer (callers give an entry a second to read theirs).

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -15,6 +15,10 @@
     /// The shortest election timeout, in ticks; the actual one is drawn between this and twice
     /// this.
     pub election_ticks: u32,
+    /// The same for the first one after the start, at most `election_ticks`. A node that starts knows
+    /// no leader, and asks before it stands, so it need not wait as long: where one leads, the others
+    /// refuse; where all have lost their power, there is a leader sooner.
+    pub first_ticks: u32,
     /// The time between two heartbeats, in ticks; well below `election_ticks`.
     pub heartbeat_ticks: u32,
     /// The most entries in one `Append`.
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -54,7 +54,7 @@
         let log = Log::new(snapshot, entries);
         let applied = log.base();
         let mut random = Random::new(config.seed, config.id);
-        let timeout = random.timeout(config.election_ticks);
+        let timeout = random.timeout(config.first_ticks.min(config.election_ticks));
         let votes = log.membership().is_voter(config.id);
         Self {
             term: hard.term.max(log.last_term()),
--- a/crates/consensus/tests/rules/cluster.rs
+++ b/crates/consensus/tests/rules/cluster.rs
@@ -13,6 +13,7 @@
     Config {
         id: NodeId(id),
         election_ticks: ELECTION,
+        first_ticks: ELECTION,
         heartbeat_ticks: 2,
         max_entries: 16,
         max_bytes: 4096,
--- a/crates/consensus/tests/schedules/sim/host.rs
+++ b/crates/consensus/tests/schedules/sim/host.rs
@@ -114,6 +114,7 @@
         let config = Config {
             id: self.id,
             election_ticks: 10,
+            first_ticks: 4,
             heartbeat_ticks: 3,
             max_entries: 4,
             max_bytes: 256,
--- a/crates/control/src/folder/mod.rs
+++ b/crates/control/src/folder/mod.rs
@@ -88,6 +88,7 @@
     Config {
         id,
         election_ticks: ELECTION_TICKS,
+        first_ticks: ELECTION_TICKS,
         heartbeat_ticks: HEARTBEAT_TICKS,
         max_entries: MAX_ENTRIES,
         max_bytes: MAX_BYTES,
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -127,7 +127,7 @@
     request: Request<Incoming>,
     arrived: Instant,
 ) -> Result<Reply, Refusal> {
-    let plan = shared.plan().ok_or(Refusal::NoPlan)?;
+    let plan = shared.first_plan().await.ok_or(Refusal::NoPlan)?;
     let request = CallerRequest::read::<D>(plan, request, arrived, shared.bodies.hold()).await?;
     let service = request.route.service(rand::random()).cloned().ok_or(Refusal::NoUpstream)?;
     shared.budget.request(&service, arrived);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -8,8 +8,8 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use registry::{EntrySeen, LoadReport, News};
-use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
 use crate::backlog::Backlogs;
 use crate::budget::Budget;
@@ -30,6 +30,10 @@
 /// How long the loads of other entries count without a new word. Older ones mislead more than none.
 const DIGEST_AGE: Duration = Duration::from_millis(1_200);
 
+/// How long a request waits for the first plan and the first list of upstreams. After a loss of all
+/// power they come within about a second of the entry's start; callers give an entry a second to read.
+const FIRST_NEWS: Duration = Duration::from_millis(700);
+
 /// What all parts of an entry read.
 pub(crate) struct Shared<D> {
     plan: ArcSwapOption<Plan>,
@@ -37,6 +41,8 @@
     peers: ArcSwap<Vec<EntrySeen>>,
     entries: AtomicUsize,
     listed: AtomicBool,
+    /// Told at each news.
+    known: Notify,
     own: SocketAddr,
     pub(crate) domain: Arc<str>,
     pub(crate) budget: Budget,
@@ -56,6 +62,7 @@
             peers: ArcSwap::default(),
             entries: AtomicUsize::new(1),
             listed: AtomicBool::new(false),
+            known: Notify::new(),
             own,
             domain,
             budget,
@@ -73,6 +80,30 @@
         self.plan.load_full()
     }
 
+    /// The plan in force; waits a moment for it where the entry has just started. What goes wrong
+    /// without the wait: all that comes while a deployment is starting again is refused, and comes
+    /// back at once to be refused again.
+    pub(crate) async fn first_plan(&self) -> Option<Arc<Plan>> {
+        let known = async {
+            loop {
+                let told = self.known.notified();
+                if self.knows_enough() {
+                    return;
+                }
+                told.await;
+            }
+        };
+        if !self.knows_enough() {
+            // Where the time is over, what is known must do.
+            let _ = timeout(FIRST_NEWS, known).await;
+        }
+        self.plan()
+    }
+
+    fn knows_enough(&self) -> bool {
+        self.plan.load().is_some() && self.directory().all().next().is_some()
+    }
+
     /// The upstreams.
     pub(crate) fn directory(&self) -> Arc<Directory> {
         self.directory.load_full()
@@ -95,8 +126,7 @@
 
     /// Whether the entry may get new connections.
     pub(crate) fn is_ready(&self) -> bool {
-        let knows = self.plan.load().is_some() && self.directory().all().next().is_some();
-        knows && !self.drain.is_ending()
+        self.knows_enough() && !self.drain.is_ending()
     }
 
     /// Takes the registry's news for as long as they come.
@@ -166,6 +196,7 @@
         let plan = self.plan().unwrap_or_default();
         let next = self.directory().next(news, &plan, self.entries());
         self.directory.store(Arc::new(next));
+        self.known.notify_waiters();
     }
 
     fn take_plan(&self, text: &[u8]) {
--- a/crates/registry/src/driver.rs
+++ b/crates/registry/src/driver.rs
@@ -30,6 +30,10 @@
 /// 5 ms, and low enough that an operator's order finds a new leader within its 4 s.
 const ELECTION_TICKS: u32 = 14;
 
+/// The shortest first election timeout after a start, in ticks: members that start together need some
+/// 100 ms to reach each other, and the draws must differ by more than a vote takes.
+const FIRST_TICKS: u32 = 5;
+
 /// The time between two heartbeats, in ticks.
 const HEARTBEAT_TICKS: u32 = 3;
 
@@ -446,6 +450,7 @@
     Config {
         id,
         election_ticks: ELECTION_TICKS,
+        first_ticks: FIRST_TICKS,
         heartbeat_ticks: HEARTBEAT_TICKS,
         max_entries: 64,
         max_bytes: 1 << 20,
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -22,10 +22,12 @@
 const MEMBERS: usize = 7;
 
 /// The pause before a member that can't be reached is dialled again.
-const REDIAL: Duration = Duration::from_millis(300);
+const REDIAL: Duration = Duration::from_millis(100);
 
-/// How long a dial may take.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long a dial may take: many times the way between regions. A lost first packet is sent again
+/// only after a second, and one to a host that is off is never answered, so another dial is sooner:
+/// with 700 ms, entries found members 1.1 s after a loss of all power, up to 0.9 s late.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How long a plan that was asked for may take before it is asked for elsewhere.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/registry/src/peers.rs
+++ b/crates/registry/src/peers.rs
@@ -16,11 +16,11 @@
 const QUEUE: usize = 512;
 
 /// The pause before a peer that can't be reached is dialled again.
-const REDIAL: Duration = Duration::from_millis(150);
+const REDIAL: Duration = Duration::from_millis(100);
 
 /// How long a dial may take. Below the election timeout, so that a peer behind a cut is found
 /// again soon after it.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(600);
+const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// After how long without a message a connection's task ends.
 const IDLE: Duration = Duration::from_secs(10);
