--- a/crates/standins/examples/capacity/main.rs
+++ b/crates/standins/examples/capacity/main.rs
@@ -4,6 +4,8 @@
 //! `cargo run --release -p mothplank-standins --example capacity -- --binary PATH`
 
 mod cluster;
+#[path = "../common/mod.rs"]
+mod common;
 mod http;
 mod sample;
 mod service;
--- a/crates/standins/examples/scenarios/main.rs
+++ b/crates/standins/examples/scenarios/main.rs
@@ -4,6 +4,8 @@
 //! `cargo run --release -p mothplank-standins --example scenarios -- --binary PATH`
 
 mod cases;
+#[path = "../common/mod.rs"]
+mod common;
 mod document;
 mod overhead;
 mod processes;
--- a/crates/standins/examples/scenarios/overhead.rs
+++ b/crates/standins/examples/scenarios/overhead.rs
@@ -13,7 +13,8 @@
 use tokio::task::JoinSet;
 use types::{Millis, PoolKind, Priority, Rate, StepError, StepResult};
 
-use crate::document::{hash, key};
+use crate::common::hash;
+use crate::document::key;
 use crate::processes::Processes;
 use crate::say;
 
