--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -1,6 +1,7 @@
 //! The owner's side: queues the pieces of its services and drives the calls.
 
 mod results;
+mod tell;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -314,25 +315,6 @@
         upstreams.filter(|it| it.is_open() && !it.is_paused(now)).count()
     }
 
-    /// Tells every entry how long pieces wait, so that it can refuse what would come too late.
-    fn tell_backlogs(&mut self, now: Instant) {
-        let mut any = false;
-        let had = self.told.1;
-        for (service, queue) in &self.queues {
-            if queue.is_empty() && !had {
-                continue;
-            }
-            any |= !queue.is_empty();
-            let waits = queue.backlog(self.lanes(service, now)).map(|it| it.as_millis() as u32);
-            self.shared.backlogs.set(service, waits);
-            for peer in self.peers.values() {
-                // A connection that has ended is removed by its own event.
-                let _ = peer.send(FromOwner::Backlog(service.to_string(), waits));
-            }
-        }
-        self.told = (now, any);
-    }
-
     fn send_calls(&mut self, service: &Arc<str>, now: Instant) {
         let directory = self.shared.directory();
         let upstreams = directory.service(service);
@@ -363,45 +345,6 @@
             tokio::spawn(call::<D>(events, Arc::clone(service), upstream, self.calls, next));
         }
     }
-
-    /// Tells the submitters of calls under way once their inputs are fetched.
-    fn tell_fetched(&mut self, now: Instant) {
-        for flying in self.flying.values_mut() {
-            if flying.told_fetched || now < flying.fetched || flying.requeued {
-                continue;
-            }
-            flying.told_fetched = true;
-            let mut jobs = HashSet::new();
-            for piece in &flying.pieces {
-                let has_inputs = matches!(piece.input, PieceInput::Results(_));
-                let waits = self.queues.values().any(|it| it.has(piece.job));
-                if !has_inputs || waits || !jobs.insert(piece.job) {
-                    continue;
-                }
-                if let Some(open) = self.jobs.get(&piece.job) {
-                    // The submitter may have ended meanwhile.
-                    let _ = open.replies.send(FromOwner::Fetched(piece.job.id));
-                }
-            }
-        }
-    }
-
-    fn send_free(&mut self) {
-        let directory = self.shared.directory();
-        for (address, handles) in self.free.drain() {
-            let keeper = directory.all().find(|it| it.address == address);
-            let Some(keeper) = keeper.cloned() else { continue };
-            let events = self.events.clone();
-            tokio::spawn(async move {
-                match exchange::free::<D>(&keeper, &handles).await {
-                    // The owner's task ends only with the process.
-                    Ok(()) => drop(events.send(OwnerEvent::Freed(keeper, handles))),
-                    Err(fault) => log::debug!(upstream:% = keeper.id, cause:% = fault;
-                        "results could not be given up; they end by themselves"),
-                }
-            });
-        }
-    }
 }
 
 async fn call<D: Dialect>(
--- a/crates/registry/src/driver.rs
+++ b/crates/registry/src/driver.rs
@@ -3,7 +3,9 @@
 //! One thread with blocking writes: a member whose disk stalls sends no heartbeats, so another
 //! one leads within an election timeout. The HTTP side runs elsewhere and answers meanwhile.
 
+mod answers;
 mod membership;
+mod view;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -16,13 +18,14 @@
 use tokio::sync::{oneshot, watch};
 use types::{LogIndex, NodeId, StepResult};
 
-use crate::current::CurrentView;
 use crate::folder::{Folder, Opened, decode, encode};
 use crate::message::PeerMessage;
 use crate::peers::Peers;
 use crate::plan::{Held, Put};
 use crate::repair::{address_bytes, address_of};
 
+pub(crate) use self::view::View;
+
 /// The log's unit of time.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -74,25 +77,6 @@
     Thin,
 }
 
-/// What the rest of the member sees.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct View {
-    pub(crate) term: u64,
-    pub(crate) role: Role,
-    pub(crate) settled: bool,
-    pub(crate) leader: Option<SocketAddr>,
-    /// Whether everything that is known to be committed is applied and a leader is known.
-    pub(crate) current: bool,
-    pub(crate) held: Arc<Held>,
-    pub(crate) members: Vec<SocketAddr>,
-}
-
-impl View {
-    pub(crate) fn leads(&self) -> bool {
-        self.role == Role::Leader && self.settled
-    }
-}
-
 /// What the driver needs.
 pub(crate) struct DriverConfig {
     pub(crate) data_dir: PathBuf,
@@ -291,12 +275,6 @@
         self.reads.insert(id, reply);
     }
 
-    fn answer_elsewhere(&self, reply: oneshot::Sender<Answer>) {
-        let leader = self.node.status().leader.filter(|it| *it != self.id);
-        // The asker may have given up.
-        let _ = reply.send(Answer::Elsewhere(leader.and_then(|it| self.address(it))));
-    }
-
     fn address(&self, id: NodeId) -> Option<SocketAddr> {
         let membership = self.node.membership();
         let bytes = membership.voters.get(&id).or_else(|| membership.learners.get(&id));
@@ -367,31 +345,6 @@
         Ok(())
     }
 
-    fn answer_put(&mut self, position: Position) {
-        let held = &self.held;
-        self.puts.retain_mut(|(at, reply)| {
-            if at.index > position.index {
-                return true;
-            }
-            let reply = std::mem::replace(reply, oneshot::channel().0);
-            let committed = *at == position;
-            let answer =
-                if committed { Answer::Held(Arc::clone(held)) } else { Answer::Elsewhere(None) };
-            // The asker may have given up.
-            let _ = reply.send(answer);
-            false
-        });
-    }
-
-    fn answer_reads(&mut self) {
-        let applied = self.applied;
-        for (id, _) in self.confirmed.extract_if(.., |(_, index)| *index <= applied) {
-            if let Some(reply) = self.reads.remove(&id) {
-                let _ = reply.send(Answer::Held(Arc::clone(&self.held)));
-            }
-        }
-    }
-
     fn compact(&mut self) -> StepResult<()> {
         let Some(head) = self.node.snapshot_head(self.applied) else { return Ok(()) };
         let snapshot = Snapshot { data: encode(&*self.held), ..head };
@@ -399,51 +352,6 @@
         self.node.compact(snapshot);
         Ok(())
     }
-
-    fn publish(&mut self) {
-        let status = self.node.status();
-        let leader = status.leader.filter(|_| !self.resigned);
-        let leader = leader.and_then(|it| self.address(it));
-        let role = status.role;
-        let settled = status.settled && !status.transferring;
-        let current = CurrentView {
-            term: status.term,
-            led: leader.is_some(),
-            member: self.node.membership().contains(self.id),
-            commit: status.commit,
-            commit_term: self.node.term_at(status.commit),
-            applied: self.applied,
-        };
-        let current = current.is_current() && (role != Role::Leader || settled);
-        let term = status.term.0;
-        let members = self.node.membership().voters.values().filter_map(|it| address_of(it));
-        let members: Vec<SocketAddr> = members.collect();
-        self.view.send_if_modified(|view| {
-            let same = view.term == term
-                && view.role == role
-                && view.settled == settled
-                && view.leader == leader
-                && view.current == current
-                && view.held.version == self.held.version
-                && view.members == members;
-            if same {
-                return false;
-            }
-            if view.role != role || view.leader != leader {
-                log::info!(term, role:? = role, leader:? = leader; "the leadership changed");
-            }
-            *view = View {
-                term,
-                role,
-                settled,
-                leader,
-                current,
-                held: Arc::clone(&self.held),
-                members,
-            };
-            true
-        });
-    }
 }
 
 fn node_config(id: NodeId) -> Config {
