Choose an upstream without sorting all of them

Cause: one choice hashed the id of each upstream, took a logarithm of each and sorted all. Change: the hash of the id is made once for each upstream; one pass adds the loads up, a second one keeps the best; the logarithm is taken only where its lower bound could win. The choice is the same but for the numbers drawn. Ruled out: sampling some of them (entries would no longer rank alike).

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -56,22 +56,53 @@
     let first = parts.first().filter(|_| !candidates.is_empty())?;
     // The last part is the request's own.
     let deep = if parts.len() > 2 { parts[parts.len() - 2] } else { *first };
-    let total: f64 = candidates.iter().map(|it| load(it).weight()).sum();
+    let (mut total, mut least) = (0.0, None);
+    for upstream in candidates {
+        let loaded = load(upstream).weight();
+        total += loaded;
+        if least.is_none_or(|(it, _)| loaded < it) {
+            least = Some((loaded, upstream));
+        }
+    }
     let mean = total / candidates.len().max(1) as f64;
     let bound = spec.slack.max(mean * spec.bound + 1.0);
-    let mut ranked: Vec<(f64, &Arc<Upstream>)> =
-        candidates.iter().map(|it| (rank(deep.id, it, weight(it)), it)).collect();
-    ranked.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-    let free = ranked.iter().find(|it| load(it.1).weight() <= bound);
-    let least = || ranked.iter().min_by(|a, b| load(a.1).weight().total_cmp(&load(b.1).weight()));
-    free.or_else(least).map(|it| it.1)
+    let mut best: Option<(f64, &Arc<Upstream>)> = None;
+    for upstream in candidates {
+        let draw = Draw::new(deep.id, upstream, weight(upstream));
+        let behind = best.is_some_and(|(rank, _)| draw.least() >= rank);
+        if behind || load(upstream).weight() > bound {
+            continue;
+        }
+        let rank = draw.rank();
+        if best.is_none_or(|(it, _)| rank < it) {
+            best = Some((rank, upstream));
+        }
+    }
+    best.or(least).map(|(_, it)| it)
 }
 
-/// The place of an upstream for a part: the lowest goes first, and each goes first as often as its
-/// weight says. A change of one weight moves only parts to or from that upstream.
-fn rank(part: u64, upstream: &Upstream, weight: f64) -> f64 {
-    let drawn = (score(part, &upstream.id) >> 11) as f64 / (1u64 << 53) as f64;
-    -drawn.max(f64::MIN_POSITIVE).ln() / weight.max(LEAST_WEIGHT)
+/// What decides the place of an upstream for a part: the lowest rank goes first, and each goes first
+/// as often as its weight says. A change of one weight moves only parts to or from that upstream.
+#[derive(Clone, Copy)]
+struct Draw {
+    drawn: f64,
+    weight: f64,
+}
+
+impl Draw {
+    fn new(part: u64, upstream: &Upstream, weight: f64) -> Self {
+        let drawn = (mix(part ^ upstream.mark) >> 11) as f64 / (1u64 << 53) as f64;
+        Self { drawn: drawn.max(f64::MIN_POSITIVE), weight: weight.max(LEAST_WEIGHT) }
+    }
+
+    fn rank(self) -> f64 {
+        -self.drawn.ln() / self.weight
+    }
+
+    /// What the rank is at least; spares the logarithm of nearly all.
+    fn least(self) -> f64 {
+        (1.0 - self.drawn) / self.weight
+    }
 }
 
 /// The least weight of an upstream.
@@ -83,7 +114,11 @@
     for byte in name.bytes() {
         hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
     }
-    // The finalizer of a well-known mixer: the multiplication alone leaves the high bits alike.
+    mix(hash)
+}
+
+/// The finalizer of a well-known mixer: a multiplication alone leaves the high bits alike.
+fn mix(mut hash: u64) -> u64 {
     hash ^= hash >> 33;
     hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
     hash ^= hash >> 33;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -15,6 +15,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout_at};
 
+use crate::place::score;
+
 /// How long opening a connection may take. A lost opening packet is sent again only after seconds,
 /// so a second try reaches the upstream sooner.
 const CONNECT: Duration = Duration::from_millis(250);
@@ -49,6 +51,8 @@
 pub struct Upstream {
     /// The id of this life.
     pub id: Arc<str>,
+    /// A number drawn from the id, the same at every entry; orders upstreams for a prompt.
+    pub mark: u64,
     /// Its service.
     pub service: Arc<str>,
     /// Where it listens.
@@ -103,6 +107,7 @@
         let allowed = connections.max(1);
         Self {
             id: listed.id.as_str().into(),
+            mark: score(0, &listed.id),
             service: listed.service.as_str().into(),
             address: listed.address,
             domain: listed.domain.as_str().into(),
