--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -184,7 +184,11 @@
     fn take(&self, news: &News) {
         let others = news.entries.iter().filter(|it| it.address != self.own).cloned();
         let others: Vec<EntrySeen> = others.collect();
-        self.listed.store(others.len() < news.entries.len(), Ordering::Relaxed);
+        let listed = others.len() < news.entries.len();
+        if self.listed.swap(listed, Ordering::Relaxed) != listed {
+            log::info!(listed, others = others.len(), seated:% = news.seated;
+                "other entries count this one or not");
+        }
         self.entries.fetch_max(others.len() + 1, Ordering::Relaxed);
         self.peers.store(Arc::new(others));
         if let Some((version, text)) = &news.plan {
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -282,6 +282,15 @@
 
     /// Takes what another entry passes on. Loads still go to the leader of before, if any.
     fn take_relay(&self, relay: Relay) {
+        let (seated, listed) = (relay.seated, relay.upstreams.stamp);
+        let newer = {
+            let news = self.news.borrow();
+            seated > news.seated || listed > news.listed
+        };
+        if newer {
+            log::info!(seated:% = seated, listed:% = listed, entries = relay.entries.len();
+                "took news from another entry");
+        }
         self.take_entries(relay.seated, relay.entries);
         self.take_list(relay.upstreams);
     }
