Put the new message of entries last, so that versions side by side understand each other

Cause: the relay's message stood before the one for waits and moved its number; entries of the version before would have dropped the connection on each. Found by reading the diff. Checked: clippy of both crates.

--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -67,8 +67,8 @@
     Results(u64, Vec<(u32, Result<String, PieceFailure>)>),
     /// The owner lives and works on jobs of this entry.
     Pulse,
-    /// The registry's news, as the owner knows them.
-    News(Box<Relay>),
     /// How long pieces of a service wait at this owner, by rank, in ms.
     Backlog(String, [u32; RANKS]),
+    /// The registry's news, as the owner knows them.
+    News(Box<Relay>),
 }
--- a/crates/gateway/src/batch/owner/tell.rs
+++ b/crates/gateway/src/batch/owner/tell.rs
@@ -51,6 +51,7 @@
         }
     }
 
+    /// Tells upstreams which results nobody needs any more.
     pub(super) fn send_free(&mut self) {
         let directory = self.shared.directory();
         for (address, handles) in self.free.drain() {
--- a/crates/registry/src/driver/view.rs
+++ b/crates/registry/src/driver/view.rs
@@ -17,7 +17,7 @@
     pub(crate) role: Role,
     pub(crate) settled: bool,
     pub(crate) leader: Option<SocketAddr>,
-    /// Whether everything that is known to be committed is applied and a leader is known.
+    /// Whether the held plan is the newest that was acknowledged; see [`CurrentView`].
     pub(crate) current: bool,
     pub(crate) held: Arc<Held>,
     pub(crate) members: Vec<SocketAddr>,
@@ -30,6 +30,7 @@
 }
 
 impl Driver {
+    /// Shows what has changed.
     pub(super) fn publish(&mut self) {
         let status = self.node.status();
         let leader = status.leader.filter(|_| !self.resigned);
