Split the queue and the submitter's side by job

Moves only, no line of logic changed. Checked: clippy, tests of gateway and platform. Ruled out: splitting the choice itself (one job).

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -1,6 +1,8 @@
 //! The submitter's side: hands the pieces of a stage to the owner of its service.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+mod job;
+
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -13,12 +15,14 @@
 use wire::{Hello, Secret};
 
 use crate::batch::link::{Inlets, Link, PULSE};
-use crate::batch::message::{FromOwner, Job, JobInput, ToOwner};
+use crate::batch::message::ToOwner;
 use crate::batch::owner::{OWN, Owner, OwnerEvent};
 use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput};
 use crate::place::score;
 use crate::shared::Shared;
 
+use self::job::{Ended, LocalJob, Progress, RemoteJob, job};
+
 /// How long an owner may take to accept a job: a packet that is lost and sent again after 200 ms, each
 /// way. With 160 ms, entries on a link that lost packets passed over owners that were well, and two
 /// owners sent calls to the same upstreams: value of all answers on simulated days with such a link
@@ -78,25 +82,6 @@
     relays: mpsc::Sender<Relay>,
 }
 
-/// How a job ended at one owner.
-enum Ended {
-    Done,
-    Failed(PieceFailure),
-    Silent,
-    /// The owner took nothing.
-    Refused,
-}
-
-/// A job's pieces that are done and those that are left. Dropped before all are done, it gives the
-/// results up.
-struct Progress<'a, D: Dialect> {
-    batches: &'a Batches<D>,
-    input: &'a PieceInput,
-    done: BTreeMap<u32, Handle>,
-    left: BTreeSet<u32>,
-    first: Option<Instant>,
-}
-
 impl<D: Dialect> Batches<D> {
     pub(crate) fn new(
         shared: Arc<Shared<D>>,
@@ -314,94 +299,3 @@
         }
     }
 }
-
-impl<D: Dialect> Progress<'_, D> {
-    fn take(&mut self, answer: FromOwner) -> Option<Ended> {
-        let results = match answer {
-            FromOwner::Results(_, results) => results,
-            FromOwner::Refused(_) => return Some(Ended::Refused),
-            FromOwner::Fetched(_) => {
-                if let PieceInput::Results(handles) = self.input {
-                    self.batches.free_crowded(handles);
-                }
-                return None;
-            }
-            FromOwner::Accepted(_)
-            | FromOwner::Pulse
-            | FromOwner::News(_)
-            | FromOwner::Backlog(..) => return None,
-        };
-        for (segment, result) in results {
-            match result {
-                Ok(handle) if self.left.remove(&segment) => {
-                    self.done.insert(segment, handle.into());
-                    self.first.get_or_insert_with(Instant::now);
-                }
-                Ok(_) => {}
-                Err(failure) => return Some(Ended::Failed(failure)),
-            }
-        }
-        self.left.is_empty().then_some(Ended::Done)
-    }
-}
-
-fn job(id: u64, spec: &JobSpec, again: bool, left: &BTreeSet<u32>) -> Job {
-    let now = Instant::now();
-    let input = match &spec.input {
-        PieceInput::Key(key) => JobInput::Key(key.to_string()),
-        PieceInput::Results(handles) => {
-            JobInput::Results(handles.iter().map(ToString::to_string).collect())
-        }
-    };
-    let early = spec.due.saturating_duration_since(now).as_millis() as i64;
-    let late = now.saturating_duration_since(spec.due).as_millis() as i64;
-    Job {
-        id,
-        service: spec.service.to_string(),
-        attempt: spec.attempt.to_string(),
-        stage: spec.stage,
-        segments: left.iter().copied().collect(),
-        input,
-        size: spec.size,
-        domain: spec.domain.as_ref().map(ToString::to_string),
-        weight: spec.weight,
-        rank: spec.rank,
-        due_ms: early - late,
-        left_ms: spec.deadline.saturating_duration_since(now).as_millis() as u64,
-        again,
-    }
-}
-
-impl<D: Dialect> Drop for Progress<'_, D> {
-    fn drop(&mut self) {
-        let handles: Vec<Handle> = std::mem::take(&mut self.done).into_values().collect();
-        self.batches.free(&handles);
-    }
-}
-
-/// A job at this entry's own owner; cancelled when its request ends, so that no piece is made for
-/// a caller that left.
-struct LocalJob<'a> {
-    owner: &'a Owner,
-    id: u64,
-}
-
-impl Drop for LocalJob<'_> {
-    fn drop(&mut self) {
-        let (replies, _) = mpsc::unbounded_channel();
-        self.owner.tell(OwnerEvent::Told(OWN, ToOwner::Cancel(self.id), replies));
-    }
-}
-
-/// A job at another entry; cancelled when its request ends.
-struct RemoteJob<'a> {
-    link: &'a Link,
-    id: u64,
-}
-
-impl Drop for RemoteJob<'_> {
-    fn drop(&mut self) {
-        self.link.forget(self.id);
-        self.link.tell(ToOwner::Cancel(self.id));
-    }
-}
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -1,23 +1,23 @@
 //! Decides which pieces go into the next call, and where. Time is passed in; no I/O.
 
+mod piece;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::dialect::{PieceCall, PieceInput};
 use crate::plan::BatchSpec;
 
+pub use self::piece::{JobKey, Piece};
+
 /// Results from this size on are worth waiting for a maker in the domain that uses them, in bytes.
 pub(crate) const LARGE: u64 = 200_000;
 
 /// How much sooner than it must a piece leaves the wait for a maker in its domain.
 const DOMAIN_MARGIN: Duration = Duration::from_millis(200);
 
-/// How much later a piece counts as due for each step of lower rank.
-const RANK_DELAY: Duration = Duration::from_millis(400);
-
 /// The ranks that are told apart in the backlog; lower ones count as the last.
 pub const RANKS: usize = 10;
 
@@ -40,68 +40,6 @@
 /// An upstream this many times slower than announced gets work only where it ends soonest.
 const SLOW: f64 = 1.5;
 
-/// Names a job: the connection it came by and its number there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct JobKey {
-    /// The connection.
-    pub origin: u64,
-    /// The number.
-    pub id: u64,
-}
-
-/// A piece that waits.
-#[derive(Clone, Debug)]
-pub struct Piece {
-    /// Its job.
-    pub job: JobKey,
-    /// The caller's id of the attempt.
-    pub attempt: Arc<str>,
-    /// The number of the stage.
-    pub stage: u32,
-    /// The number of the piece.
-    pub segment: u32,
-    /// What it works on.
-    pub input: PieceInput,
-    /// The rank of its request; 0 goes first.
-    pub rank: u8,
-    /// The size of its result in bytes.
-    pub size: u64,
-    /// The failure domain in which its inputs are, or its result is used.
-    pub domain: Option<Arc<str>>,
-    /// The bytes that cross domains if it is made in another one.
-    pub weight: u64,
-    /// When the result should be there.
-    pub due: Instant,
-    /// When it is of no use any more.
-    pub deadline: Instant,
-    /// Since when it waits.
-    pub since: Instant,
-    /// How often it was sent to an upstream.
-    pub sent: u32,
-}
-
-impl Piece {
-    /// Gives the piece as an upstream is told it.
-    pub fn call(&self, now: Instant) -> PieceCall {
-        PieceCall {
-            attempt: Arc::clone(&self.attempt),
-            stage: self.stage,
-            segment: self.segment,
-            left: self.deadline.saturating_duration_since(now),
-            input: self.input.clone(),
-        }
-    }
-
-    /// The order of pieces: those that can still be in time, by when they are due; then those that
-    /// can't. Under overload the late ones must not make the others late, too. Among them the
-    /// later stages go first, for their requests cost the most already.
-    fn urgency(&self, now: Instant) -> (bool, std::cmp::Reverse<u32>, Instant) {
-        let late = self.due <= now;
-        let stage = if late { self.stage } else { 0 };
-        (late, std::cmp::Reverse(stage), self.due + RANK_DELAY * u32::from(self.rank))
-    }
-}
-
 /// An upstream as the queue sees it.
 #[derive(Clone, Debug)]
 pub struct Lane {
