Read each entry of a list by itself, and tell the lives of an upstream apart

Cause: a list or a stage's answer was decoded as one document, so one entry of another writer made the whole unreadable; the list of before stayed in use, and upstreams that leave or are gone got work. An upstream may now start again under its id, with its start in its own answers.

Ruled out: dropping only the fields in use (an entry with an odd version is another writer's all the same); a birth in the registry's list (lists carry none, and the message would not be understood side by side with older members).

--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -12,7 +12,7 @@
 
 use crate::batch::message::{FromOwner, Job, JobInput, ToOwner};
 use crate::batch::queue::{JobKey, Lane, NextCall, Piece, Queue};
-use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput, PieceResult};
+use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, PieceInput};
 use crate::exchange::{self, Fault};
 use crate::shared::Shared;
 use crate::upstream::Upstream;
@@ -68,7 +68,7 @@
     call: u64,
     pieces: Vec<Piece>,
     took: Duration,
-    outcome: Result<Vec<PieceResult>, Fault>,
+    outcome: Result<PieceAnswer, Fault>,
 }
 
 /// What the owner needs.
--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -8,6 +8,7 @@
 use crate::batch::message::FromOwner;
 use crate::batch::queue::Piece;
 use crate::dialect::{Dialect, PieceFailure, PieceResult};
+use crate::life::Life;
 
 /// How often one piece may be sent.
 const SENDS: u32 = 3;
@@ -57,9 +58,21 @@
             queue.ended(&end.upstream.id, end.pieces.len(), whole.then_some(end.took), now);
         }
         match end.outcome {
-            Ok(ref results) => {
+            Ok(ref answer) => {
+                let life = end.upstream.observe(answer.born);
+                if life == Life::Past {
+                    log::warn!(upstream:% = end.upstream.id, pieces = end.pieces.len();
+                        "results of a life that has ended");
+                    self.requeue_all(end.pieces, requeued, now);
+                    return;
+                }
+                if life == Life::New
+                    && let Some(queue) = self.queues.get_mut(&end.service)
+                {
+                    queue.reborn(&end.upstream.id);
+                }
                 end.upstream.succeeded();
-                for (piece, result) in end.pieces.iter().zip(results) {
+                for (piece, result) in end.pieces.iter().zip(&answer.results) {
                     self.take_result(&end, piece, result.clone(), requeued, now);
                 }
             }
@@ -70,16 +83,21 @@
                 if !fault.not_run || fault.unreachable {
                     end.upstream.failed(fault.unreachable);
                 }
-                if requeued {
-                    return;
-                }
-                for piece in end.pieces {
-                    self.requeue(piece, now);
-                }
+                self.requeue_all(end.pieces, requeued, now);
             }
         }
     }
 
+    /// Puts the pieces of a call without results back, unless they were put back when it was overdue.
+    fn requeue_all(&mut self, pieces: Vec<Piece>, requeued: bool, now: Instant) {
+        if requeued {
+            return;
+        }
+        for piece in pieces {
+            self.requeue(piece, now);
+        }
+    }
+
     fn take_result(
         &mut self,
         end: &CallEnd,
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -224,6 +224,13 @@
         }
     }
 
+    /// Forgets what an upstream kept and how fast it was: it has started again.
+    pub fn reborn(&mut self, upstream: &str) {
+        if let Some(memory) = self.memory.get_mut(upstream) {
+            *memory = Memory { busy: memory.busy, ..Memory::default() };
+        }
+    }
+
     /// Notes a result that an upstream keeps.
     pub fn kept(&mut self, upstream: &str, size: u64, handle: Arc<str>, now: Instant) {
         let until = now + self.spec.ttl;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 
+pub use crate::life::Born;
 use crate::plan::Plan;
 
 /// A part of a prompt that requests may share.
@@ -128,6 +129,15 @@
 /// The result of a piece.
 pub type PieceResult = Result<Handle, PieceFailure>;
 
+/// The answer to a call with pieces.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PieceAnswer {
+    /// When its sender started, where it tells.
+    pub born: Option<Born>,
+    /// The results, in the order of the call.
+    pub results: Vec<PieceResult>,
+}
+
 /// How the platform speaks.
 pub trait Dialect: Send + Sync + 'static {
     /// The path at which the balancer asks whether the entry is ready.
@@ -165,7 +175,7 @@
     ///
     /// # Errors
     /// With what is wrong with it.
-    fn results(body: &[u8]) -> Result<Vec<PieceResult>, String>;
+    fn results(body: &[u8]) -> Result<PieceAnswer, String>;
 
     /// Encodes a call that gives results up.
     fn free(handles: &[Handle]) -> Bytes;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use crate::dialect::{AnswerMarks, Dialect, Handle, PieceCall, PieceResult};
+use crate::dialect::{AnswerMarks, Dialect, Handle, PieceAnswer, PieceCall};
 use crate::upstream::{Lease, NoConnection, Upstream};
 
 /// The largest answer to one of the entry's own calls, in bytes.
@@ -195,12 +195,12 @@
     }
 }
 
-/// Runs a call with pieces.
+/// Runs a call with pieces; its answer has as many results.
 pub(crate) async fn pieces<D: Dialect>(
     upstream: &Arc<Upstream>,
     calls: &[PieceCall],
     by: Instant,
-) -> Result<Vec<PieceResult>, Fault> {
+) -> Result<PieceAnswer, Fault> {
     let request = own_call::<D>(upstream, D::PIECES_PATH, D::pieces(calls), by);
     let opened = send::<D>(upstream, request, "", by).await?;
     let status = opened.response.status();
@@ -213,15 +213,15 @@
     }
     let Opened { mut response, lease, marks } = opened;
     let body = read_short(response.body_mut(), by).await?;
-    let results = D::results(&body).map_err(|why| {
+    let answer = D::results(&body).map_err(|why| {
         log::warn!(upstream:% = upstream.id, cause = why.as_str(); "unreadable results");
         Fault::unknown(Cause::Garbled("unreadable results"))
     })?;
-    if results.len() != calls.len() {
+    if answer.results.len() != calls.len() {
         return Err(Fault::unknown(Cause::Garbled("another number of results")));
     }
     lease.keep(marks.keep_alive);
-    Ok(results)
+    Ok(answer)
 }
 
 /// Tells an upstream that results are not needed any more.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod gateway;
 pub mod guard;
 mod head_time;
+pub mod life;
 mod metrics;
 mod pace;
 pub mod place;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -15,6 +15,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout_at};
 
+use crate::life::{Born, Life, Lives};
 use crate::place::score;
 
 /// How long opening a connection may take. A lost opening packet is sent again only after seconds,
@@ -61,6 +62,7 @@
     pub domain: Arc<str>,
     /// How many requests it works on at once.
     pub slots: u32,
+    lives: Lives,
     draining: AtomicBool,
     running: AtomicU32,
     tokens: AtomicU64,
@@ -112,6 +114,7 @@
             address: listed.address,
             domain: listed.domain.as_str().into(),
             slots: listed.slots,
+            lives: Lives::default(),
             draining: AtomicBool::new(listed.health == registry::Health::Draining),
             running: AtomicU32::new(0),
             tokens: AtomicU64::new(0),
@@ -180,6 +183,19 @@
         Running { upstream: Arc::clone(self), tokens }
     }
 
+    /// Takes the birth that a message of it tells. With a new life its failures are forgotten, and
+    /// idle connections to the one before are closed.
+    pub fn observe(&self, born: Option<Born>) -> Life {
+        let life = self.lives.observe(born);
+        if life == Life::New {
+            log::info!(upstream:% = self.id, born:% = born.map_or(0, |it| it.0);
+                "an upstream has started again");
+            *self.health.lock().unwrap_or_else(PoisonError::into_inner) = Health::default();
+            self.sweep(true);
+        }
+        life
+    }
+
     /// Notes a success.
     pub(crate) fn succeeded(&self) {
         let mut health = self.health.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/tests/pure.rs
+++ b/crates/gateway/tests/pure.rs
@@ -8,6 +8,7 @@
 use gateway::dialect::PromptPart;
 use gateway::events::Splitter;
 use gateway::guard::Scanner;
+use gateway::life::{Born, Life};
 use gateway::place::{Load, PlaceSpec, place};
 use gateway::room::Room;
 use tokio::time::Instant;
@@ -199,6 +200,35 @@
     assert!(again <= 5, "{again} repeats of no request");
 }
 
+struct LifeCase {
+    name: &'static str,
+    /// What messages tell, in the order in which they come.
+    told: &'static [Option<u64>],
+    /// What the last of them is.
+    last: Life,
+}
+
+const LIVES: &[LifeCase] = &[
+    LifeCase { name: "the first that tells", told: &[None, Some(7)], last: Life::Same },
+    LifeCase { name: "the same again", told: &[Some(7), Some(7)], last: Life::Same },
+    LifeCase { name: "one that does not tell", told: &[Some(7), None], last: Life::Same },
+    LifeCase { name: "a new life", told: &[Some(7), Some(9)], last: Life::New },
+    LifeCase { name: "a late word of the old life", told: &[Some(9), Some(7)], last: Life::Past },
+    LifeCase { name: "after a late word", told: &[Some(9), Some(7), Some(9)], last: Life::Same },
+];
+
+/// Symptom: requests are given results that are gone, or a sound upstream loses what it is known for.
+/// Sequence: an upstream starts again under its id; answers of both lives arrive out of order.
+/// Cause: the id alone doesn't tell which life an answer is of.
+#[test]
+fn lives_under_one_id_are_told_apart() {
+    for case in LIVES {
+        let upstream = &upstreams(1)[0];
+        let seen: Vec<Life> = case.told.iter().map(|it| upstream.observe(it.map(Born))).collect();
+        assert_eq!(seen.last(), Some(&case.last), "{}", case.name);
+    }
+}
+
 /// Symptom: an entry runs out of memory and is killed with all it has under way.
 /// Sequence: many callers send large bodies, slowly, at the same time.
 /// Cause: each body is bounded and their sum is not, or room that was given up stays taken.
--- a/crates/gateway/tests/queue.rs
+++ b/crates/gateway/tests/queue.rs
@@ -198,6 +198,30 @@
     assert_eq!(queue.next(&lanes, now).map(|it| it.pieces.len()), Some(1));
 }
 
+/// Symptom: an upstream that has started again gets no calls, or calls that are not full, for as long
+/// as its results would have been kept.
+/// Sequence: it keeps results, ends, starts again under its old id, and keeps nothing.
+/// Cause: what was believed of the life before counts for the new one.
+#[test]
+fn an_upstream_that_started_again_keeps_nothing() {
+    let now = Instant::now();
+    let mut queue = Queue::new(SPEC);
+    let lanes = [lane("u", "a")];
+    let large = Given { pieces: 4, bytes: SPEC.room / 5, ..PLAIN };
+    push(&mut queue, large, now);
+    let first = queue.next(&lanes, now).expect("a call");
+    queue.ended("u", first.pieces.len(), Some(first.expected * 8), now);
+    for piece in &first.pieces {
+        queue.kept("u", piece.size, format!("h-{}", piece.segment).into(), now);
+    }
+    push(&mut queue, large, now);
+    assert!(queue.next(&lanes, now).is_none(), "there is no room");
+    queue.reborn("u");
+    let next = queue.next(&lanes, now).expect("a call to the new life");
+    assert_eq!(next.pieces.len(), 4);
+    assert_eq!(next.expected, first.expected, "it is as fast as announced again");
+}
+
 struct Hopeless {
     name: &'static str,
     pieces: u32,
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -25,7 +25,7 @@
 pub use message::{
     EntrySeen, Health, LoadReport, Relay, Stamp, Upstream, UpstreamList, UpstreamLoad,
 };
-pub use reader::ListSource;
+pub use reader::{ListSource, Listing};
 pub use repair::{DEAD_AFTER, LEARNER_GONE, PeerView, RepairView, next_membership};
 
 use wire::Secret;
--- a/crates/registry/src/reader.rs
+++ b/crates/registry/src/reader.rs
@@ -17,13 +17,22 @@
 /// How long one reading may take.
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// What one reading of the list brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listing {
+    /// The upstreams.
+    pub upstreams: Vec<Upstream>,
+    /// Why the entries that can't be read can't be; these name no upstream to use.
+    pub unreadable: Vec<String>,
+}
+
 /// Where the list of upstreams comes from.
 pub trait ListSource: Send + Sync + 'static {
     /// Reads the whole list.
     ///
     /// # Errors
     /// Where a page can't be had.
-    fn read(&self) -> impl Future<Output = StepResult<Vec<Upstream>>> + Send;
+    fn read(&self) -> impl Future<Output = StepResult<Listing>> + Send;
 }
 
 /// Reads the list for as long as the member leads, and hands it out when it changed.
@@ -34,6 +43,7 @@
 ) {
     let mut last = UpstreamList::default();
     let mut lost = false;
+    let mut unreadable = Vec::new();
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -43,7 +53,7 @@
             _ => continue,
         };
         let read = tokio::time::timeout(TIMEOUT, source.read()).await;
-        let upstreams = match read {
+        let listing = match read {
             Ok(Ok(it)) => it,
             Ok(Err(error)) => {
                 report(&mut lost, &error.to_string());
@@ -54,6 +64,12 @@
                 continue;
             }
         };
+        let upstreams = listing.upstreams;
+        if unreadable != listing.unreadable {
+            unreadable = listing.unreadable;
+            log::warn!(entries = unreadable.len(), cause = unreadable.first().map(String::as_str);
+                "entries of the list of upstreams that can't be read name none to use");
+        }
         if lost {
             log::info!(upstreams = upstreams.len(); "the list of upstreams is readable again");
             lost = false;
--- a/crates/registry/tests/env/mod.rs
+++ b/crates/registry/tests/env/mod.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use registry::{
-    Codec, Follower, FollowerConfig, Health, ListSource, Member, MemberConfig, PutOutcome,
+    Codec, Follower, FollowerConfig, Health, ListSource, Listing, Member, MemberConfig, PutOutcome,
     ReadOutcome, Upstream, deployment_secret,
 };
 use tempfile::TempDir;
@@ -30,15 +30,16 @@
 pub(crate) struct OneUpstream;
 
 impl ListSource for OneUpstream {
-    async fn read(&self) -> StepResult<Vec<Upstream>> {
-        Ok(vec![Upstream {
+    async fn read(&self) -> StepResult<Listing> {
+        let upstream = Upstream {
             id: "u-1".to_owned(),
             service: "s".to_owned(),
             address: SocketAddr::from(([127, 0, 0, 1], 9)),
             domain: "d".to_owned(),
             slots: 1,
             health: Health::Ready,
-        }])
+        };
+        Ok(Listing { upstreams: vec![upstream], unreadable: Vec::new() })
     }
 }
 
