Tell where a request's time goes before its first event

Cause: lines and metrics told the age of a request when an engine was chosen and answered, not which stage took it, nor whether it waited or was worked on; neither did the failure of a stage name the stage.

Change: an owner tells the wait and the call with the results, those of one job together (one message a call in place of one a piece); the lines of a chosen engine and of a failed stage carry the phases, the line of an answer its route, rank and aim; a histogram by service and phase.

Ruled out: words between entries (way p90 3 ms) as the place where a calm chain loses its time.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -62,11 +62,21 @@
     pub(crate) deadline: Instant,
 }
 
+/// Where the time of a job went, as its owner saw it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct StageTimes {
+    /// How long the pieces that came last waited at the owner.
+    pub(crate) wait: Duration,
+    /// How long their call took.
+    pub(crate) call: Duration,
+}
+
 /// The results of a job, in order.
 pub(crate) struct Made {
     pub(crate) handles: Vec<Handle>,
     /// When the first of them came.
     pub(crate) first: Instant,
+    pub(crate) times: StageTimes,
 }
 
 /// The submitter's side of all services.
@@ -116,6 +126,7 @@
             done: BTreeMap::new(),
             left,
             first: None,
+            times: StageTimes::default(),
         };
         let mut again = false;
         for turn in 1..=OWNERS {
@@ -131,7 +142,8 @@
                 Ended::Done => {
                     let done = std::mem::take(&mut progress.done);
                     let first = progress.first.unwrap_or_else(Instant::now);
-                    return Ok(Made { handles: done.into_values().collect(), first });
+                    let handles = done.into_values().collect();
+                    return Ok(Made { handles, first, times: progress.times });
                 }
                 Ended::Failed(failure) => return Err(failure),
                 Ended::Silent => {
--- a/crates/gateway/src/batch/client/job.rs
+++ b/crates/gateway/src/batch/client/job.rs
@@ -1,11 +1,12 @@
 //! One job at one owner: what is done and left of it, and its end.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::{Batches, JobSpec};
+use super::{Batches, JobSpec, StageTimes};
 use crate::batch::link::Link;
 use crate::batch::message::{FromOwner, Job, JobInput, ToOwner};
 use crate::batch::owner::{OWN, Owner, OwnerEvent};
@@ -28,13 +29,15 @@
     pub(super) done: BTreeMap<u32, Handle>,
     pub(super) left: BTreeSet<u32>,
     pub(super) first: Option<Instant>,
+    /// The wait and the call of the results that came last.
+    pub(super) times: StageTimes,
 }
 
 impl<D: Dialect> Progress<'_, D> {
     /// Takes an answer of the owner; returns how the job ended, if it did.
     pub(super) fn take(&mut self, answer: FromOwner) -> Option<Ended> {
-        let results = match answer {
-            FromOwner::Results(_, results) => results,
+        let done = match answer {
+            FromOwner::Results(done) => done,
             FromOwner::Refused(_) => return Some(Ended::Refused),
             FromOwner::Fetched(_) => {
                 if let PieceInput::Results(handles) = self.input {
@@ -47,7 +50,11 @@
             | FromOwner::News(_)
             | FromOwner::Backlog(..) => return None,
         };
-        for (segment, result) in results {
+        self.times = StageTimes {
+            wait: Duration::from_millis(done.wait_ms.into()),
+            call: Duration::from_millis(done.call_ms.into()),
+        };
+        for (segment, result) in done.results {
             match result {
                 Ok(handle) if self.left.remove(&segment) => {
                     self.done.insert(segment, handle.into());
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -98,10 +98,8 @@
         let mut waiting = self.lock();
         waiting.heard = Some(Instant::now());
         let id = match &message {
-            FromOwner::Accepted(id)
-            | FromOwner::Refused(id)
-            | FromOwner::Fetched(id)
-            | FromOwner::Results(id, _) => *id,
+            FromOwner::Accepted(id) | FromOwner::Refused(id) | FromOwner::Fetched(id) => *id,
+            FromOwner::Results(done) => done.id,
             FromOwner::Pulse => return,
             FromOwner::Backlog(service, waits) => {
                 self.inlets.backlogs.set(service, *waits);
@@ -218,13 +216,13 @@
                 }
             }
         };
-        if let FromOwner::Results(id, results) = &answer {
-            let done = left.get_mut(id).is_some_and(|it| {
-                *it = it.saturating_sub(results.len());
+        if let FromOwner::Results(done) = &answer {
+            let ended = left.get_mut(&done.id).is_some_and(|it| {
+                *it = it.saturating_sub(done.results.len());
                 *it == 0
             });
-            if done {
-                left.remove(id);
+            if ended {
+                left.remove(&done.id);
             }
         }
         if let FromOwner::Refused(id) = &answer {
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -54,6 +54,19 @@
     Follow,
 }
 
+/// The pieces of a job that ended together, mostly in one call.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(crate) struct PiecesDone {
+    /// The submitting entry's number of the job.
+    pub(crate) id: u64,
+    /// The number and the result of each piece.
+    pub(crate) results: Vec<(u32, Result<String, PieceFailure>)>,
+    /// How long they waited at the owner before their call, in ms.
+    pub(crate) wait_ms: u32,
+    /// How long their call took, in ms.
+    pub(crate) call_ms: u32,
+}
+
 /// What an owner tells an entry.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum FromOwner {
@@ -64,7 +77,7 @@
     /// The upstreams have fetched the inputs of all pieces of a job.
     Fetched(u64),
     /// Results of some pieces of a job.
-    Results(u64, Vec<(u32, Result<String, PieceFailure>)>),
+    Results(PiecesDone),
     /// The owner lives and works on jobs of this entry.
     Pulse,
     /// How long pieces of a service wait at this owner, by rank, in ms.
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::batch::message::{FromOwner, Job, JobInput, ToOwner};
+use crate::batch::message::{FromOwner, Job, JobInput, PiecesDone, ToOwner};
 use crate::batch::queue::{JobKey, Lane, NextCall, Piece, Queue};
 use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, PieceInput};
 use crate::exchange::{self, Fault};
@@ -111,6 +111,8 @@
     freed: Instant,
     /// Where each connection's answers go.
     peers: HashMap<u64, Replies>,
+    /// Results that are told at the end of the turn, those of one job together.
+    outbox: HashMap<JobKey, (Replies, PiecesDone)>,
     /// Whether waiting jobs were handed back, since this entry ends.
     handed_back: bool,
     /// When backlogs were told last, and whether there were any.
@@ -131,6 +133,7 @@
             free: HashMap::new(),
             freed: Instant::now(),
             peers: HashMap::new(),
+            outbox: HashMap::new(),
             handed_back: false,
             told: (Instant::now(), false),
         };
@@ -207,8 +210,9 @@
         }
         let _ = replies.send(FromOwner::Accepted(job.id));
         let Some(spec) = spec else {
-            let failed = job.segments.iter().map(|it| (*it, Err(PieceFailure::Failed))).collect();
-            let _ = replies.send(FromOwner::Results(job.id, failed));
+            let results = job.segments.iter().map(|it| (*it, Err(PieceFailure::Failed))).collect();
+            let done = PiecesDone { id: job.id, results, ..PiecesDone::default() };
+            let _ = replies.send(FromOwner::Results(done));
             return;
         };
         self.shared.budget.request(&service, now);
@@ -288,6 +292,7 @@
             self.end_late(&service, now);
             self.send_calls(&service, now);
         }
+        self.tell_results();
         if now.duration_since(self.told.0) >= BACKLOG_PERIOD {
             self.tell_backlogs(now);
         }
@@ -304,7 +309,7 @@
         let mut late = queue.take_expired(now);
         late.append(&mut queue.take_hopeless(lanes, now));
         for piece in late {
-            self.deliver(&piece, Err(PieceFailure::Late));
+            self.deliver(&piece, Err(PieceFailure::Late), now, Duration::ZERO);
         }
     }
 
--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -1,11 +1,12 @@
 //! What comes of calls: results are delivered once, lost pieces go back into their queue.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
 use super::{CallEnd, State};
-use crate::batch::message::FromOwner;
+use crate::batch::message::{FromOwner, PiecesDone};
 use crate::batch::queue::Piece;
 use crate::dialect::{Dialect, PieceFailure, PieceResult};
 use crate::life::Life;
@@ -37,7 +38,7 @@
         let Some(service) = self.service_of(&piece) else { return };
         let entries = self.shared.entries();
         if piece.sent >= SENDS || !self.shared.budget.take(&service, 1, entries, now) {
-            self.deliver(&piece, Err(PieceFailure::Failed));
+            self.deliver(&piece, Err(PieceFailure::Failed), now, Duration::ZERO);
             return;
         }
         if let Some(queue) = self.queues.get_mut(&service) {
@@ -111,7 +112,7 @@
                 if let Some(queue) = self.queues.get_mut(&end.service) {
                     queue.kept(&end.upstream.id, piece.size, Arc::clone(&handle), now);
                 }
-                if !self.deliver(piece, Ok(Arc::clone(&handle))) {
+                if !self.deliver(piece, Ok(Arc::clone(&handle)), now, end.took) {
                     // Nobody waits for it any more.
                     self.give_up(vec![handle.to_string()]);
                 }
@@ -125,23 +126,43 @@
             Err(PieceFailure::Failed) if !requeued => self.requeue(piece.clone(), now),
             Err(PieceFailure::NoRoom | PieceFailure::Failed) => {}
             Err(failure) => {
-                self.deliver(piece, Err(failure));
+                self.deliver(piece, Err(failure), now, end.took);
             }
         }
     }
 
-    /// Answers a piece, once; returns whether somebody waited for it.
-    pub(super) fn deliver(&mut self, piece: &Piece, result: PieceResult) -> bool {
+    /// Answers a piece, once, after a call that `took` so long; returns whether somebody waits for it.
+    pub(super) fn deliver(
+        &mut self,
+        piece: &Piece,
+        result: PieceResult,
+        now: Instant,
+        took: Duration,
+    ) -> bool {
         let Some(open) = self.jobs.get_mut(&piece.job) else { return false };
         if !open.left.remove(&piece.segment) {
             return false;
         }
-        let result = result.map(|it| it.to_string());
-        let told = FromOwner::Results(piece.job.id, vec![(piece.segment, result)]);
-        let sent = open.replies.send(told).is_ok();
+        let done = PiecesDone { id: piece.job.id, ..PiecesDone::default() };
+        let entry = self.outbox.entry(piece.job);
+        let (_, done) = entry.or_insert_with(|| (open.replies.clone(), done));
+        done.results.push((piece.segment, result.map(|it| it.to_string())));
+        let wait = now.saturating_duration_since(piece.since).saturating_sub(took);
+        done.wait_ms = wait.as_millis() as u32;
+        done.call_ms = took.as_millis() as u32;
         if open.left.is_empty() {
             self.jobs.remove(&piece.job);
         }
-        sent
+        true
+    }
+
+    /// Tells the results of this turn; gives up those whose submitter is gone.
+    pub(super) fn tell_results(&mut self) {
+        for (replies, done) in std::mem::take(&mut self.outbox).into_values() {
+            let Err(unsent) = replies.send(FromOwner::Results(done)) else { continue };
+            let FromOwner::Results(done) = unsent.0 else { continue };
+            let handles = done.results.into_iter().filter_map(|it| it.1.ok());
+            self.give_up(handles.collect());
+        }
     }
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -134,6 +134,7 @@
     let engine = request.plan.services.get(&service).is_some_and(|it| it.engine.is_some());
     let (attempt, deadline) = (request.ask.attempt.clone(), request.first_by);
     let (kind, late) = (request.route.kind, request.late_watch());
+    let (route, rank) = (Arc::clone(&request.route), request.rank());
     let version = request.plan.version;
     let run = async {
         match kind {
@@ -158,7 +159,8 @@
     };
     shared.metrics.requests.with_label_values(&[name, &outcome]).inc();
     log::info!(request = attempt.as_str(), service:% = service, kind = name,
-        outcome = outcome.as_str(), plan:% = version,
+        outcome = outcome.as_str(), plan:% = version, route:% = route.name, rank,
+        target_ms = route.target.as_millis() as u64,
         age_ms = arrived.elapsed().as_millis() as u64; "answered a request");
     result
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod life;
 mod metrics;
 mod pace;
+mod phases;
 pub mod place;
 mod plain;
 pub mod plan;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,12 @@
 //! The entry's counters and histograms.
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use std::time::Duration;
+
+use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
 use types::{StepError, StepResult};
 
+use crate::phases::Phases;
+
 /// The upper ends of the latency histogram, in seconds: from a fast service to a long stream.
 const LATENCIES: [f64; 10] = [0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 20.0];
 
@@ -15,6 +19,8 @@
     pub(crate) calls: IntCounterVec,
     /// The time to the first byte of an answer, in seconds.
     pub(crate) first: Histogram,
+    /// Where the time before a first event goes, in seconds, by service and phase.
+    pub(crate) phases: HistogramVec,
     /// The version of the plan in force.
     pub(crate) version: IntGauge,
 }
@@ -27,7 +33,13 @@
         let calls = Opts::new("mothplank_gateway_calls_total", "Calls of upstreams by outcome");
         let first = HistogramOpts::new("mothplank_gateway_first_seconds", "Time to first byte")
             .buckets(LATENCIES.to_vec());
+        let phases = HistogramOpts::new(
+            "mothplank_gateway_phase_seconds",
+            "Time of stages (wait, call, way) and of engines (first event) by service",
+        )
+        .buckets(LATENCIES.to_vec());
         let it = Self {
+            phases: HistogramVec::new(phases, &["service", "phase"]).map_err(fault)?,
             requests: IntCounterVec::new(requests, &["kind", "outcome"]).map_err(fault)?,
             calls: IntCounterVec::new(calls, &["outcome"]).map_err(fault)?,
             first: Histogram::with_opts(first).map_err(fault)?,
@@ -37,7 +49,24 @@
         registry.register(Box::new(it.requests.clone())).map_err(fault)?;
         registry.register(Box::new(it.calls.clone())).map_err(fault)?;
         registry.register(Box::new(it.first.clone())).map_err(fault)?;
+        registry.register(Box::new(it.phases.clone())).map_err(fault)?;
         registry.register(Box::new(it.version.clone())).map_err(fault)?;
         Ok(it)
     }
+
+    /// Counts the phases of a request whose stages are done.
+    pub(crate) fn stages(&self, phases: &Phases) {
+        for it in &phases.0 {
+            let way = it.total.saturating_sub(it.times.wait + it.times.call);
+            for (phase, time) in [("wait", it.times.wait), ("call", it.times.call), ("way", way)] {
+                let histogram = self.phases.with_label_values(&[&*it.service, phase]);
+                histogram.observe(time.as_secs_f64());
+            }
+        }
+    }
+
+    /// Counts the time from offering a request to an engine to its first event.
+    pub(crate) fn engine(&self, service: &str, took: Duration) {
+        self.phases.with_label_values(&[service, "engine"]).observe(took.as_secs_f64());
+    }
 }
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -9,6 +9,7 @@
 
 use crate::batch::{Batches, JobSpec};
 use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput, Segments};
+use crate::phases::{Phases, StagePhase};
 use crate::plan::{Plan, Route};
 
 /// How much sooner than announced a result counts as dropped.
@@ -36,12 +37,19 @@
     handles: Vec<Handle>,
     /// When their makers drop them.
     until: Option<Instant>,
+    /// Where the time of the stages went; only for the results that an engine needs.
+    phases: Phases,
 }
 
 impl<D: Dialect> Inputs<D> {
     /// No results.
     pub(crate) fn none(batches: Arc<Batches<D>>) -> Self {
-        Self { batches, handles: Vec::new(), until: None }
+        Self { batches, handles: Vec::new(), until: None, phases: Phases::default() }
+    }
+
+    /// Where the time of the stages went.
+    pub(crate) fn phases(&self) -> &Phases {
+        &self.phases
     }
 
     /// The results.
@@ -56,15 +64,24 @@
     }
 }
 
+/// A stage that could not be done.
+pub(crate) struct StageFailure {
+    pub(crate) stage: usize,
+    pub(crate) cause: PieceFailure,
+    /// The stages that were done before.
+    pub(crate) phases: Phases,
+}
+
 /// Runs all stages; returns the results of those that no other follows.
 pub(crate) async fn run<D: Dialect>(
     batches: &Arc<Batches<D>>,
     run: &StageRun<'_>,
-) -> Result<Inputs<D>, PieceFailure> {
+) -> Result<Inputs<D>, StageFailure> {
     let count = run.route.stages.len();
     let mut done: Vec<Option<Inputs<D>>> = (0..count).map(|_| None).collect();
     let mut started = vec![false; count];
     let mut jobs = FuturesUnordered::new();
+    let mut phases = Phases::default();
     loop {
         for stage in 0..count {
             if started[stage] || !is_ready(run.route, stage, &done) {
@@ -76,23 +93,37 @@
                 continue;
             }
             let spec = spec(batches, run, stage, &done);
-            jobs.push(async move { (stage, batches.run(&spec).await) });
+            let start = Instant::now();
+            jobs.push(async move { (stage, batches.run(&spec).await, start.elapsed()) });
         }
         if done.iter().all(Option::is_some) {
             break;
         }
         match jobs.next().await {
-            Some((stage, Ok(made))) => {
+            Some((stage, Ok(made), total)) => {
+                phases.0.push(StagePhase {
+                    stage,
+                    service: Arc::clone(&run.route.stages[stage].service),
+                    pieces: pieces(run.segments, stage),
+                    times: made.times,
+                    total,
+                });
                 let until = kept_until(run, stage, made.first);
                 let batches = Arc::clone(batches);
-                done[stage] = Some(Inputs { batches, handles: made.handles, until });
+                done[stage] = Some(Inputs {
+                    batches,
+                    handles: made.handles,
+                    until,
+                    phases: Phases::default(),
+                });
             }
-            Some((_, Err(failure))) => return Err(failure),
+            Some((stage, Err(cause), _)) => return Err(StageFailure { stage, cause, phases }),
             // A stage was left out on this pass, so the next one can start.
             None => {}
         }
     }
     let mut last = Inputs::none(Arc::clone(batches));
+    last.phases = phases;
     for (stage, inputs) in done.into_iter().enumerate() {
         if run.route.stages.iter().any(|it| it.after.contains(&stage)) {
             continue;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,13 +20,14 @@
 use crate::directory::Directory;
 use crate::events::{Event, Splitter};
 use crate::exchange::{self, Cause, Fault, Opened, Read};
+use crate::phases::Phases;
 use crate::place::{Load, PlaceSpec, place};
 use crate::plain::note;
 use crate::queue::LARGE;
 use crate::reply::{Refusal, Reply, ReplyBody, strip_hop};
 use crate::request::CallerRequest;
 use crate::shared::Shared;
-use crate::stages::{self, Inputs, StageRun};
+use crate::stages::{self, Inputs, StageFailure, StageRun};
 use crate::upstream::{Lease, Running, Upstream};
 
 use self::pump::Pump;
@@ -130,7 +131,10 @@
             if inputs.is_none() {
                 inputs = Some(self.inputs(request, service, used).await?);
             }
-            let handles = inputs.as_ref().map_or(&[][..], Inputs::handles);
+            let (handles, phases) = match &inputs {
+                Some(it) => (it.handles(), it.phases().clone()),
+                None => (&[][..], Phases::default()),
+            };
             let upstream = self.choose(request, service, &used.tried);
             let Some(upstream) = upstream else {
                 return Err(if used.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
@@ -145,13 +149,14 @@
             log::info!(request = request.ask.attempt.as_str(), upstream:% = upstream.id,
                 running = upstream.running_all(), tokens = upstream.tokens_all(),
                 listed:% = self.shared.directory().listed(), inputs = handles.len(), last = last_event,
-                age_ms = request.arrived.elapsed().as_millis() as u64; "chose an engine");
+                stages:% = phases, age_ms = request.arrived.elapsed().as_millis() as u64; "chose an engine");
             let forward = request.forward::<D>(&upstream, handles, last_event);
             let fault = match open::<D>(request, &upstream, forward).await {
                 Ok(tried) => {
                     if let Some(generation) = &request.ask.generation {
                         self.shared.paces.learn(service, generation, now.elapsed());
                     }
+                    self.shared.metrics.engine(service, now.elapsed());
                     self.shared.metrics.calls.with_label_values(&["answered"]).inc();
                     return Ok(tried);
                 }
@@ -242,13 +247,17 @@
             used.stage_runs += 1;
             let run = self.stage_run(request, segments, service);
             match stages::run(&self.batches, &run).await {
-                Ok(inputs) => return Ok(inputs),
-                Err(PieceFailure::InputGone) if used.stage_runs < STAGE_RUNS => {}
-                Err(failure) => {
-                    log::info!(request = request.ask.attempt.as_str(), failure:? = failure,
-                        age_ms = request.arrived.elapsed().as_millis() as u64;
+                Ok(inputs) => {
+                    self.shared.metrics.stages(inputs.phases());
+                    return Ok(inputs);
+                }
+                Err(it) if it.cause == PieceFailure::InputGone && used.stage_runs < STAGE_RUNS => {}
+                Err(StageFailure { stage, cause, phases }) => {
+                    log::info!(request = request.ask.attempt.as_str(), stage,
+                        service:% = request.route.stages[stage].service, failure:? = cause,
+                        stages:% = phases, age_ms = request.arrived.elapsed().as_millis() as u64;
                         "a stage could not be done");
-                    return Err(match failure {
+                    return Err(match cause {
                         PieceFailure::Late => request.late(),
                         _ => Refusal::NoStage,
                     });
