Ask upstreams for their room before a new owner's first call

Change: an owner that has not called an upstream for 4 s asks it for its free room first; what is not free counts as taken by others until it ends or is given up.

Test seen red without the room of others.

--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -1,6 +1,7 @@
 //! The owner's side: queues the pieces of its services and drives the calls.
 
 mod results;
+mod room;
 mod tell;
 
 use std::collections::{HashMap, HashSet};
@@ -12,11 +13,13 @@
 
 use crate::batch::message::{FromOwner, Job, JobInput, PiecesDone, ToOwner};
 use crate::batch::queue::{JobKey, Lane, NextCall, Piece, Queue};
-use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, PieceInput};
+use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, PieceInput, RoomReport};
 use crate::exchange::{self, Fault};
 use crate::shared::Shared;
 use crate::upstream::Upstream;
 
+use self::room::Survey;
+
 /// How often waiting pieces are looked at besides events.
 const PERIOD: Duration = Duration::from_millis(25);
 
@@ -57,6 +60,8 @@
     Left(u64),
     /// A call has ended.
     Ended(CallEnd),
+    /// An upstream told its room, or gave no answer.
+    Room(Arc<Upstream>, Option<RoomReport>),
     /// An upstream was told to drop results.
     Freed(Arc<Upstream>, Vec<Handle>),
 }
@@ -106,6 +111,8 @@
     queues: HashMap<Arc<str>, Queue>,
     jobs: HashMap<JobKey, Open>,
     flying: HashMap<Arc<str>, Flying>,
+    /// What is known of the room of each upstream.
+    surveys: HashMap<Arc<str>, Survey>,
     calls: u64,
     free: HashMap<std::net::SocketAddr, Vec<Handle>>,
     freed: Instant,
@@ -129,6 +136,7 @@
             queues: HashMap::new(),
             jobs: HashMap::new(),
             flying: HashMap::new(),
+            surveys: HashMap::new(),
             calls: 0,
             free: HashMap::new(),
             freed: Instant::now(),
@@ -190,6 +198,7 @@
                 self.queues.values_mut().for_each(|it| it.drop_jobs(|key| key.origin == origin));
             }
             OwnerEvent::Ended(end) => self.ended(end),
+            OwnerEvent::Room(upstream, report) => self.take_room(&upstream, report),
             OwnerEvent::Freed(upstream, handles) => {
                 if let Some(queue) = self.queues.get_mut(&upstream.service) {
                     queue.freed(&upstream.id, &handles);
@@ -323,38 +332,47 @@
     fn send_calls(&mut self, service: &Arc<str>, now: Instant) {
         let directory = self.shared.directory();
         let upstreams = directory.service(service);
+        if self.queues.get(service).is_none_or(Queue::is_empty) {
+            return;
+        }
         let lanes: Vec<Lane> = upstreams
             .iter()
             .map(|it| Lane {
                 id: Arc::clone(&it.id),
                 domain: Arc::clone(&it.domain),
-                open: it.is_open() && !it.is_paused(now),
+                open: it.is_open() && !it.is_paused(now) && self.is_surveyed(it, now),
             })
             .collect();
         let Some(queue) = self.queues.get_mut(service) else { return };
         queue.retain(|id| upstreams.iter().any(|it| &*it.id == id));
+        let mut calls = Vec::new();
         while let Some(next) = queue.next(&lanes, now) {
+            calls.push(next);
+        }
+        for next in calls {
             let Some(upstream) = upstreams.iter().find(|it| it.id == next.upstream) else { break };
-            self.calls += 1;
-            let overdue = now + next.expected.mul_f64(OVERDUE_FACTOR) + OVERDUE;
-            let flying = Flying {
-                call: self.calls,
-                overdue,
-                pieces: next.pieces.clone(),
-                requeued: false,
-                fetched: now + FETCH,
-                told_fetched: false,
-            };
-            self.flying.insert(Arc::clone(&next.upstream), flying);
-            let (events, upstream) = (self.events.clone(), Arc::clone(upstream));
-            tokio::spawn(call::<D>(events, Arc::clone(service), upstream, self.calls, next));
+            self.send(Arc::clone(upstream), next, now);
         }
     }
+
+    fn send(&mut self, upstream: Arc<Upstream>, next: NextCall, now: Instant) {
+        self.calls += 1;
+        self.uses(&upstream.id, now);
+        let flying = Flying {
+            call: self.calls,
+            overdue: now + next.expected.mul_f64(OVERDUE_FACTOR) + OVERDUE,
+            pieces: next.pieces.clone(),
+            requeued: false,
+            fetched: now + FETCH,
+            told_fetched: false,
+        };
+        self.flying.insert(Arc::clone(&next.upstream), flying);
+        tokio::spawn(call::<D>(self.events.clone(), upstream, self.calls, next));
+    }
 }
 
 async fn call<D: Dialect>(
     events: mpsc::UnboundedSender<OwnerEvent>,
-    service: Arc<str>,
     upstream: Arc<Upstream>,
     call: u64,
     next: NextCall,
@@ -364,6 +382,7 @@
     let by = start + next.expected * CALL_FACTOR + CALL_SLACK;
     let outcome = exchange::pieces::<D>(&upstream, &calls, by).await;
     let took = start.elapsed();
+    let service = Arc::clone(&upstream.service);
     let end = CallEnd { service, upstream, call, pieces: next.pieces, took, outcome };
     // The owner's task ends only with the process.
     let _ = events.send(OwnerEvent::Ended(end));
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -71,11 +71,13 @@
     seen: Option<Instant>,
     /// Results that it keeps: their size and when they end.
     kept: Vec<(u64, Instant, Arc<str>)>,
+    /// The bytes of results of other owners that it keeps, and when they end.
+    foreign: Option<(u64, Instant)>,
 }
 
 impl Default for Memory {
     fn default() -> Self {
-        Self { busy: None, speed: 1.0, seen: None, kept: Vec::new() }
+        Self { busy: None, speed: 1.0, seen: None, kept: Vec::new(), foreign: None }
     }
 }
 
@@ -105,13 +107,15 @@
 pub struct Queue {
     spec: BatchSpec,
     waiting: Vec<Piece>,
+    /// The size of the result of the piece that came last, in bytes.
+    size: u64,
     memory: HashMap<Arc<str>, Memory>,
 }
 
 impl Queue {
     /// Makes an empty queue.
     pub fn new(spec: BatchSpec) -> Self {
-        Self { spec, waiting: Vec::new(), memory: HashMap::new() }
+        Self { spec, waiting: Vec::new(), size: 0, memory: HashMap::new() }
     }
 
     /// Takes another description of the service.
@@ -131,6 +135,7 @@
 
     /// Takes a piece.
     pub fn push(&mut self, piece: Piece) {
+        self.size = piece.size;
         self.waiting.push(piece);
     }
 
@@ -200,6 +205,7 @@
         for lane in &open {
             let memory = self.memory.entry(Arc::clone(&lane.id)).or_default();
             memory.kept.retain(|it| it.1 > now);
+            memory.foreign = memory.foreign.filter(|it| it.0 > 0 && it.1 > now);
             if memory.busy.is_none() {
                 idle.push((lane, memory.speed(now)));
             }
@@ -241,6 +247,26 @@
         }
     }
 
+    /// Takes what an upstream had free some hundred ms ago, before this queue's first call to it: the
+    /// rest is taken by results of other owners.
+    ///
+    /// Later words are no use: they may still count results that were given up since. Taken as they came,
+    /// each upstream seemed full with this queue's own results, and calls took 4 pieces of 16.
+    pub fn set_free(&mut self, upstream: &str, free: u64, now: Instant) {
+        let until = now + self.spec.ttl;
+        let taken = self.spec.room.saturating_sub(free);
+        let memory = self.memory.entry(upstream.into()).or_default();
+        if memory.kept.is_empty() && memory.busy.is_none() {
+            memory.foreign = Some((taken, until));
+        }
+    }
+
+    /// The bytes of others' results that an upstream keeps.
+    pub fn foreign(&self, upstream: &str, now: Instant) -> u64 {
+        let foreign = self.memory.get(upstream).and_then(|it| it.foreign);
+        foreign.filter(|it| now < it.1).map_or(0, |it| it.0)
+    }
+
     /// Notes a result that an upstream keeps.
     pub fn kept(&mut self, upstream: &str, size: u64, handle: Arc<str>, now: Instant) {
         let until = now + self.spec.ttl;
@@ -249,10 +275,15 @@
         }
     }
 
-    /// Notes that an upstream dropped results, as it was told to.
+    /// Notes that an upstream dropped results, as it was told to. Those that this queue doesn't know were
+    /// of another owner, and about as large as what came last.
     pub fn freed(&mut self, upstream: &str, handles: &[Arc<str>]) {
-        if let Some(memory) = self.memory.get_mut(upstream) {
-            memory.kept.retain(|it| !handles.contains(&it.2));
+        let Some(memory) = self.memory.get_mut(upstream) else { return };
+        let before = memory.kept.len();
+        memory.kept.retain(|it| !handles.contains(&it.2));
+        let others = handles.len().saturating_sub(before - memory.kept.len()) as u64;
+        if let Some((foreign, _)) = &mut memory.foreign {
+            *foreign = foreign.saturating_sub(others * self.size);
         }
     }
 
@@ -281,7 +312,7 @@
             None => 0,
         };
         let room = (self.spec.room as f64 * ROOM_SHARE) as u64;
-        let mut room = room.saturating_sub(kept);
+        let mut room = room.saturating_sub(kept + self.foreign(&lane.id, now));
         let mut chosen = Vec::new();
         let mut ahead: Vec<(&Arc<str>, usize)> = Vec::new();
         for (at, piece) in self.waiting.iter().enumerate() {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -138,12 +138,23 @@
     pub results: Vec<PieceResult>,
 }
 
+/// What an upstream of stages says of its room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RoomReport {
+    /// When its sender started, where it tells.
+    pub born: Option<Born>,
+    /// The bytes that are free for results, some hundred ms ago.
+    pub free: Option<u64>,
+}
+
 /// How the platform speaks.
 pub trait Dialect: Send + Sync + 'static {
     /// The path at which the balancer asks whether the entry is ready.
     const READY_PATH: &'static str;
     /// The path of a call with pieces.
     const PIECES_PATH: &'static str;
+    /// The path at which an upstream reports its state.
+    const REPORT_PATH: &'static str;
     /// The path of a call that gives results up.
     const FREE_PATH: &'static str;
 
@@ -177,6 +188,9 @@
     /// With what is wrong with it.
     fn results(body: &[u8]) -> Result<PieceAnswer, String>;
 
+    /// Decodes an upstream's report of its room. What can't be read tells nothing.
+    fn room(body: &[u8]) -> RoomReport;
+
     /// Encodes a call that gives results up.
     fn free(handles: &[Handle]) -> Bytes;
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
-use crate::dialect::{AnswerMarks, Dialect, Handle, PieceAnswer, PieceCall};
+use crate::dialect::{AnswerMarks, Dialect, Handle, PieceAnswer, PieceCall, RoomReport};
 use crate::upstream::{Lease, NoConnection, Upstream};
 
 /// The largest answer to one of the entry's own calls, in bytes.
@@ -224,6 +224,22 @@
     Ok(answer)
 }
 
+/// Asks an upstream for its room.
+pub(crate) async fn room<D: Dialect>(
+    upstream: &Arc<Upstream>,
+    by: Instant,
+) -> Result<RoomReport, Fault> {
+    let mut request = own_call::<D>(upstream, D::REPORT_PATH, Bytes::new(), by);
+    *request.method_mut() = Method::GET;
+    let Opened { mut response, lease, marks } = send::<D>(upstream, request, "", by).await?;
+    let body = read_short(response.body_mut(), by).await?;
+    lease.keep(marks.keep_alive);
+    match response.status() {
+        StatusCode::OK => Ok(D::room(&body)),
+        status => Err(Fault::refused(status)),
+    }
+}
+
 /// Tells an upstream that results are not needed any more.
 pub(crate) async fn free<D: Dialect>(
     upstream: &Arc<Upstream>,
--- a/crates/gateway/tests/queue.rs
+++ b/crates/gateway/tests/queue.rs
@@ -225,6 +225,46 @@
     assert_eq!(next.expected, first.expected, "it is as fast as announced again");
 }
 
+struct ForeignCase {
+    name: &'static str,
+    /// What the upstream has free before the first call, in results.
+    free: u64,
+    /// How many results of the owner before are given up then.
+    freed: usize,
+    /// How long after its word the call goes out, in ms.
+    later: u64,
+    /// The pieces of the call, of eight that wait.
+    pieces: Option<usize>,
+}
+
+const FOREIGN: &[ForeignCase] = &[
+    ForeignCase { name: "empty", free: 10, freed: 0, later: 0, pieces: Some(8) },
+    ForeignCase { name: "half full", free: 5, freed: 0, later: 0, pieces: Some(4) },
+    ForeignCase { name: "full", free: 0, freed: 0, later: 0, pieces: None },
+    ForeignCase { name: "full, some given up", free: 0, freed: 4, later: 0, pieces: Some(3) },
+    ForeignCase { name: "full, until they end", free: 0, freed: 0, later: 4_001, pieces: Some(8) },
+];
+
+/// Symptom: in the seconds after a loss of all power, or after a change of owners, stages fail.
+/// Sequence: upstreams keep results that the owner before had made. The new owner fills calls as if
+/// they were empty; pieces without room are sent again until the retry budget ends.
+/// Cause: an owner counted only what it had made itself.
+#[test]
+fn a_new_owner_leaves_room_for_what_others_keep() {
+    const RESULT: u64 = SPEC.room / 10;
+    for case in FOREIGN {
+        let now = Instant::now();
+        let mut queue = Queue::new(SPEC);
+        queue.set_free("u", case.free * RESULT, now);
+        let given = Given { pieces: 8, bytes: RESULT, due: 9_000, ..PLAIN };
+        push(&mut queue, given, now);
+        let handles: Vec<Arc<str>> = (0..case.freed).map(|it| format!("h-{it}").into()).collect();
+        queue.freed("u", &handles);
+        let next = queue.next(&[lane("u", "a")], now + Duration::from_millis(case.later));
+        assert_eq!(next.map(|it| it.pieces.len()), case.pieces, "{}", case.name);
+    }
+}
+
 struct LastCase {
     name: &'static str,
     upstreams: usize,
