Count a piece as late once its call can't end when it is due

Hypothesis: under overload the order by due times serves everything at its edge, then a little too late, for a piece counts as late only when its result is due, a call later than it can be of use.

Change: the look at lateness is taken 0.7 of a full call ahead.

--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -31,6 +31,12 @@
 /// The share of the room that is used: sizes are approximate.
 const ROOM_SHARE: f64 = 0.94;
 
+/// The share of a full call that a piece needs at least before it is due, or it counts as late. Calls
+/// under load are that long. What goes wrong otherwise: pieces whose result comes a little too late go
+/// before those that can still be in time, until all come a little too late (value of all answers on days
+/// under load of three deployments, paired: 0.600 to 0.601, 0.519 to 0.524, 0.623 to 0.636).
+const CALL_SHARE: f64 = 0.7;
+
 /// Idle upstreams up to this share of all, and one at least, wait for fuller calls. What goes wrong
 /// otherwise: the last idle one takes a call of a piece or two, and what comes a moment later waits for
 /// the end of a whole call. Value of all answers on days under load 0.587 before and 0.597 with it (15
@@ -161,7 +167,7 @@
         if lanes == 0 {
             return Vec::new();
         }
-        self.waiting.sort_by_key(|it| it.urgency(now));
+        self.sort(now);
         let (full, last) = (self.plain(self.spec.batch), self.plain(1));
         let per_turn = lanes * self.spec.batch.max(1);
         let mut ahead = 0;
@@ -199,7 +205,7 @@
         if self.waiting.is_empty() {
             return None;
         }
-        self.waiting.sort_by_key(|it| it.urgency(now));
+        self.sort(now);
         let open: Vec<&Lane> = lanes.iter().filter(|it| it.open).collect();
         let mut idle: Vec<(&Lane, f64)> = Vec::new();
         for lane in &open {
@@ -300,6 +306,12 @@
         self.memory.retain(|id, memory| memory.busy.is_some() || known(id));
     }
 
+    /// Puts the waiting pieces into their order.
+    fn sort(&mut self, now: Instant) {
+        let ready = now + self.plain(self.spec.batch).mul_f64(CALL_SHARE);
+        self.waiting.sort_by_key(|it| it.urgency(ready));
+    }
+
     /// The announced time of a call with `pieces`.
     fn plain(&self, pieces: usize) -> Duration {
         self.spec.call + self.spec.item * pieces as u32
--- a/crates/gateway/src/batch/queue/piece.rs
+++ b/crates/gateway/src/batch/queue/piece.rs
@@ -62,11 +62,12 @@
         }
     }
 
-    /// The order of pieces: those that can still be in time, by when they are due; then those that
-    /// can't. Under overload the late ones must not make the others late, too. Among them the
-    /// later stages go first, for their requests cost the most already.
-    pub(super) fn urgency(&self, now: Instant) -> (bool, std::cmp::Reverse<u32>, Instant) {
-        let late = self.due <= now;
+    /// The order of pieces whose results will be there at `ready` at the soonest: those that can still
+    /// be in time, by when they are due; then those that can't. Under overload the late ones must not
+    /// make the others late, too. Among them the later stages go first, for their requests cost the most
+    /// already.
+    pub(super) fn urgency(&self, ready: Instant) -> (bool, std::cmp::Reverse<u32>, Instant) {
+        let late = self.due <= ready;
         let stage = if late { self.stage } else { 0 };
         (late, std::cmp::Reverse(stage), self.due + RANK_DELAY * u32::from(self.rank))
     }
--- a/crates/gateway/tests/queue.rs
+++ b/crates/gateway/tests/queue.rs
@@ -97,6 +97,15 @@
         lanes: &[("u", "d")],
         next: Some(("u", &[2, 2, 2, 2, 2, 2, 2, 1])),
     },
+    Case {
+        name: "nor does what will be late after a call",
+        given: &[
+            Given { job: 1, pieces: 7, due: 200, ..PLAIN },
+            Given { job: 2, pieces: 7, due: 900, ..PLAIN },
+        ],
+        lanes: &[("u", "d")],
+        next: Some(("u", &[2, 2, 2, 2, 2, 2, 2, 1])),
+    },
     Case {
         name: "a higher rank goes first",
         given: &[
