Give the three fakes one running handle

Cause: the fake service, stage and engine had the same handle (address, faults, counts, stop, drop) and start written three times.

--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -18,6 +18,7 @@
 use types::{Fencing, Micros, Millis, ModelName, StepResult};
 
 use crate::faults::Switch;
+use crate::handle::{self, Fake, Handle};
 use crate::http::{self, Handler, Reply};
 use crate::slots::Slots;
 use crate::worker;
@@ -105,14 +106,11 @@
 }
 
 /// A running fake engine.
-#[derive(Debug)]
-pub struct Engine {
-    address: SocketAddr,
-    inner: Arc<Inner>,
-}
+pub type Engine = Handle<FakeEngine>;
 
+/// The state of a fake engine.
 #[derive(Debug)]
-struct Inner {
+pub struct FakeEngine {
     config: Config,
     slots: Slots,
     faults: Switch,
@@ -140,7 +138,7 @@
 /// The address cannot be listened on.
 pub async fn spawn(config: Config) -> StepResult<Engine> {
     let listen = config.listen;
-    let inner = Arc::new(Inner {
+    let fake = FakeEngine {
         slots: Slots::new(config.capacity),
         faults: Switch::new(config.seed),
         cache: Mutex::new(cache::Cache::new(config.blocks, config.late.into(), config.gaps)),
@@ -149,45 +147,42 @@
         last: Mutex::default(),
         counters: Counters::default(),
         config,
-    });
-    let address = http::serve(listen, inner.clone(), inner.faults.door()).await?;
-    Ok(Engine { address, inner })
+    };
+    handle::serve(listen, fake).await
 }
 
-impl Engine {
-    /// Returns where it listens.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Returns the switch of its faults.
-    pub fn faults(&self) -> &Switch {
-        &self.inner.faults
-    }
-
-    /// Returns what it has counted.
-    pub fn counts(&self) -> Counts {
-        self.inner.counts()
-    }
-
+impl Handle<FakeEngine> {
     /// Returns the order in force.
     pub fn standing(&self) -> Standing {
-        lock(&self.inner.orders).standing()
+        lock(&self.fake.orders).standing()
     }
+}
 
-    /// Ends it, with all its connections.
-    pub fn stop(&self) {
-        self.inner.faults.stop();
+impl Fake for FakeEngine {
+    type Counts = Counts;
+
+    fn faults(&self) -> &Switch {
+        &self.faults
     }
-}
 
-impl Drop for Engine {
-    fn drop(&mut self) {
-        self.stop();
+    fn counts(&self) -> Counts {
+        let read = |it: &AtomicU64| it.load(Ordering::Relaxed);
+        let it = &self.counters;
+        Counts {
+            calls: read(&it.calls),
+            refused: read(&it.refused),
+            finished: read(&it.finished),
+            cancelled: read(&it.cancelled),
+            resumed: read(&it.resumed),
+            mismatched: read(&it.mismatched),
+            tokens: read(&it.tokens),
+            busy_us: self.slots.busy().as_micros() as u64,
+            peak: self.slots.peak() as u64,
+        }
     }
 }
 
-impl Handler for Inner {
+impl Handler for FakeEngine {
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Reply {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/completions") => stream::complete(self, request).await,
@@ -216,7 +211,7 @@
     request_id: String,
 }
 
-impl Inner {
+impl FakeEngine {
     fn cancel(&self, body: &Bytes) -> Reply {
         let Ok(cancel) = serde_json::from_slice::<Cancel>(body) else {
             return http::error(StatusCode::BAD_REQUEST, "no request_id");
@@ -225,22 +220,6 @@
         let cancelled = found.is_some_and(|it| it.send(true).is_ok());
         http::json(StatusCode::OK, &serde_json::json!({"cancelled": cancelled}))
     }
-
-    fn counts(&self) -> Counts {
-        let read = |it: &AtomicU64| it.load(Ordering::Relaxed);
-        let it = &self.counters;
-        Counts {
-            calls: read(&it.calls),
-            refused: read(&it.refused),
-            finished: read(&it.finished),
-            cancelled: read(&it.cancelled),
-            resumed: read(&it.resumed),
-            mismatched: read(&it.mismatched),
-            tokens: read(&it.tokens),
-            busy_us: self.slots.busy().as_micros() as u64,
-            peak: self.slots.peak() as u64,
-        }
-    }
 }
 
 /// Locks a mutex that nothing can leave in a broken state.
--- a/crates/standins/src/engine/stream.rs
+++ b/crates/standins/src/engine/stream.rs
@@ -14,7 +14,7 @@
 use serde_json::json;
 use tokio::sync::{mpsc, watch};
 
-use super::{Inner, lock, text};
+use super::{FakeEngine, lock, text};
 use crate::faults::Fate;
 use crate::http::{self, Reply};
 
@@ -44,7 +44,7 @@
 type Part = Result<Frame<Bytes>, io::Error>;
 
 /// Answers `POST /v1/completions`.
-pub(super) async fn complete(inner: Arc<Inner>, request: Request<Bytes>) -> Reply {
+pub(super) async fn complete(inner: Arc<FakeEngine>, request: Request<Bytes>) -> Reply {
     inner.counters.calls.fetch_add(1, Ordering::Relaxed);
     let mut call = match read(&request) {
         Ok(call) => call,
@@ -93,7 +93,7 @@
     }
 }
 
-fn refusal(inner: &Inner, call: &Completion) -> Option<Reply> {
+fn refusal(inner: &FakeEngine, call: &Completion) -> Option<Reply> {
     if inner.faults.get().draining {
         return Some(http::leaving());
     }
@@ -111,7 +111,7 @@
     None
 }
 
-fn note_resume(inner: &Inner, call: &Completion) {
+fn note_resume(inner: &FakeEngine, call: &Completion) {
     inner.counters.resumed.fetch_add(1, Ordering::Relaxed);
     let delivered = call.delivered.as_deref().unwrap_or_default();
     if delivered != text::whole(&call.prompt, call.resume_from.unwrap_or(0)) {
@@ -121,7 +121,7 @@
 
 /// Runs a stream to its end, until it is cancelled or until its reader is gone.
 async fn run(
-    inner: Arc<Inner>,
+    inner: Arc<FakeEngine>,
     id: String,
     call: Completion,
     fate: Fate,
@@ -140,7 +140,12 @@
 }
 
 /// Sends the events; returns whether the stream came to its end.
-async fn send(inner: &Inner, call: &Completion, fate: &Fate, parts: &mpsc::Sender<Part>) -> bool {
+async fn send(
+    inner: &FakeEngine,
+    call: &Completion,
+    fate: &Fate,
+    parts: &mpsc::Sender<Part>,
+) -> bool {
     let Some(place) = inner.slots.take(call.priority).await else { return false };
     if fate.hang {
         std::future::pending::<()>().await;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod engine;
 pub mod faults;
+mod handle;
 mod http;
 pub mod load;
 pub mod marker;
@@ -17,4 +18,5 @@
 pub mod stage;
 mod worker;
 
+pub use handle::{Fake, Handle};
 pub use run::{Kind, run};
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -2,7 +2,6 @@
 //! `Idempotency-Key`. Any `POST` is a call; `GET /counts` gives `{"runs": {KEY: N}, ..}`.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
@@ -11,6 +10,7 @@
 use types::{Millis, StepResult};
 
 use crate::faults::Switch;
+use crate::handle::{self, Fake, Handle};
 use crate::http::{self, Handler, Reply};
 pub use crate::stage::Config;
 use crate::worker::{self, Answer, Worker};
@@ -27,14 +27,11 @@
 }
 
 /// A running fake service.
-#[derive(Debug)]
-pub struct Service {
-    address: SocketAddr,
-    inner: Arc<Inner>,
-}
+pub type Service = Handle<FakeService>;
 
+/// The state of a fake service.
 #[derive(Debug)]
-struct Inner {
+pub struct FakeService {
     worker: Worker,
     lag: Millis,
     counts: Mutex<Counts>,
@@ -46,41 +43,25 @@
 /// The address cannot be listened on.
 pub async fn spawn(config: Config) -> StepResult<Service> {
     let worker = Worker::new(config.capacity, config.queue, config.time, config.seed);
-    let inner = Arc::new(Inner { worker, lag: config.lag, counts: Mutex::default() });
-    let door = inner.worker.faults.door();
-    let address = http::serve(config.listen, inner.clone(), door).await?;
-    Ok(Service { address, inner })
+    let fake = FakeService { worker, lag: config.lag, counts: Mutex::default() };
+    handle::serve(config.listen, fake).await
 }
 
-impl Service {
-    /// Returns where it listens.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Returns the switch of its faults.
-    pub fn faults(&self) -> &Switch {
-        &self.inner.worker.faults
-    }
+impl Fake for FakeService {
+    type Counts = Counts;
 
-    /// Returns what it has counted.
-    pub fn counts(&self) -> Counts {
-        self.inner.counts()
+    fn faults(&self) -> &Switch {
+        &self.worker.faults
     }
 
-    /// Ends it, with all its connections.
-    pub fn stop(&self) {
-        self.inner.worker.faults.stop();
-    }
-}
-
-impl Drop for Service {
-    fn drop(&mut self) {
-        self.stop();
+    fn counts(&self) -> Counts {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        counts.busy_us = self.worker.slots.busy().as_micros() as u64;
+        counts
     }
 }
 
-impl Handler for Inner {
+impl Handler for FakeService {
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Reply {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/v1/load") => {
@@ -95,7 +76,7 @@
     }
 }
 
-impl Inner {
+impl FakeService {
     async fn call(&self, request: Request<Bytes>) -> Reply {
         let call = match worker::read(&request) {
             Ok(call) => call,
@@ -133,10 +114,4 @@
         *runs += 1;
         *runs
     }
-
-    fn counts(&self) -> Counts {
-        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        counts.busy_us = self.worker.slots.busy().as_micros() as u64;
-        counts
-    }
 }
--- a/crates/standins/src/stage.rs
+++ b/crates/standins/src/stage.rs
@@ -11,6 +11,7 @@
 use types::{Micros, Millis, StepResult};
 
 use crate::faults::Switch;
+use crate::handle::{self, Fake, Handle};
 use crate::http::{self, Handler, Reply};
 pub use crate::worker::ServiceTime;
 use crate::worker::{self, Answer, Worker};
@@ -62,14 +63,11 @@
 }
 
 /// A running fake stage.
-#[derive(Debug)]
-pub struct Stage {
-    address: SocketAddr,
-    inner: Arc<Inner>,
-}
+pub type Stage = Handle<FakeStage>;
 
+/// The state of a fake stage.
 #[derive(Debug)]
-struct Inner {
+pub struct FakeStage {
     worker: Worker,
     lag: Millis,
     calls: AtomicU64,
@@ -83,47 +81,35 @@
 /// The address cannot be listened on.
 pub async fn spawn(config: Config) -> StepResult<Stage> {
     let worker = Worker::new(config.capacity, config.queue, config.time, config.seed);
-    let inner = Arc::new(Inner {
+    let fake = FakeStage {
         worker,
         lag: config.lag,
         calls: AtomicU64::new(0),
         refused: AtomicU64::new(0),
         finished: AtomicU64::new(0),
-    });
-    let door = inner.worker.faults.door();
-    let address = http::serve(config.listen, inner.clone(), door).await?;
-    Ok(Stage { address, inner })
+    };
+    handle::serve(config.listen, fake).await
 }
 
-impl Stage {
-    /// Returns where it listens.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
+impl Fake for FakeStage {
+    type Counts = Counts;
 
-    /// Returns the switch of its faults.
-    pub fn faults(&self) -> &Switch {
-        &self.inner.worker.faults
+    fn faults(&self) -> &Switch {
+        &self.worker.faults
     }
 
-    /// Returns what it has counted.
-    pub fn counts(&self) -> Counts {
-        self.inner.counts()
-    }
-
-    /// Ends it, with all its connections.
-    pub fn stop(&self) {
-        self.inner.worker.faults.stop();
-    }
-}
-
-impl Drop for Stage {
-    fn drop(&mut self) {
-        self.stop();
+    fn counts(&self) -> Counts {
+        Counts {
+            calls: self.calls.load(Ordering::Relaxed),
+            refused: self.refused.load(Ordering::Relaxed),
+            finished: self.finished.load(Ordering::Relaxed),
+            busy_us: self.worker.slots.busy().as_micros() as u64,
+            peak: self.worker.slots.peak() as u64,
+        }
     }
 }
 
-impl Handler for Inner {
+impl Handler for FakeStage {
     async fn handle(self: Arc<Self>, request: Request<Bytes>) -> Reply {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/stage") => self.stage(request).await,
@@ -138,7 +124,7 @@
     }
 }
 
-impl Inner {
+impl FakeStage {
     async fn stage(&self, request: Request<Bytes>) -> Reply {
         self.calls.fetch_add(1, Ordering::Relaxed);
         let call = match worker::read(&request) {
@@ -162,16 +148,6 @@
         let answer = Answer { call: call.call, output, busy_us: busy.as_micros() as u64 };
         self.worker.reply(answer, &fate).await
     }
-
-    fn counts(&self) -> Counts {
-        Counts {
-            calls: self.calls.load(Ordering::Relaxed),
-            refused: self.refused.load(Ordering::Relaxed),
-            finished: self.finished.load(Ordering::Relaxed),
-            busy_us: self.worker.slots.busy().as_micros() as u64,
-            peak: self.worker.slots.peak() as u64,
-        }
-    }
 }
 
 fn failed(call: &str) -> Reply {
