Split what a queue knows of an upstream from the queue

Change: queue/record.rs holds the record with a type for a kept result in place of a tuple; 'hopeless' pieces are infeasible ones, the field's term.

--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -316,7 +316,7 @@
         let lanes = self.lanes(service, now);
         let Some(queue) = self.queues.get_mut(service) else { return };
         let mut late = queue.take_expired(now);
-        late.append(&mut queue.take_hopeless(lanes, now));
+        late.append(&mut queue.take_infeasible(lanes, now));
         for piece in late {
             self.deliver(&piece, Err(PieceFailure::Late), now, Duration::ZERO);
         }
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -1,6 +1,7 @@
 //! Decides which pieces go into the next call, and where. Time is passed in; no I/O.
 
 mod piece;
+mod record;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -11,6 +12,7 @@
 use crate::plan::BatchSpec;
 
 pub use self::piece::{JobKey, Piece};
+use self::record::Record;
 
 /// Results from this size on are worth waiting for a maker in the domain that uses them, in bytes.
 pub(crate) const LARGE: u64 = 200_000;
@@ -25,12 +27,6 @@
 /// them, in the mean of days under load.
 const EFFICIENCY: f64 = 0.8;
 
-/// For how long room that turned out to be taken counts as taken.
-const CROWDED: Duration = Duration::from_millis(700);
-
-/// The share of the room that is used: sizes are approximate.
-const ROOM_SHARE: f64 = 0.94;
-
 /// The share of a full call that a piece needs at least before it is due, or it counts as late. Calls
 /// under load are that long. What goes wrong otherwise: pieces whose result comes a little too late go
 /// before those that can still be in time, until all come a little too late (value of all answers on days
@@ -46,12 +42,6 @@
 /// How long they wait, as a share of the fixed time of a call.
 const MORE_SHARE: f64 = 0.25;
 
-/// The weight of the latest call in an upstream's speed.
-const SPEED_WEIGHT: f64 = 0.4;
-
-/// In which time half of what an upstream was slower fades from memory.
-const FADE: Duration = Duration::from_millis(1_500);
-
 /// An upstream this many times slower than announced gets work only where it ends soonest.
 const SLOW: f64 = 1.5;
 
@@ -66,37 +56,6 @@
     pub open: bool,
 }
 
-/// What the queue remembers of an upstream.
-#[derive(Clone, Debug)]
-struct Memory {
-    /// Until when its present call is likely to take.
-    busy: Option<Instant>,
-    /// Its time for a call over the announced one, as of `seen`.
-    speed: f64,
-    /// When a call of it ended last.
-    seen: Option<Instant>,
-    /// Results that it keeps: their size and when they end.
-    kept: Vec<(u64, Instant, Arc<str>)>,
-    /// The bytes of results of other owners that it keeps, and when they end.
-    foreign: Option<(u64, Instant)>,
-}
-
-impl Default for Memory {
-    fn default() -> Self {
-        Self { busy: None, speed: 1.0, seen: None, kept: Vec::new(), foreign: None }
-    }
-}
-
-impl Memory {
-    /// The speed that is likely now. What goes wrong without the fading: an upstream that was slow
-    /// for a while gets no calls, so nobody learns that it is well again.
-    fn speed(&self, now: Instant) -> f64 {
-        let Some(seen) = self.seen else { return self.speed };
-        let halves = now.saturating_duration_since(seen).as_secs_f64() / FADE.as_secs_f64();
-        1.0 + (self.speed - 1.0) * 0.5f64.powf(halves)
-    }
-}
-
 /// A call that should go out now.
 #[derive(Clone, Debug)]
 pub struct NextCall {
@@ -115,13 +74,13 @@
     waiting: Vec<Piece>,
     /// The size of the result of the piece that came last, in bytes.
     size: u64,
-    memory: HashMap<Arc<str>, Memory>,
+    records: HashMap<Arc<str>, Record>,
 }
 
 impl Queue {
     /// Makes an empty queue.
     pub fn new(spec: BatchSpec) -> Self {
-        Self { spec, waiting: Vec::new(), size: 0, memory: HashMap::new() }
+        Self { spec, waiting: Vec::new(), size: 0, records: HashMap::new() }
     }
 
     /// Takes another description of the service.
@@ -163,7 +122,7 @@
     /// Removes the pieces that can't be made before their deadline, for `lanes` upstreams work on
     /// those before them. What goes wrong otherwise: in a long burst late requests wait for nothing
     /// until their callers leave, who could have tried again, and what was made for them is lost.
-    pub fn take_hopeless(&mut self, lanes: usize, now: Instant) -> Vec<Piece> {
+    pub fn take_infeasible(&mut self, lanes: usize, now: Instant) -> Vec<Piece> {
         if lanes == 0 {
             return Vec::new();
         }
@@ -171,13 +130,13 @@
         let (full, last) = (self.plain(self.spec.batch), self.plain(1));
         let per_turn = lanes * self.spec.batch.max(1);
         let mut ahead = 0;
-        let hopeless = |piece: &mut Piece| {
+        let infeasible = |piece: &mut Piece| {
             let turns = ahead / per_turn;
             let misses = now + full * turns as u32 + last > piece.deadline;
             ahead += usize::from(!misses);
             misses
         };
-        self.waiting.extract_if(.., hopeless).collect()
+        self.waiting.extract_if(.., infeasible).collect()
     }
 
     /// Removes all pieces of jobs that `dead` tells.
@@ -209,11 +168,10 @@
         let open: Vec<&Lane> = lanes.iter().filter(|it| it.open).collect();
         let mut idle: Vec<(&Lane, f64)> = Vec::new();
         for lane in &open {
-            let memory = self.memory.entry(Arc::clone(&lane.id)).or_default();
-            memory.kept.retain(|it| it.1 > now);
-            memory.foreign = memory.foreign.filter(|it| it.0 > 0 && it.1 > now);
-            if memory.busy.is_none() {
-                idle.push((lane, memory.speed(now)));
+            let record = self.records.entry(Arc::clone(&lane.id)).or_default();
+            record.expire(now);
+            if record.busy.is_none() {
+                idle.push((lane, record.speed(now)));
             }
         }
         idle.sort_by(|a, b| a.1.total_cmp(&b.1));
@@ -235,21 +193,18 @@
 
     /// Notes that a call of `pieces` has ended; `took` tells its time where it was a whole one.
     pub fn ended(&mut self, upstream: &str, pieces: usize, took: Option<Duration>, now: Instant) {
-        let plain = self.plain(pieces).as_secs_f64();
-        let Some(memory) = self.memory.get_mut(upstream) else { return };
-        memory.busy = None;
+        let plain = self.plain(pieces);
+        let Some(record) = self.records.get_mut(upstream) else { return };
+        record.busy = None;
         if let Some(took) = took {
-            let speed = took.as_secs_f64() / plain.max(0.001);
-            let before = memory.speed(now);
-            memory.speed = before + SPEED_WEIGHT * (speed.clamp(0.3, 20.0) - before);
-            memory.seen = Some(now);
+            record.learn(plain, took, now);
         }
     }
 
     /// Forgets what an upstream kept and how fast it was: it has started again.
     pub fn reborn(&mut self, upstream: &str) {
-        if let Some(memory) = self.memory.get_mut(upstream) {
-            *memory = Memory { busy: memory.busy, ..Memory::default() };
+        if let Some(record) = self.records.get_mut(upstream) {
+            *record = record.reborn();
         }
     }
 
@@ -261,49 +216,41 @@
     pub fn set_free(&mut self, upstream: &str, free: u64, now: Instant) {
         let until = now + self.spec.ttl;
         let taken = self.spec.room.saturating_sub(free);
-        let memory = self.memory.entry(upstream.into()).or_default();
-        if memory.kept.is_empty() && memory.busy.is_none() {
-            memory.foreign = Some((taken, until));
-        }
+        self.records.entry(upstream.into()).or_default().set_foreign(taken, until);
     }
 
     /// The bytes of others' results that an upstream keeps.
     pub fn foreign(&self, upstream: &str, now: Instant) -> u64 {
-        let foreign = self.memory.get(upstream).and_then(|it| it.foreign);
-        foreign.filter(|it| now < it.1).map_or(0, |it| it.0)
+        self.records.get(upstream).map_or(0, |it| it.foreign(now))
     }
 
     /// Notes a result that an upstream keeps.
     pub fn kept(&mut self, upstream: &str, size: u64, handle: Arc<str>, now: Instant) {
         let until = now + self.spec.ttl;
-        if let Some(memory) = self.memory.get_mut(upstream) {
-            memory.kept.push((size, until, handle));
+        if let Some(record) = self.records.get_mut(upstream) {
+            record.keep(size, handle, until);
         }
     }
 
     /// Notes that an upstream dropped results, as it was told to. Those that this queue doesn't know were
     /// of another owner, and about as large as what came last.
     pub fn freed(&mut self, upstream: &str, handles: &[Arc<str>]) {
-        let Some(memory) = self.memory.get_mut(upstream) else { return };
-        let before = memory.kept.len();
-        memory.kept.retain(|it| !handles.contains(&it.2));
-        let others = handles.len().saturating_sub(before - memory.kept.len()) as u64;
-        if let Some((foreign, _)) = &mut memory.foreign {
-            *foreign = foreign.saturating_sub(others * self.size);
+        if let Some(record) = self.records.get_mut(upstream) {
+            record.remove(handles, self.size);
         }
     }
 
     /// Notes that an upstream had no room for a result: it keeps some that this queue doesn't know
     /// of, from an owner before or with another size.
     pub fn crowded(&mut self, upstream: &str, size: u64, now: Instant) {
-        if let Some(memory) = self.memory.get_mut(upstream) {
-            memory.kept.push((size, now + CROWDED, Arc::from("")));
+        if let Some(record) = self.records.get_mut(upstream) {
+            record.crowd(size, now);
         }
     }
 
     /// Forgets upstreams that are gone.
     pub fn retain(&mut self, known: impl Fn(&str) -> bool) {
-        self.memory.retain(|id, memory| memory.busy.is_some() || known(id));
+        self.records.retain(|id, record| record.busy.is_some() || known(id));
     }
 
     /// Puts the waiting pieces into their order.
@@ -319,12 +266,8 @@
 
     /// The pieces for a call to `lane`, by their place in the queue.
     fn choose(&self, lane: &Lane, open: &[&Lane], now: Instant) -> Vec<usize> {
-        let kept: u64 = match self.memory.get(&lane.id) {
-            Some(memory) => memory.kept.iter().map(|it| it.0).sum(),
-            None => 0,
-        };
-        let room = (self.spec.room as f64 * ROOM_SHARE) as u64;
-        let mut room = room.saturating_sub(kept + self.foreign(&lane.id, now));
+        let record = self.records.get(&lane.id);
+        let mut room = record.map_or(0, |it| it.free(self.spec.room, now));
         let mut chosen = Vec::new();
         let mut ahead: Vec<(&Arc<str>, usize)> = Vec::new();
         for (at, piece) in self.waiting.iter().enumerate() {
@@ -362,7 +305,7 @@
             return false;
         }
         let near = open.iter().filter(|it| it.domain == *domain);
-        let busy = near.map(|it| self.memory.get(&it.id).and_then(|it| it.busy).unwrap_or(now));
+        let busy = near.map(|it| self.records.get(&it.id).and_then(|it| it.busy).unwrap_or(now));
         let busy: Vec<Instant> = busy.collect();
         let Some(first) = busy.iter().min() else { return false };
         let before = match ahead.iter_mut().find(|it| it.0 == domain) {
@@ -391,9 +334,9 @@
         now: Instant,
     ) -> bool {
         open.iter().filter(|it| it.id != lane.id).any(|it| {
-            let memory = self.memory.get(&it.id);
-            let speed = memory.map_or(1.0, |it| it.speed(now));
-            let busy = memory.and_then(|it| it.busy).unwrap_or(now);
+            let record = self.records.get(&it.id);
+            let speed = record.map_or(1.0, |it| it.speed(now));
+            let busy = record.and_then(|it| it.busy).unwrap_or(now);
             busy.max(now) + plain.mul_f64(speed) < by
         })
     }
@@ -412,8 +355,8 @@
             pieces.push(piece);
         }
         pieces.reverse();
-        let memory = self.memory.entry(Arc::clone(&lane.id)).or_default();
-        memory.busy = Some(now + expected);
+        let record = self.records.entry(Arc::clone(&lane.id)).or_default();
+        record.busy = Some(now + expected);
         NextCall { upstream: Arc::clone(&lane.id), pieces, expected }
     }
 }
--- a/crates/gateway/tests/queue.rs
+++ b/crates/gateway/tests/queue.rs
@@ -322,7 +322,7 @@
     }
 }
 
-struct Hopeless {
+struct Infeasible {
     name: &'static str,
     pieces: u32,
     lanes: usize,
@@ -331,11 +331,11 @@
 
 /// A full call takes 360 ms and the last one 220 ms at least, so 11 calls begin in time for a deadline
 /// in 4 s.
-const HOPELESS: &[Hopeless] = &[
-    Hopeless { name: "all can be made", pieces: 88, lanes: 1, ended: 0 },
-    Hopeless { name: "some can't", pieces: 200, lanes: 1, ended: 112 },
-    Hopeless { name: "more upstreams make more", pieces: 200, lanes: 2, ended: 24 },
-    Hopeless { name: "no upstream tells nothing", pieces: 200, lanes: 0, ended: 0 },
+const INFEASIBLE: &[Infeasible] = &[
+    Infeasible { name: "all can be made", pieces: 88, lanes: 1, ended: 0 },
+    Infeasible { name: "some can't", pieces: 200, lanes: 1, ended: 112 },
+    Infeasible { name: "more upstreams make more", pieces: 200, lanes: 2, ended: 24 },
+    Infeasible { name: "no upstream tells nothing", pieces: 200, lanes: 0, ended: 0 },
 ];
 
 /// Symptom: callers wait in a burst until they leave, and what was made for them is thrown away.
@@ -343,11 +343,11 @@
 /// Cause: a piece that can't be made in time ends only at its deadline.
 #[test]
 fn a_piece_that_cannot_be_made_in_time_ends_at_once() {
-    for case in HOPELESS {
+    for case in INFEASIBLE {
         let now = Instant::now();
         let mut queue = Queue::new(SPEC);
         push(&mut queue, Given { pieces: case.pieces, ..PLAIN }, now);
-        let ended = queue.take_hopeless(case.lanes, now);
+        let ended = queue.take_infeasible(case.lanes, now);
         assert_eq!(ended.len(), case.ended, "{}", case.name);
         assert_eq!(queue.len() + ended.len(), case.pieces as usize, "{}", case.name);
     }
