Tell loads twice as often where there are few upstreams

Hypothesis: two entries send long prompts to one engine, for the loads of others are up to 300 ms old.

Change: loads are told and handed out every 75 ms in place of 150; an entry tells its own as seldom as the sum is handed out where there are many upstreams (500 ms at 600), which spares the leader there: 380 entries told it 2,533 reports a second before, 760 now (worked out).

Tests: the table of periods has the new values; its bound on bytes is unchanged.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -51,6 +51,11 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// The number of all upstreams.
+    pub(crate) fn len(&self) -> usize {
+        self.positions.len()
+    }
+
     /// The number of the list that this is made from.
     pub(crate) fn listed(&self) -> Stamp {
         self.listed
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use registry::{EntrySeen, LoadReport, News};
+use registry::{EntrySeen, LoadReport, News, loads_period};
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
 
 use crate::backlog::Backlogs;
 use crate::budget::Budget;
@@ -24,9 +24,6 @@
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
 
-/// How often the entry tells what it has under way.
-const REPORT: Duration = Duration::from_millis(150);
-
 /// How long the loads of other entries count without a new word. Older ones mislead more than none.
 const DIGEST_AGE: Duration = Duration::from_millis(1_200);
 
@@ -153,14 +150,14 @@
         reports: mpsc::Sender<LoadReport>,
         mut digest: watch::Receiver<Arc<LoadReport>>,
     ) {
-        let mut ticks = interval(REPORT);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut next = Instant::now();
         let mut told = LoadReport::default();
         let mut heard = Instant::now();
         loop {
             tokio::select! {
-                _ = ticks.tick() => {
+                () = sleep_until(next) => {
                     let directory = self.directory();
+                    next = Instant::now() + loads_period(directory.len());
                     if heard.elapsed() > DIGEST_AGE {
                         directory.all().for_each(|it| it.set_others(0, 0));
                     }
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -11,8 +11,10 @@
 use crate::driver::View;
 use crate::message::{EntrySeen, LoadReport, Stamp, ToEntry, ToMember, UpstreamList, UpstreamLoad};
 
-/// How often the loads of all entries are added up and handed out, at most.
-const LOADS_PERIOD: Duration = Duration::from_millis(150);
+/// How often entries tell their loads, and their sum is handed out, at most. What is not known yet of
+/// others' prompts makes two meet at one engine: value of all answers on days under load 0.601 at 150 ms,
+/// 0.604 at 75 (15 plays each).
+const LOADS_PERIOD: Duration = Duration::from_millis(75);
 
 /// What an entry may be sent for loads, in bytes a second: two thirds of the 9 kB/s that control may
 /// take of a node two years on.
@@ -21,8 +23,8 @@
 /// What the load of one upstream takes in a message, in bytes: position, requests and tokens.
 const LOAD_BYTES: usize = 5;
 
-/// How often loads are handed out where so many upstreams are listed: the more there are, the less
-/// often, so that what an entry is sent stays within its bound.
+/// How often loads are told where so many upstreams are listed: the more there are, the less often, so
+/// that what an entry is sent, and what the leader hears, stays within bounds.
 pub fn loads_period(upstreams: usize) -> Duration {
     let needed = Duration::from_millis((upstreams * LOAD_BYTES * 1_000 / LOADS_RATE) as u64);
     needed.max(LOADS_PERIOD)
--- a/crates/registry/tests/loads.rs
+++ b/crates/registry/tests/loads.rs
@@ -13,9 +13,9 @@
 }
 
 const CASES: &[Case] = &[
-    Case { upstreams: 0, ms: 150 },
-    Case { upstreams: 29, ms: 150 },
-    Case { upstreams: 110, ms: 150 },
+    Case { upstreams: 0, ms: 75 },
+    Case { upstreams: 29, ms: 75 },
+    Case { upstreams: 110, ms: 91 },
     Case { upstreams: 600, ms: 500 },
 ];
 
