--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -213,7 +213,7 @@
     ///
     /// Later reports are no use: they may still count results that were given up since. Taken as they
     /// came, each upstream seemed full with this queue's own results, and a call took 4.3 pieces in the
-    /// mean where it takes 9 now.
+    /// mean where it takes 8.3 now.
     pub fn set_free(&mut self, upstream: &str, free: u64, now: Instant) {
         let until = now + self.spec.ttl;
         let taken = self.spec.room.saturating_sub(free);
