Log who is asked for a plan and what arrives; timeline of a late change

Its logs could not tell whether an entry learns late of a version, asks several members, or reads too slowly: the way of a plan to an entry wrote no line. Two lines are added, no logic is changed.

Conclusion: requests that are repeated after a fixed 250 ms while a text takes 660 ms fill the link.

--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -265,6 +265,7 @@
                 self.show();
             }
             ToEntry::Plan { version, text } => {
+                self.note_plan(from, version, text.len());
                 self.fetch = None;
                 if self.text.as_ref().is_none_or(|(it, _)| *it < version) {
                     self.text = Some((version, Arc::new(text)));
@@ -280,6 +281,14 @@
         }
     }
 
+    /// Logs the arrival of a plan. A copy that is not newer tells of a repeated request: it took the
+    /// entry's link for nothing.
+    fn note_plan(&self, from: SocketAddr, version: Version, bytes: usize) {
+        let known = self.text.as_ref().is_some_and(|(it, _)| *it >= version);
+        let ms = self.fetch.map_or(0, |(_, _, at)| at.elapsed().as_millis() as u64);
+        log::info!(version:% = version, peer:% = from, bytes, known, ms; "a plan arrived");
+    }
+
     /// Takes what another entry passes on. Loads still go to the leader of before, if any.
     fn take_relay(&self, relay: Relay) {
         let (seated, listed) = (relay.seated, relay.upstreams.stamp);
@@ -366,6 +375,9 @@
         for holder in holders {
             let Some(Some(sender)) = self.links.get(&holder) else { continue };
             if sender.try_send(&ToMember::Fetch(newest)).is_ok() {
+                let again = self.fetch.is_some();
+                log::info!(version:% = newest, peer:% = holder, held:% = have, again;
+                    "asked a member for a plan");
                 self.fetch = Some((newest, holder, Instant::now()));
                 return;
             }
