--- a/crates/registry/tests/env/mod.rs
+++ b/crates/registry/tests/env/mod.rs
@@ -1,5 +1,7 @@
 //! Members on loopback.
 
+#![allow(dead_code)] // Each test program uses its own part of this.
+
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -84,8 +86,13 @@
         started.expect("a member")
     }
 
-    /// Starts a follower.
+    /// Starts a follower of the members.
     pub(crate) fn follower(&self) -> Follower {
+        self.follower_of(self.seeds())
+    }
+
+    /// Starts a follower of what is at these addresses.
+    pub(crate) fn follower_of(&self, seeds: Vec<SocketAddr>) -> Follower {
         let config = FollowerConfig {
             entry: registry::EntrySeen {
                 name: "entry-1".to_owned(),
@@ -93,7 +100,7 @@
                 domain: "d".to_owned(),
             },
             vm: "entry-1".parse().expect("a name"),
-            seeds: self.seeds(),
+            seeds,
         };
         Follower::spawn(config, deployment_secret())
     }
