Send a plan to an entry in parts, from one member, as a difference

Cause: an entry gave a whole plan 250 ms and then asked the next member, without taking the first question back. 822 kB take 660 ms on a link of 10 Mbit/s, so it was sent every version by all members, several times over; the next version waited behind the copies. Class: a repetition by a fixed time of something that grows, which makes the cause of the delay worse (retry amplification), and whole state sent for a small change.

Change: the entry asks one member at a time for parts of 32 kB; the time is given to a part and doubled where it is missed; what has arrived is kept when another member goes on; a plan that has begun is finished before a newer one. Members pack a difference from the plan that the entry has (fast_rsync) or the whole, compressed (lz4_flex), once for all entries, from their eight newest plans. A checksum tells that the text is the one that was sent. Entries of the release before are still answered in one piece.

Ruled out: a longer time for the whole (a member that is cut off would hold a plan up as long), whole text alone compressed (112 kB for each moved route), zstd with the old text as dictionary (needs a C compiler). On the way: a difference from a member's empty first state was taken for a whole plan, and asked for again 300 times a second; the base is now optional, a broken parcel is followed by a pause, both tested.

--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -1,22 +1,24 @@
 //! An entry's side: follows every member it can reach.
 //!
 //! All members are followed at once, so that one that is cut off, frozen or stalled holds nothing
-//! up; a plan travels once, from the first member that tells of it.
+//! up; a plan travels once, from one member at a time, in parts.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use types::{Version, VmName};
 use wire::{Hello, Kind, Secret, Sender};
 
+use crate::fetch::Fetch;
 use crate::message::{
     EntrySeen, LoadReport, Relay, Stamp, ToEntry, ToMember, Upstream, UpstreamList,
 };
+use crate::parcel::Part;
 
 /// The most members that are followed at once.
 const MEMBERS: usize = 7;
@@ -29,9 +31,6 @@
 /// with 700 ms, entries found members 1.1 s after a loss of all power, up to 0.9 s late.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// How long a plan that was asked for may take before it is asked for elsewhere.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// How often waiting plans and missing members are looked at.
 const PERIOD: Duration = Duration::from_millis(100);
 
@@ -156,7 +155,7 @@
     /// The version each member holds, and whether it is up to date.
     held: HashMap<SocketAddr, (Version, bool)>,
     text: Option<(Version, Arc<Vec<u8>>)>,
-    fetch: Option<(Version, SocketAddr, Instant)>,
+    fetch: Fetch,
     /// The member that sent the newest list: the leader.
     leader: Option<SocketAddr>,
 }
@@ -170,6 +169,7 @@
     let Channels { news, loads, mut left, mut reported, mut relayed } = channels;
     let (events, mut incoming) = mpsc::channel(256);
     let me = Hello { kind: Kind::Entry, vm: config.vm.clone(), node: rand::random() };
+    let fetch = Fetch::new(me.node as usize);
     let mut state = Loop {
         config,
         secret,
@@ -182,7 +182,7 @@
         members: Vec::new(),
         held: HashMap::new(),
         text: None,
-        fetch: None,
+        fetch,
         leader: None,
     };
     let mut ticks = interval(PERIOD);
@@ -230,6 +230,7 @@
                     log::warn!(peer:% = address; "lost a member");
                 }
                 self.held.remove(&address);
+                self.fetch.lost(address);
                 self.count();
             }
             Event::Message(address, message) => self.take_message(address, message),
@@ -264,13 +265,10 @@
                 self.held.insert(from, (version, current));
                 self.show();
             }
-            ToEntry::Plan { version, text } => {
-                self.note_plan(from, version, text.len());
-                self.fetch = None;
-                if self.text.as_ref().is_none_or(|(it, _)| *it < version) {
-                    self.text = Some((version, Arc::new(text)));
-                }
-                self.show();
+            ToEntry::Part(part) => self.take_part(from, part),
+            ToEntry::Plan { version, .. } => {
+                log::warn!(version:% = version, peer:% = from;
+                    "a member sent a plan in one piece, which this entry never asks for");
             }
             ToEntry::Upstreams(list) => self.take_upstreams(from, list),
             ToEntry::Loads(loads) => {
@@ -281,12 +279,21 @@
         }
     }
 
-    /// Logs the arrival of a plan. A copy that is not newer tells of a repeated request: it took the
-    /// entry's link for nothing.
-    fn note_plan(&self, from: SocketAddr, version: Version, bytes: usize) {
-        let known = self.text.as_ref().is_some_and(|(it, _)| *it >= version);
-        let ms = self.fetch.map_or(0, |(_, _, at)| at.elapsed().as_millis() as u64);
-        log::info!(version:% = version, peer:% = from, bytes, known, ms; "a plan arrived");
+    fn take_part(&mut self, from: SocketAddr, part: Part) {
+        let (base, sent) = (part.label.base.unwrap_or(Version(0)), part.label.size);
+        let held = self.text.as_ref();
+        let text = held.map_or(&[][..], |it| it.1.as_slice());
+        match self.fetch.take(from, part, held.map(|it| it.0), text, Instant::now()) {
+            Ok(None) => {}
+            Ok(Some((version, text))) => {
+                log::info!(version:% = version, peer:% = from, base:% = base, sent,
+                    bytes = text.len(); "a plan arrived");
+                self.text = Some((version, Arc::new(text)));
+                self.show();
+            }
+            Err(error) => log::error!(cause:% = error, base:% = base;
+                "a plan could not be unpacked; the whole text is asked for"),
+        }
     }
 
     /// Takes what another entry passes on. Loads still go to the leader of before, if any.
@@ -353,35 +360,21 @@
 
     /// Asks for the newest plan that some member holds.
     fn fetch(&mut self) {
-        let have = self.text.as_ref().map_or(Version(0), |(it, _)| *it);
-        let Some(newest) = self.held.values().map(|it| it.0).max().filter(|it| *it > have) else {
-            return;
-        };
-        let late = match self.fetch {
-            Some((version, _, at)) => version < newest || at.elapsed() > FETCH_TIMEOUT,
-            None => true,
-        };
-        if !late {
-            return;
-        }
-        let avoid = self.fetch.map(|it| it.1);
-        let holders = self.held.iter().filter(|(_, it)| it.0 == newest).map(|(it, _)| *it);
-        let mut holders: Vec<SocketAddr> = holders.collect();
-        holders.sort_by_key(|it| (Some(*it) == avoid, *it));
-        let spread = self.me.node as usize % holders.len().max(1);
-        if avoid.is_none() {
-            holders.rotate_left(spread);
-        }
-        for holder in holders {
-            let Some(Some(sender)) = self.links.get(&holder) else { continue };
-            if sender.try_send(&ToMember::Fetch(newest)).is_ok() {
-                let again = self.fetch.is_some();
-                log::info!(version:% = newest, peer:% = holder, held:% = have, again;
-                    "asked a member for a plan");
-                self.fetch = Some((newest, holder, Instant::now()));
-                return;
-            }
+        let have = self.text.as_ref().map(|it| it.0);
+        let holders: Vec<_> = self.held.iter().map(|(peer, it)| (*peer, it.0)).collect();
+        let now = Instant::now();
+        let Some((question, peers)) = self.fetch.due(have, &holders, now) else { return };
+        let message = ToMember::Ask(question);
+        let reached = peers.into_iter().find(|it| {
+            let sender = self.links.get(it).and_then(Option::as_ref);
+            sender.is_some_and(|it| it.try_send(&message).is_ok())
+        });
+        let Some(peer) = reached else { return };
+        if question.begun.is_none() {
+            log::info!(version:% = question.version, peer:% = peer, held:% = have.unwrap_or(Version(0));
+                "asked a member for a plan");
         }
+        self.fetch.asked(peer, now);
     }
 }
 
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -1,7 +1,7 @@
 //! Hands the plan, the upstreams and the entries to the entries that are connected.
 
 use std::collections::{BTreeMap, HashMap};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -10,6 +10,7 @@
 
 use crate::driver::View;
 use crate::message::{EntrySeen, LoadReport, Stamp, ToEntry, ToMember, UpstreamList, UpstreamLoad};
+use crate::texts::Texts;
 
 /// How often entries tell their loads, and their sum is handed out, at most. What is not known yet of
 /// others' prompts makes two meet at one engine: value of all answers on days under load 0.601 at 150 ms,
@@ -44,6 +45,7 @@
     seen: Mutex<HashMap<u64, EntrySeen>>,
     loads: Mutex<HashMap<u64, LoadReport>>,
     digest: watch::Sender<Arc<LoadReport>>,
+    texts: Mutex<Texts>,
 }
 
 impl Hub {
@@ -53,9 +55,14 @@
             seen: Mutex::default(),
             loads: Mutex::default(),
             digest: watch::Sender::default(),
+            texts: Mutex::default(),
         }
     }
 
+    fn texts(&self) -> MutexGuard<'_, Texts> {
+        self.texts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Hands out another list of upstreams.
     pub(crate) fn set_upstreams(&self, list: UpstreamList) {
         self.handout.send_modify(|it| it.upstreams = list);
@@ -146,6 +153,9 @@
         let mut told = Told::default();
         loop {
             let seen = view.borrow_and_update().clone();
+            if told.held.is_none_or(|it| it.0 < seen.held.version) {
+                self.texts().note(&seen.held);
+            }
             told.tell_view(sender, &seen).await?;
             let current = handout.borrow_and_update().clone();
             if seen.leads() {
@@ -171,6 +181,12 @@
                             sender.send(&ToEntry::Plan { version, text }).await?;
                         }
                     }
+                    Some(ToMember::Ask(question)) => {
+                        let part = self.texts().answer(&question);
+                        if let Some(part) = part {
+                            sender.send(&ToEntry::Part(part)).await?;
+                        }
+                    }
                     None => return Ok(()),
                 },
             }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -5,7 +5,9 @@
 //! voters that are gone. The leader reads the platform's list of upstreams and hands it out.
 //! Entries follow every member they can reach and use the newest of what they are told.
 
+pub mod fetch;
 pub mod message;
+pub mod parcel;
 pub mod plan;
 
 mod current;
@@ -17,6 +19,7 @@
 mod peers;
 mod reader;
 mod repair;
+mod texts;
 
 pub use current::CurrentView;
 pub use follow::{Follower, FollowerConfig, News};
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use types::{NodeId, Version};
 
+use crate::parcel::{Label, Part};
+
 /// What one member sends another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -33,8 +35,31 @@
     Leave,
     /// What the entry has under way at upstreams.
     Loads(LoadReport),
-    /// Asks for the plan with this version, or a newer one.
+    /// Asks for the plan with this version, or a newer one, in one piece: what entries of the release
+    /// before ask. Members go first in a rolling upgrade.
     Fetch(Version),
+    /// Asks for the next part of a plan.
+    Ask(Question),
+}
+
+/// A question for the next part of a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// The version that is wanted, or a newer one.
+    pub version: Version,
+    /// The version that the entry has and can take a difference from.
+    pub held: Option<Version>,
+    /// The parcel that has begun to arrive.
+    pub begun: Option<Begun>,
+}
+
+/// How much of a parcel has arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Begun {
+    /// The parcel.
+    pub label: Label,
+    /// The bytes of it that are there.
+    pub offset: u32,
 }
 
 /// What a member sends an entry.
@@ -47,7 +72,7 @@
         /// Whether the member had applied everything it knows to be committed, and has a leader.
         current: bool,
     },
-    /// A plan, as the operator sent it.
+    /// A plan, as the operator sent it, for an entry of the release before.
     Plan {
         /// Its version.
         version: Version,
@@ -62,6 +87,8 @@
     Loads(LoadReport),
     /// The members that an entry may connect to.
     Members(Vec<SocketAddr>),
+    /// A part of a plan.
+    Part(Part),
 }
 
 /// Orders what successive leaders hand out.
