Stay with a member while its document arrives

Cause: an entry left a member after 1.5 s without a quorum's word, which goes behind the document that it confirms; one of 3 MB takes 2.5 s on a link of 10 Mbit/s. Change: the transport tells how many bytes have arrived, and 100 kB within the patience count as a message under way. Freshness is not touched: it is counted from a quorum's word alone. Ruled out: a longer patience (a member that is cut off would be followed as long).

--- a/crates/follower/src/session.rs
+++ b/crates/follower/src/session.rs
@@ -28,6 +28,10 @@
 /// period of asking it stays below the shortest freshness bound worth setting.
 const CONFIRM_PATIENCE: Duration = Duration::from_millis(1_500);
 
+/// What must arrive within [`CONFIRM_PATIENCE`] for a message to count as under way, in bytes: far more
+/// than heartbeats (some 15), and 5 in 100 of a link of 10 Mbit/s.
+const UNDER_WAY: u64 = 100_000;
+
 /// How often failures to connect are logged at most.
 const FAULT_PERIOD: Duration = Duration::from_secs(5);
 
@@ -148,10 +152,19 @@
         let (sender, mut receiver) = connection.split::<EntryMessage, ControlMessage>();
         self.opened(member, &sender);
         let mut last = Instant::now();
+        let mut received = receiver.received();
         let mut ticks = interval(CONFIRM_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let end = loop {
             let now = Instant::now();
+            if now.saturating_duration_since(last) > CONFIRM_PATIENCE
+                && receiver.received() >= received + UNDER_WAY
+            {
+                // A confirmation waits behind the document that it confirms. Without this an entry
+                // whose link needs longer for that than the patience leaves each member in turn while
+                // it is sending, and never has a service.
+                (last, received) = (now, receiver.received());
+            }
             if now.saturating_duration_since(last) > CONFIRM_PATIENCE {
                 let why = format!("no quorum confirmed for {CONFIRM_PATIENCE:?}");
                 break End::Failed(StepError::new("confirm version", why).at(member));
@@ -163,6 +176,7 @@
                 message = receiver.recv() => match message {
                     Ok(Some(ControlMessage::Leave)) => break End::Left,
                     Ok(Some(message)) => {
+                        received = receiver.received();
                         if self.message(message, &sender) {
                             last = Instant::now();
                             self.choice.good(member);
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -205,6 +205,12 @@
 }
 
 impl<In> Receiver<In> {
+    /// Returns how many bytes have arrived, those of a message that is not whole yet included. They
+    /// tell a large message on a slow link from a silent peer.
+    pub fn received(&self) -> u64 {
+        self.shared.received.get()
+    }
+
     fn fault(&self, cause: WireError) -> StepError {
         StepError::new("receive message", cause).at(&self.peer)
     }
--- a/crates/wire/src/progress.rs
+++ b/crates/wire/src/progress.rs
@@ -24,7 +24,8 @@
         self.0.fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
-    fn get(&self) -> u64 {
+    /// Returns how many bytes have moved.
+    pub(crate) fn get(&self) -> u64 {
         self.0.load(Ordering::Relaxed)
     }
 
--- a/crates/wire/src/pump.rs
+++ b/crates/wire/src/pump.rs
@@ -10,6 +10,7 @@
 
 use crate::frame::HEARTBEAT_TAG;
 use crate::hello::{Frames, Reader, Writer};
+use crate::progress::Meter;
 use crate::{HEARTBEAT, WireError};
 
 /// How many messages a queue holds.
@@ -37,6 +38,8 @@
     unread: CancellationToken,
     cause: OnceLock<WireError>,
     room: Arc<Semaphore>,
+    /// Counts what arrives.
+    pub(crate) received: Meter,
 }
 
 impl Shared {
@@ -89,13 +92,14 @@
 pub(crate) fn start(frames: Frames, permit: Option<OwnedSemaphorePermit>) -> Pumped {
     let (outgoing, to_write) = mpsc::channel(QUEUE_LENGTH);
     let (from_read, incoming) = mpsc::channel(QUEUE_LENGTH);
+    let Frames { reader, writer } = frames;
     let shared = Arc::new(Shared {
         ended: CancellationToken::new(),
         unread: CancellationToken::new(),
         cause: OnceLock::new(),
         room: Arc::new(Semaphore::new(QUEUE_UNITS as usize)),
+        received: reader.get_ref().meter(),
     });
-    let Frames { reader, writer } = frames;
     let permit = permit.map(Arc::new);
     let (mine, held) = (Arc::clone(&shared), permit.clone());
     tokio::spawn(async move {
