--- a/crates/mothplank/tests/env/process.rs
+++ b/crates/mothplank/tests/env/process.rs
@@ -96,8 +96,32 @@
     }
 }
 
+impl Process {
+    /// Tells how it ended, or what each of its threads waits for: a process that writes no line can't be
+    /// explained by its log.
+    fn state(&mut self) -> String {
+        if self.ended() {
+            return format!("ended: {:?}", self.ended);
+        }
+        let Ok(threads) = fs::read_dir(format!("/proc/{}/task", self.id())) else {
+            return "its threads can't be read".to_owned();
+        };
+        let state = |thread: fs::DirEntry| {
+            let read =
+                |file: &str| fs::read_to_string(thread.path().join(file)).unwrap_or_default();
+            let status = read("status");
+            let state = status.lines().find(|it| it.starts_with("State:")).unwrap_or_default();
+            format!("{}: {state}, waits in {}", read("comm").trim(), read("wchan"))
+        };
+        threads.filter_map(Result::ok).map(state).collect::<Vec<_>>().join("\n")
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("---- the state of {}:\n{}", self.name, self.state());
+        }
         // A stopped process takes SIGKILL too.
         self.kill();
         if std::thread::panicking() {
