--- a/crates/mothplank/tests/env/process.rs
+++ b/crates/mothplank/tests/env/process.rs
@@ -120,7 +120,8 @@
 impl Drop for Process {
     fn drop(&mut self) {
         if std::thread::panicking() {
-            eprintln!("---- the state of {}:\n{}", self.name, self.state());
+            let state = self.state();
+            eprintln!("---- the state of {}:\n{state}", self.name);
         }
         // A stopped process takes SIGKILL too.
         self.kill();
