--- /dev/null
+++ b/crates/registry/src/follow/state.rs
@@ -0,0 +1,217 @@
+//! What an entry knows of the members and of what they tell, and what it does with it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use tokio::sync::{mpsc, watch};
+use types::Version;
+use wire::{Hello, Secret, Sender};
+
+use super::link::{Event, link};
+use super::{FollowerConfig, News};
+use crate::fetch::Fetch;
+use crate::message::{EntrySeen, LoadReport, Relay, Stamp, ToEntry, ToMember, UpstreamList};
+use crate::parcel::Part;
+
+/// The most members that are followed at once.
+const MEMBERS: usize = 7;
+
+/// The state of the loop that follows the members.
+pub(super) struct Loop {
+    pub(super) config: FollowerConfig,
+    pub(super) secret: Secret,
+    pub(super) me: Hello,
+    pub(super) events: mpsc::Sender<Event>,
+    pub(super) news: watch::Sender<News>,
+    pub(super) loads: watch::Sender<Arc<LoadReport>>,
+    pub(super) seeds: Arc<Mutex<Vec<SocketAddr>>>,
+    pub(super) links: HashMap<SocketAddr, Option<Sender<ToMember>>>,
+    pub(super) members: Vec<SocketAddr>,
+    /// The version each member holds, and whether it is up to date.
+    pub(super) held: HashMap<SocketAddr, (Version, bool)>,
+    pub(super) text: Option<(Version, Arc<Vec<u8>>)>,
+    pub(super) fetch: Fetch,
+    /// The member that sent the newest list: the leader.
+    pub(super) leader: Option<SocketAddr>,
+}
+
+impl Loop {
+    /// Opens a task for every member that has none.
+    pub(super) fn dial(&mut self) {
+        let seeds = self.seeds.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let wanted = self.members.iter().chain(&seeds).copied();
+        for address in wanted.collect::<Vec<_>>() {
+            if self.links.len() >= MEMBERS {
+                return;
+            }
+            if self.links.contains_key(&address) {
+                continue;
+            }
+            self.links.insert(address, None);
+            let (secret, me) = (self.secret.clone(), self.me.clone());
+            let (entry, events) = (self.config.entry.clone(), self.events.clone());
+            tokio::spawn(link(address, secret, me, entry, events));
+        }
+    }
+
+    pub(super) fn take(&mut self, event: Event) {
+        match event {
+            Event::Connected(address, sender) => {
+                log::info!(peer:% = address; "connected to a member");
+                self.links.insert(address, Some(sender));
+                self.count();
+            }
+            Event::Lost(address) => {
+                if self.links.remove(&address).flatten().is_some() {
+                    log::warn!(peer:% = address; "lost a member");
+                }
+                self.held.remove(&address);
+                self.fetch.lost(address);
+                self.count();
+            }
+            Event::Message(address, message) => self.take_message(address, message),
+        }
+    }
+
+    /// Tells the leader what this entry has under way.
+    pub(super) fn report(&self, report: LoadReport) {
+        let sender = self.leader.and_then(|it| self.links.get(&it)).and_then(Option::as_ref);
+        if let Some(sender) = sender {
+            // The next report makes up for one that is lost.
+            let _ = sender.try_send(&ToMember::Loads(report));
+        }
+    }
+
+    /// Tells every member that this entry ends.
+    pub(super) fn leave(&self) {
+        for sender in self.links.values().flatten() {
+            // A member that can't be told sees the connection end.
+            let _ = sender.try_send(&ToMember::Leave);
+        }
+    }
+
+    fn count(&self) {
+        let members = self.links.values().flatten().count();
+        self.news.send_modify(|it| it.members = members);
+    }
+
+    fn take_message(&mut self, from: SocketAddr, message: ToEntry) {
+        match message {
+            ToEntry::Held { version, current } => {
+                self.held.insert(from, (version, current));
+                self.show();
+            }
+            ToEntry::Part(part) => self.take_part(from, part),
+            ToEntry::Plan { version, .. } => {
+                log::warn!(version:% = version, peer:% = from;
+                    "a member sent a plan in one piece, which this entry never asks for");
+            }
+            ToEntry::Upstreams(list) => self.take_upstreams(from, list),
+            ToEntry::Loads(loads) => {
+                self.loads.send_replace(Arc::new(loads));
+            }
+            ToEntry::Entries(stamp, entries) => self.take_entries(stamp, entries),
+            ToEntry::Members(members) => self.members = members,
+        }
+    }
+
+    fn take_part(&mut self, from: SocketAddr, part: Part) {
+        let (base, sent) = (part.label.base.unwrap_or(Version(0)), part.label.size);
+        let held = self.text.as_ref();
+        let text = held.map_or(&[][..], |it| it.1.as_slice());
+        match self.fetch.take(from, part, held.map(|it| it.0), text, Instant::now()) {
+            Ok(None) => {}
+            Ok(Some((version, text))) => {
+                log::info!(version:% = version, peer:% = from, base:% = base, sent,
+                    bytes = text.len(); "a plan arrived");
+                self.text = Some((version, Arc::new(text)));
+                self.show();
+            }
+            Err(error) => log::error!(cause:% = error, base:% = base;
+                "a plan could not be unpacked; the whole text is asked for"),
+        }
+    }
+
+    /// Takes what another entry passes on. Loads still go to the leader of before, if any.
+    pub(super) fn take_relay(&self, relay: Relay) {
+        let (seated, listed) = (relay.seated, relay.upstreams.stamp);
+        let newer = {
+            let news = self.news.borrow();
+            seated > news.seated || listed > news.listed
+        };
+        if newer {
+            log::info!(seated:% = seated, listed:% = listed, entries = relay.entries.len();
+                "took news from another entry");
+        }
+        self.take_entries(relay.seated, relay.entries);
+        self.take_list(relay.upstreams);
+    }
+
+    fn take_entries(&self, stamp: Stamp, entries: Vec<EntrySeen>) {
+        self.news.send_if_modified(|news| {
+            let newer = stamp > news.seated;
+            if newer {
+                news.seated = stamp;
+                news.entries = Arc::new(entries);
+            }
+            newer
+        });
+    }
+
+    fn take_upstreams(&mut self, from: SocketAddr, list: UpstreamList) {
+        if list.stamp >= self.news.borrow().listed {
+            self.leader = Some(from);
+        }
+        self.take_list(list);
+    }
+
+    fn take_list(&self, list: UpstreamList) {
+        self.news.send_if_modified(|news| {
+            let newer = list.stamp > news.listed;
+            if newer {
+                news.listed = list.stamp;
+                news.upstreams = Arc::new(list.upstreams);
+            }
+            newer
+        });
+    }
+
+    /// Shows the newest text. The first one is shown only once a member that was up to date holds
+    /// no newer one: an entry that comes back must not serve what was overtaken while it was away.
+    fn show(&self) {
+        let Some((version, text)) = &self.text else { return };
+        let first = self.news.borrow().plan.is_none();
+        let vouched = self.held.values().any(|(it, current)| *current && it <= version);
+        if first && !vouched {
+            return;
+        }
+        self.news.send_if_modified(|news| {
+            let newer = news.plan.as_ref().is_none_or(|(it, _)| it < version);
+            if newer {
+                news.plan = Some((*version, Arc::clone(text)));
+            }
+            newer
+        });
+    }
+
+    /// Asks for the newest plan that some member holds.
+    pub(super) fn fetch(&mut self) {
+        let have = self.text.as_ref().map(|it| it.0);
+        let holders: Vec<_> = self.held.iter().map(|(peer, it)| (*peer, it.0)).collect();
+        let now = Instant::now();
+        let Some((question, peers)) = self.fetch.due(have, &holders, now) else { return };
+        let message = ToMember::Ask(question);
+        let reached = peers.into_iter().find(|it| {
+            let sender = self.links.get(it).and_then(Option::as_ref);
+            sender.is_some_and(|it| it.try_send(&message).is_ok())
+        });
+        let Some(peer) = reached else { return };
+        if question.begun.is_none() {
+            log::info!(version:% = question.version, peer:% = peer, held:% = have.unwrap_or(Version(0));
+                "asked a member for a plan");
+        }
+        self.fetch.asked(peer, now);
+    }
+}
