Add a command that reads logs of a platform's entries

What it can't tell: use of upstreams, pieces a call and work thrown away, of which owners write no line.

--- a/crates/mothplank/src/args.rs
+++ b/crates/mothplank/src/args.rs
@@ -9,7 +9,8 @@
 use types::ChangeId;
 
 use crate::config::{
-    Apply, Call, Check, Command, Config, Files, Load, Mark, MemberAction, Report, Standin, Target,
+    Apply, Call, Check, Command, Config, Files, Load, Logs, Mark, MemberAction, Report, Standin,
+    Target,
 };
 use crate::output::Format;
 
@@ -57,6 +58,13 @@
                 csv: one(of, "csv"),
                 svg: one(of, "svg"),
             }),
+            "logs" => Command::Logs(Logs {
+                files: all(of, "files"),
+                id: one(of, "id"),
+                from: one(of, "from"),
+                to: one(of, "to"),
+                svg: one(of, "svg"),
+            }),
             "call" => Command::Call(Call::from_matches(of)?),
             "standin" => Command::Standin(Standin::from_matches(of)?),
             "load" => {
--- a/crates/mothplank/src/cli.rs
+++ b/crates/mothplank/src/cli.rs
@@ -38,7 +38,7 @@
         .arg(output())
         .subcommands([demo(), control(), entry(), gateway(), registry()])
         .subcommands(operators)
-        .subcommands([call(), standin(), load()])
+        .subcommands([logs(), call(), standin(), load()])
 }
 
 fn output() -> Arg {
@@ -208,6 +208,24 @@
         .arg(file("svg", "Also draw the cost by stage as SVG"))
 }
 
+fn logs() -> Command {
+    let time = |name, help| option(name, "TIME", help).value_parser(value_parser!(jiff::Timestamp));
+    Command::new("logs")
+        .about("Read logs of a platform's entries: what became of requests, and why")
+        .arg(
+            Arg::new("files")
+                .value_name("FILE")
+                .help("Log files of entries; what stands before the JSON of a line is passed over")
+                .required(true)
+                .num_args(1..)
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(option("id", "ID", "Print the story of this request instead"))
+        .arg(time("from", "Start of the span, as in the logs"))
+        .arg(time("to", "End of the span"))
+        .arg(file("svg", "Also draw the seconds of the span as SVG"))
+}
+
 fn call() -> Command {
     Command::new("call")
         .about("Send one request, and again until it is answered")
--- a/crates/mothplank/src/commands/mod.rs
+++ b/crates/mothplank/src/commands/mod.rs
@@ -11,6 +11,7 @@
 mod host;
 mod init;
 mod load;
+mod logs;
 mod mark;
 mod member;
 mod registry;
@@ -35,6 +36,7 @@
         Command::Control(it) => control::run(&it),
         Command::Entry(it) => entry::run(&it),
         Command::Gateway => gateway::run(),
+        Command::Logs(it) => logs::run(format, &it),
         Command::Registry => registry::run(),
         command => {
             let runtime = tokio::runtime::Builder::new_multi_thread()
@@ -63,6 +65,7 @@
         | Command::Control(_)
         | Command::Entry(_)
         | Command::Gateway
+        | Command::Logs(_)
         | Command::Registry => Ok(ExitCode::General),
     }
 }
--- a/crates/mothplank/src/config.rs
+++ b/crates/mothplank/src/config.rs
@@ -46,6 +46,8 @@
     Mark(Mark),
     /// Show use and cost.
     Report(Report),
+    /// Read logs of entries.
+    Logs(Logs),
     /// Send one request.
     Call(Call),
     /// Run a fake of an outside system.
@@ -137,6 +139,21 @@
     pub(crate) svg: Option<PathBuf>,
 }
 
+/// `logs`.
+#[derive(Debug)]
+pub(crate) struct Logs {
+    /// The log files.
+    pub(crate) files: Vec<PathBuf>,
+    /// The request whose story is told.
+    pub(crate) id: Option<String>,
+    /// Start of the span.
+    pub(crate) from: Option<jiff::Timestamp>,
+    /// End of the span.
+    pub(crate) to: Option<jiff::Timestamp>,
+    /// Where to draw SVG.
+    pub(crate) svg: Option<PathBuf>,
+}
+
 /// `call`.
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
