--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -184,7 +184,7 @@
         }
     }
 
-    /// Says that no word of the state was to be had.
+    /// Says that the state could not be asked.
     fn unasked(&self, request: &Request, why: &str) -> Reply {
         let reason = Reason::Refused(RefusalReason::NoQuorum);
         let halt = Halt::new(reason, format!("the request could not be claimed: {why}"));
--- a/crates/entry/src/outcome.rs
+++ b/crates/entry/src/outcome.rs
@@ -227,7 +227,7 @@
         self.once &= repeatable;
     }
 
-    /// Takes the upstream's word that it did not take the call. Bytes left, so the request is no
+    /// Takes the upstream's statement that it did not take the call. Bytes left, so the request is no
     /// longer untouched, but the non-repeatable call did not run.
     pub fn declined(&mut self, repeatable: bool, _evidence: &Declined) {
         self.once &= repeatable;
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -22,7 +22,7 @@
 use crate::session::Session;
 use crate::sink::{EventSink, Item, NoSink};
 
-/// How long past its deadline a caller waits for a run's own word on it, which is more exact.
+/// How long past its deadline a caller waits for a run's own outcome, which is more exact.
 const GRACE: Duration = Duration::from_millis(250);
 
 /// Events that wait for a slow caller before the run waits for it.
--- a/crates/fleet/src/digest.rs
+++ b/crates/fleet/src/digest.rs
@@ -82,7 +82,7 @@
             return 1_000 * (1 + change) / (1 + counts(before).min(999));
         }
         // The age that the entry assumes by now, against the age that is true. An upstream that
-        // stays idle is as idle by an old word: the full digest is soon enough for it.
+        // stays idle is as idle by an old report: the full digest is soon enough for it.
         let assumed = before.report_age.0 + passed.as_millis() as u64;
         u64::from(counts(load) > 0 && load.reported.is_some() && load.report_age.0 + 500 < assumed)
     }
--- a/crates/fleet/src/standing.rs
+++ b/crates/fleet/src/standing.rs
@@ -10,11 +10,11 @@
 /// What was seen of one upstream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Sighting {
-    /// The platform's word on its VM; `None` where it never named it.
+    /// What the platform says of its VM; `None` where it never named it.
     pub platform: Option<bool>,
     /// It said itself that it drains, and has not said otherwise since.
     pub draining: bool,
-    /// It has answered a poll in this term with its own word.
+    /// It has answered a poll in this term with its own report.
     pub answered: bool,
     /// Connections it refused, in a row.
     pub refused: u32,
@@ -51,14 +51,14 @@
     pub standing: UpstreamStanding,
     /// Why; empty where all is well.
     pub why: String,
-    /// It is leaving by anybody's word, and not merely because it refuses connections.
+    /// Somebody reported that it is leaving, and not merely because it refuses connections.
     pub told: bool,
 }
 
 impl Sighting {
     /// Takes what a poll showed.
     ///
-    /// Draining is sticky: only the upstream's own later word takes it back, which it gives when
+    /// Draining is sticky: only the upstream's own later report takes it back, which it gives when
     /// it was restarted. Silence and refused connections do not: a draining upstream ends with
     /// exactly those.
     pub fn polled(&mut self, answer: Answer) {
--- a/crates/fleet/tests/orders.rs
+++ b/crates/fleet/tests/orders.rs
@@ -34,7 +34,7 @@
 }
 
 /// Symptom: an engine that ignores fencing numbers serves under an earlier leader's order for good.
-/// Sequence: a leader is frozen right after its quorum's word; another one takes over, orders, and
+/// Sequence: a leader is frozen right after its quorum's confirmation; another one takes over, orders, and
 /// reads its target back; the frozen one thaws and its order arrives.
 /// Cause would be: a leader that stops reading once its target was shown, or orders too early.
 #[tokio::test]
--- a/crates/follower/src/follower.rs
+++ b/crates/follower/src/follower.rs
@@ -25,7 +25,7 @@
 /// How many orders wait for the session's task.
 const ORDER_QUEUE: usize = 1_024;
 
-/// Past which age of the last quorum's word a claim is refused at once: there is no quorum, or it
+/// Past which age of the last quorum's confirmation a claim is refused at once: there is no quorum, or it
 /// cannot be reached, and a caller is better told so than kept waiting.
 const QUORUM_AGE: Duration = Duration::from_secs(3);
 
--- a/crates/follower/src/install.rs
+++ b/crates/follower/src/install.rs
@@ -18,7 +18,7 @@
 /// The versions in force and held.
 ///
 /// A member may lag. On start an entry has nothing to compare its offer with, so the first version
-/// waits for a quorum's word; after that only higher ones are taken, and nothing goes back.
+/// waits for a quorum's confirmation; after that only higher ones are taken, and nothing goes back.
 #[derive(Debug, Default)]
 pub struct Versions {
     have: Version,
@@ -47,7 +47,7 @@
         Offer::Hold
     }
 
-    /// Takes a quorum's word that `version` was in force, and returns whether what is held may now
+    /// Takes a quorum's confirmation that `version` was in force, and returns whether what is held may now
     /// come into force.
     pub fn confirm(&mut self, version: Version) -> bool {
         let first = !self.confirmed && self.held >= version;
--- a/crates/follower/src/session.rs
+++ b/crates/follower/src/session.rs
@@ -282,7 +282,7 @@
         }
     }
 
-    /// Takes a message, and returns whether it is a quorum's word.
+    /// Takes a message, and returns whether it is a quorum's confirmation.
     fn message(&mut self, message: ControlMessage, sender: &Out) -> bool {
         let now = Instant::now();
         match message {
--- a/crates/follower/src/session/offers.rs
+++ b/crates/follower/src/session/offers.rs
@@ -57,7 +57,7 @@
         }
     }
 
-    /// Takes a quorum's word, and returns whether it answers an open question.
+    /// Takes a quorum's confirmation, and returns whether it answers an open question.
     pub(super) fn confirmed(&mut self, ticket: Ticket, version: Version) -> bool {
         let Some(question) = self.questions.answered(ticket) else {
             return false;
--- a/crates/follower/tests/common/mod.rs
+++ b/crates/follower/tests/common/mod.rs
@@ -140,7 +140,7 @@
     Follower::spawn(config).unwrap()
 }
 
-/// Starts a follower and brings it to `version`, with a quorum's word.
+/// Starts a follower and brings it to `version`, with a quorum's confirmation.
 pub(crate) async fn running(
     member: &mut Member,
     version: u64,
--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -8,7 +8,7 @@
 
 use crate::queue::RANKS;
 
-/// How long a word of an owner counts. Owners repeat it several times in this span while pieces
+/// How long a report of an owner counts. Owners repeat it several times in this span while pieces
 /// wait.
 const FRESH: Duration = Duration::from_millis(500);
 
@@ -17,7 +17,7 @@
 pub(crate) struct Backlogs(Mutex<HashMap<String, (Instant, [u32; RANKS])>>);
 
 impl Backlogs {
-    /// Takes an owner's word, in ms by rank.
+    /// Takes an owner's report, in ms by rank.
     pub(crate) fn set(&self, service: &str, waits: [u32; RANKS]) {
         let mut all = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         all.insert(service.to_owned(), (Instant::now(), waits));
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -24,7 +24,7 @@
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
 
-/// How long the loads of other entries count without a new word. Older ones mislead more than none.
+/// How long the loads of other entries count without a new report. Older ones mislead more than none.
 const DIGEST_AGE: Duration = Duration::from_millis(1_200);
 
 /// How long a request waits for the first plan and the first list of upstreams. After a loss of all
--- a/crates/mothplank/tests/request_cost.rs
+++ b/crates/mothplank/tests/request_cost.rs
@@ -180,7 +180,7 @@
 /// While claims were measured, some were refused with `the session with control was interrupted after
 /// the request was claimed; nothing that may not be repeated ran`. The syncs of all three members had
 /// taken 1.5 to 2.0 s at once (`the disk was slow to sync; heartbeats waited for it`), and entries leave
-/// a member that brings no quorum's word for 1.5 s. The refusal is true: sent again with the same key the
+/// a member that brings no quorum's confirmation for 1.5 s. The refusal is true: sent again with the same key the
 /// request runs, and runs once. Here the members are stopped for as long.
 #[test]
 fn what_is_refused_while_members_stall_runs_once_when_sent_again() {
--- a/crates/mothplank/tests/state_entry.rs
+++ b/crates/mothplank/tests/state_entry.rs
@@ -28,7 +28,7 @@
 // version from another member, is then cut off from all but member 3, and at last starts anew
 // with nothing but member 3 to ask.
 // Cause it would have: an entry that takes any version it is offered, or the first one after its
-// start without a quorum's word.
+// start without a quorum's confirmation.
 #[test]
 fn a_lagging_member_takes_no_entry_back() {
     let plan = Plan { controls: 3, entries: 3, proxied: true, ..Plan::default() };
--- a/crates/mothplank/tests/state_leader.rs
+++ b/crates/mothplank/tests/state_leader.rs
@@ -38,7 +38,7 @@
     ignores: Gate,
 }
 
-// Symptom looked for: after another member leads, the old leader's word counts: a change is told
+// Symptom looked for: after another member leads, what the old leader says counts: a change is told
 // accepted, an old version is read, an entry goes back, an engine that checks takes its order, or
 // one that ignores numbers keeps it.
 // Sequence: the leader's orders for version 2 are held up by the network; the leader is put away;
--- a/crates/routing/src/eject.rs
+++ b/crates/routing/src/eject.rs
@@ -137,14 +137,14 @@
         self.until.swap(0, Ordering::Relaxed) != 0
     }
 
-    /// Takes the upstream's own word that it is leaving; returns whether that is news.
+    /// Takes the upstream's own report that it is leaving; returns whether that is news.
     pub(crate) fn leave(&self, sequence: u64, now: Us) -> bool {
         self.told.store(0, Ordering::Relaxed);
         self.left_seen.store(sequence, Ordering::Relaxed);
         self.left.swap(now, Ordering::Relaxed) == 0
     }
 
-    /// Takes a digest's word. The upstream's own word is newer than what a digest's sources know
+    /// Takes what a digest says. The upstream's own report is newer than what a digest's sources know
     /// for a few seconds, so a digest that calls it live counts only if it was made after, which
     /// is sure once digests have called it leaving in between, or once the hold is over; returns
     /// whether it is back.
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -24,7 +24,7 @@
 /// as slow is tried again within seconds.
 pub(crate) const UPSTREAM_HALF: Us = 5_000_000;
 
-/// The age at which a stage's or pool's measured time weighs as much as the service's word.
+/// The age at which a stage's or pool's measured time weighs as much as the declared one.
 pub(crate) const STAGE_HALF: Us = 60_000_000;
 
 /// How much of a pool's capacity the entries hand out together: the little over it waits at the
@@ -112,7 +112,7 @@
 /// How often capacity is counted again between digests.
 pub(crate) const REFRESH_PERIOD: Us = 20_000;
 
-/// How long an upstream's own word that it is leaving stands against a digest that calls it live:
+/// How long an upstream's own report that it is leaving stands against a digest that calls it live:
 /// the digest's sources lag by a few seconds.
 pub(crate) const LEAVING_HOLD: Us = 5_000_000;
 
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -39,7 +39,7 @@
     pub(crate) name: PoolName,
     pub(crate) clock: Arc<Clock>,
     pub(crate) log: Arc<Log>,
-    /// What its calls take by the service's word, in microseconds.
+    /// What its calls take as the service declares, in microseconds.
     pub(crate) expected: Float,
     /// Time of a whole call.
     pub(crate) total: Mean,
