--- a/crates/registry/tests/cluster.rs
+++ b/crates/registry/tests/cluster.rs
@@ -3,9 +3,11 @@
 mod env;
 
 use env::{Env, PATIENCE, put, read};
+use registry::message::{ToEntry, ToMember};
 use registry::{EntrySeen, PutOutcome, Relay, Stamp, UpstreamList};
 use tokio::time::timeout;
 use types::Version;
+use wire::{Hello, Kind};
 
 /// Symptom: no configuration was ever acknowledged.
 /// Sequence: one member begins a cluster; the others ask to take part and are sent the log.
@@ -77,6 +79,31 @@
     assert!(newer.await.is_ok());
 }
 
+/// During a rolling upgrade members are new before entries are. An entry of the release before asks for a
+/// plan in one piece, and has none in force if nobody answers it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_of_the_release_before_gets_its_plan_in_one_piece() {
+    let env = Env::new(1, 0);
+    let member = env.member(0, true).await;
+    put(&[&member], "4 whole").await;
+    let vm = "entry-1".parse().expect("a name");
+    let me = Hello { kind: Kind::Entry, vm, node: 1 };
+    let secret = registry::deployment_secret();
+    let connection = wire::connect(env.addresses[0], &secret, me, Kind::Member).await;
+    let (sender, mut receiver) = connection.expect("a member").split::<ToMember, ToEntry>();
+    sender.send(&ToMember::Fetch(Version(4))).await.expect("asked");
+    let plan = async {
+        loop {
+            let message = receiver.recv().await.expect("a message").expect("an open connection");
+            if let ToEntry::Plan { version, text } = message {
+                return (version, text);
+            }
+        }
+    };
+    let (version, text) = timeout(PATIENCE, plan).await.expect("in time");
+    assert_eq!((version, text.as_slice()), (Version(4), b"4 whole".as_slice()));
+}
+
 struct RelayCase {
     name: &'static str,
     count: u64,
