Show that a member vouches for a plan that was overtaken, red

Hypothesis, from the trace in docs/findings/first-plan.txt: a member that applies a change some ms after the leader knows of no later commit, and tells an entry that has just connected that it is up to date. The test asks every member at once after each acknowledgement what it vouches for.

--- a/crates/registry/tests/cluster.rs
+++ b/crates/registry/tests/cluster.rs
@@ -2,12 +2,14 @@
 
 mod env;
 
+use std::net::SocketAddr;
+
 use env::{Env, PATIENCE, put, read};
+use futures_util::future::join_all;
 use registry::message::{ToEntry, ToMember};
 use registry::{EntrySeen, PutOutcome, Relay, Stamp, UpstreamList};
 use tokio::time::timeout;
 use types::Version;
-use wire::{Hello, Kind};
 
 /// Symptom: no configuration was ever acknowledged.
 /// Sequence: one member begins a cluster; the others ask to take part and are sent the log.
@@ -79,6 +81,46 @@
     assert!(newer.await.is_ok());
 }
 
+/// How many versions are acknowledged, each asked for at every member.
+const VOUCHED: u64 = 100;
+
+/// Symptom: an entry that starts after version 2 was acknowledged serves version 1 first.
+/// Sequence: the leader acknowledges version 2; a member that applies it some ms later tells an entry
+/// that has just connected that it holds version 1 and is up to date.
+/// Cause: the member knows of no later commit and takes that for all there is; nobody asks a quorum.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_member_vouches_for_nothing_older_than_what_was_acknowledged() {
+    let env = Env::new(3, 1);
+    let mut members = Vec::new();
+    for number in 0..3 {
+        members.push(env.member(number, true).await);
+    }
+    let all: Vec<_> = members.iter().collect();
+    let env = &env;
+    for number in 1..=VOUCHED {
+        let acknowledged = put(&all, &format!("{number} plan")).await;
+        // All at once: the members that apply it last do so within some ms.
+        let told = env.addresses.iter().map(|it| vouched(env, *it));
+        for (address, version) in env.addresses.iter().zip(join_all(told).await) {
+            assert!(version >= acknowledged, "{address} vouched for {version}");
+        }
+    }
+}
+
+/// Returns the first version that a member vouches for to an entry that has just connected.
+async fn vouched(env: &Env, address: SocketAddr) -> Version {
+    let (_sender, mut receiver) = env.connect(address).await;
+    let vouched = async {
+        loop {
+            let message = receiver.recv().await.expect("a message").expect("an open connection");
+            if let ToEntry::Held { version, current: true } = message {
+                return version;
+            }
+        }
+    };
+    timeout(PATIENCE, vouched).await.expect("in time")
+}
+
 /// During a rolling upgrade members are new before entries are. An entry of the release before asks for a
 /// plan in one piece, and has none in force if nobody answers it.
 #[tokio::test(flavor = "multi_thread")]
@@ -86,11 +128,7 @@
     let env = Env::new(1, 0);
     let member = env.member(0, true).await;
     put(&[&member], "4 whole").await;
-    let vm = "entry-1".parse().expect("a name");
-    let me = Hello { kind: Kind::Entry, vm, node: 1 };
-    let secret = registry::deployment_secret();
-    let connection = wire::connect(env.addresses[0], &secret, me, Kind::Member).await;
-    let (sender, mut receiver) = connection.expect("a member").split::<ToMember, ToEntry>();
+    let (sender, mut receiver) = env.connect(env.addresses[0]).await;
     sender.send(&ToMember::Fetch(Version(4))).await.expect("asked");
     let plan = async {
         loop {
--- a/crates/registry/tests/env/mod.rs
+++ b/crates/registry/tests/env/mod.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use registry::message::{ToEntry, ToMember};
 use registry::{
     Codec, Follower, FollowerConfig, Health, ListSource, Listing, Member, MemberConfig, PutOutcome,
     ReadOutcome, Upstream, deployment_secret,
@@ -13,6 +14,7 @@
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
 use types::{StepResult, Version};
+use wire::{Hello, Kind, Receiver, Sender};
 
 /// How long anything may take; far above what it takes on a busy machine.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
@@ -86,6 +88,17 @@
         started.expect("a member")
     }
 
+    /// Connects to a member as an entry does, for a test that plays the entry.
+    pub(crate) async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> (Sender<ToMember>, Receiver<ToEntry>) {
+        let vm = "entry-1".parse().expect("a name");
+        let me = Hello { kind: Kind::Entry, vm, node: 1 };
+        let connection = wire::connect(address, &deployment_secret(), me, Kind::Member).await;
+        connection.expect("a member").split()
+    }
+
     /// Starts a follower of the members.
     pub(crate) fn follower(&self) -> Follower {
         self.follower_of(self.seeds())
