Vouch for a plan only once a quorum has confirmed it after the entry connected

Callers of an entry that had just started were answered by a plan that had been overtaken before: a moved route went to the old service, an added one was answered 404. Cause: a member took itself to be up to date if it had applied all that it knew to be committed; one that applies a change some ms after the leader knows of no later commit (trace: 4.7 ms behind, 'held 1, current'), and one such word was enough for the entry. Change: a member vouches once a quorum has confirmed, after the entry connected, a position that it has applied. One that does not lead asks the leader; all entries that wait share one question. The entry keeps the first version vouched for and shows the first text as new as that. Why it holds: what was acknowledged before the entry started is committed before the question, so the confirmed position covers it, whoever is asked. The first ticket is random: an answer to a question of an earlier run of the process confirms nothing. Ruled out: to wait while a connected member holds a newer plan (does not help where no other has spoken); to trust the leader alone (an entry that reaches only followers would never have a plan); a lease by the clock (a machine that was suspended does not count the time).

--- a/crates/registry/src/driver.rs
+++ b/crates/registry/src/driver.rs
@@ -4,6 +4,7 @@
 //! one leads within an election timeout. The HTTP side runs elsewhere and answers meanwhile.
 
 mod answers;
+mod confirm;
 mod membership;
 mod view;
 
@@ -24,6 +25,8 @@
 use crate::plan::{Held, Put};
 use crate::repair::{address_bytes, address_of};
 
+use self::answers::Reader;
+use self::confirm::Confirms;
 pub(crate) use self::view::View;
 
 /// The log's unit of time.
@@ -62,6 +65,13 @@
     Put(Put, oneshot::Sender<Answer>),
     /// A read that must not be older than anything acknowledged before.
     Read(oneshot::Sender<Answer>),
+    /// Asks whether the plan that is shown is the newest that was acknowledged; answered once a quorum
+    /// has confirmed so after the question, and the plan is shown.
+    Vouch(oneshot::Sender<()>),
+    /// Another member asks the same of the leader.
+    Confirm { ticket: u64, from: SocketAddr },
+    /// The leader's answer to this member's question.
+    Confirmed { ticket: u64, index: LogIndex },
     /// Hands leadership over, before the process ends.
     Resign,
 }
@@ -97,7 +107,8 @@
     held: Arc<Held>,
     applied: LogIndex,
     puts: Vec<(Position, oneshot::Sender<Answer>)>,
-    reads: HashMap<u64, oneshot::Sender<Answer>>,
+    reads: HashMap<u64, Reader>,
+    confirms: Confirms,
     confirmed: Vec<(u64, LogIndex)>,
     next_read: u64,
     joins: BTreeMap<SocketAddr, (NodeId, Instant)>,
@@ -186,6 +197,7 @@
             applied,
             puts: Vec::new(),
             reads: HashMap::new(),
+            confirms: Confirms::new(),
             confirmed: Vec::new(),
             next_read: 0,
             joins: BTreeMap::new(),
@@ -216,6 +228,7 @@
                 // After a stall one tick counts: heartbeats may wait in the queue.
                 tick = now + TICK;
             }
+            self.ask_leader(now);
             self.work()?;
             if now.duration_since(self.repaired) >= REPAIR_PERIOD {
                 self.repaired = now;
@@ -223,6 +236,7 @@
                 self.work()?;
             }
             self.publish();
+            self.confirms.applied(self.applied);
         }
     }
 
@@ -236,6 +250,9 @@
             Input::Join { node, address, relayed } => self.take_join(node, address, relayed),
             Input::Put(put, reply) => self.take_put(put, reply),
             Input::Read(reply) => self.take_read(reply),
+            Input::Vouch(reply) => self.confirms.add(reply),
+            Input::Confirm { ticket, from } => self.read_for(ticket, from),
+            Input::Confirmed { ticket, index } => self.confirms.answered(ticket, index),
             Input::Resign => {
                 self.resigned = true;
                 // A node that does not lead has nothing to hand over.
@@ -272,7 +289,7 @@
             self.answer_elsewhere(reply);
             return;
         }
-        self.reads.insert(id, reply);
+        self.reads.insert(id, Reader::Operator(reply));
     }
 
     fn address(&self, id: NodeId) -> Option<SocketAddr> {
@@ -305,13 +322,8 @@
                 self.apply(entry.payload)?;
                 self.answer_put(Position { term: entry.term, index: entry.index });
             }
-            self.confirmed.extend(ready.reads);
+            self.take_reads(ready.reads, ready.lost_reads);
             self.answer_reads();
-            for id in ready.lost_reads {
-                if let Some(reply) = self.reads.remove(&id) {
-                    self.answer_elsewhere(reply);
-                }
-            }
         }
         if self.folder.is_large() {
             self.compact()?;
--- /dev/null
+++ b/crates/registry/src/driver/confirm/tests.rs
@@ -0,0 +1,118 @@
+//! Which question to the leader answers which connection, and when.
+
+use super::*;
+
+/// One thing that happens, and the connections (0, 1, …) that are answered by it.
+struct Step {
+    event: Event,
+    answered: &'static [usize],
+}
+
+enum Event {
+    /// A connection waits.
+    Add,
+    /// So many ms pass, and a question is sent or not.
+    Due { ms: u64, sends: bool },
+    /// The leader answers the question sent this many questions ago, 0 being the latest.
+    Answer { back: u64, index: u64 },
+    /// The log is applied so far.
+    Applied(u64),
+}
+
+use Event::{Add, Answer, Applied, Due};
+
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+}
+
+const fn step(event: Event, answered: &'static [usize]) -> Step {
+    Step { event, answered }
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "answered once the position is applied",
+        steps: &[
+            step(Add, &[]),
+            step(Due { ms: 0, sends: true }, &[]),
+            step(Applied(7), &[]),
+            step(Answer { back: 0, index: 8 }, &[]),
+            step(Applied(7), &[]),
+            step(Applied(8), &[0]),
+        ],
+    },
+    Case {
+        name: "one that comes after the question waits for the next",
+        steps: &[
+            step(Add, &[]),
+            step(Due { ms: 0, sends: true }, &[]),
+            step(Add, &[]),
+            step(Due { ms: 1, sends: false }, &[]),
+            step(Answer { back: 0, index: 3 }, &[]),
+            step(Applied(3), &[0]),
+            step(Due { ms: 0, sends: true }, &[]),
+            step(Answer { back: 0, index: 3 }, &[]),
+            step(Applied(3), &[1]),
+        ],
+    },
+    Case {
+        name: "a lost question is sent again, and a late answer to it counts",
+        steps: &[
+            step(Add, &[]),
+            step(Due { ms: 0, sends: true }, &[]),
+            step(Due { ms: 199, sends: false }, &[]),
+            step(Due { ms: 1, sends: true }, &[]),
+            step(Answer { back: 0, index: 3 }, &[]),
+            step(Answer { back: 0, index: 3 }, &[]),
+            step(Applied(3), &[0]),
+        ],
+    },
+    Case {
+        name: "an answer to a question before counts for nobody",
+        steps: &[
+            step(Add, &[]),
+            step(Due { ms: 0, sends: true }, &[]),
+            step(Answer { back: 0, index: 3 }, &[]),
+            step(Applied(3), &[0]),
+            step(Add, &[]),
+            step(Due { ms: 0, sends: true }, &[]),
+            step(Answer { back: 1, index: 3 }, &[]),
+            step(Applied(3), &[]),
+        ],
+    },
+    Case { name: "nobody waits", steps: &[step(Due { ms: 500, sends: false }, &[])] },
+];
+
+#[test]
+fn a_connection_is_answered_only_by_a_question_that_came_after_it() {
+    for case in CASES {
+        let mut confirms = Confirms::new();
+        let mut now = Instant::now();
+        let mut waiting = Vec::new();
+        for (number, Step { event, answered }) in case.steps.iter().enumerate() {
+            let name = format!("{}, step {number}", case.name);
+            match *event {
+                Add => {
+                    let (reply, confirmed) = oneshot::channel();
+                    confirms.add(reply);
+                    waiting.push(confirmed);
+                }
+                Due { ms, sends } => {
+                    now += Duration::from_millis(ms);
+                    assert_eq!(confirms.due(now).is_some(), sends, "{name}");
+                }
+                Answer { back, index } => {
+                    confirms.answered(confirms.ticket.wrapping_sub(back), LogIndex(index));
+                }
+                Applied(index) => confirms.applied(LogIndex(index)),
+            }
+            let came: Vec<usize> = waiting
+                .iter_mut()
+                .enumerate()
+                .filter_map(|(place, it)| it.try_recv().is_ok().then_some(place))
+                .collect();
+            assert_eq!(came, *answered, "{name}");
+        }
+    }
+}
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -38,7 +38,7 @@
 /// What an entry was told.
 #[derive(Clone, Debug, Default)]
 pub struct News {
-    /// The newest plan, once a member that was up to date vouched for it.
+    /// The newest plan, once a quorum confirmed that none was newer when the entry had started.
     pub plan: Option<(Version, Arc<Vec<u8>>)>,
     /// The newest list of upstreams.
     pub upstreams: Arc<Vec<Upstream>>,
@@ -146,6 +146,7 @@
         links: HashMap::new(),
         members: Vec::new(),
         held: HashMap::new(),
+        vouched: None,
         text: None,
         fetch,
         leader: None,
--- a/crates/registry/src/follow/state.rs
+++ b/crates/registry/src/follow/state.rs
@@ -29,8 +29,11 @@
     pub(super) seeds: Arc<Mutex<Vec<SocketAddr>>>,
     pub(super) links: HashMap<SocketAddr, Option<Sender<ToMember>>>,
     pub(super) members: Vec<SocketAddr>,
-    /// The version each member holds, and whether it is up to date.
-    pub(super) held: HashMap<SocketAddr, (Version, bool)>,
+    /// The version each member holds.
+    pub(super) held: HashMap<SocketAddr, Version>,
+    /// The version of a plan that was the newest acknowledged one after this entry had started, as a
+    /// quorum confirmed.
+    pub(super) vouched: Option<Version>,
     pub(super) text: Option<(Version, Arc<Vec<u8>>)>,
     pub(super) fetch: Fetch,
     /// The member that sent the newest list: the leader.
@@ -100,7 +103,11 @@
     fn take_message(&mut self, from: SocketAddr, message: ToEntry) {
         match message {
             ToEntry::Held { version, current } => {
-                self.held.insert(from, (version, current));
+                self.held.insert(from, version);
+                if current && self.vouched.is_none() {
+                    log::info!(version:% = version, peer:% = from; "a member vouches for its plan");
+                    self.vouched = Some(version);
+                }
                 self.show();
             }
             ToEntry::Part(part) => self.take_part(from, part),
@@ -178,13 +185,12 @@
         });
     }
 
-    /// Shows the newest text. The first one is shown only once a member that was up to date holds
-    /// no newer one: an entry that comes back must not serve what was overtaken while it was away.
+    /// Shows the newest text. The first one is shown only if it is as new as one that a member vouched
+    /// for: an entry that comes back must not serve what was overtaken while it was away. One that is
+    /// newer will do, so that an entry that starts need not wait until changes cease.
     fn show(&self) {
         let Some((version, text)) = &self.text else { return };
-        let first = self.news.borrow().plan.is_none();
-        let vouched = self.held.values().any(|(it, current)| *current && it <= version);
-        if first && !vouched {
+        if self.vouched.is_none_or(|it| it > *version) {
             return;
         }
         self.news.send_if_modified(|news| {
@@ -199,7 +205,7 @@
     /// Asks for the newest plan that some member holds.
     pub(super) fn fetch(&mut self) {
         let have = self.text.as_ref().map(|it| it.0);
-        let holders: Vec<_> = self.held.iter().map(|(peer, it)| (*peer, it.0)).collect();
+        let holders: Vec<_> = self.held.iter().map(|(peer, it)| (*peer, *it)).collect();
         let now = Instant::now();
         let Some((question, peers)) = self.fetch.due(have, &holders, now) else { return };
         let message = ToMember::Ask(question);
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -1,6 +1,7 @@
 //! Hands the plan, the upstreams and the entries to the entries that are connected.
 
 use std::collections::{BTreeMap, HashMap};
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use wire::{Connection, Receiver, Sender};
 
 use crate::driver::View;
+use crate::member::Witness;
 use crate::message::{EntrySeen, LoadReport, Stamp, ToEntry, ToMember, UpstreamList, UpstreamLoad};
 use crate::texts::Texts;
 
@@ -128,14 +130,9 @@
     }
 
     /// Serves one entry until its connection ends.
-    pub(crate) async fn serve(
-        &self,
-        life: u64,
-        connection: Connection,
-        view: watch::Receiver<View>,
-    ) {
+    pub(crate) async fn serve(&self, life: u64, connection: Connection, witness: Witness) {
         let (sender, receiver) = connection.split::<ToEntry, ToMember>();
-        if let Err(error) = self.talk(life, &sender, receiver, view).await {
+        if let Err(error) = self.talk(life, &sender, receiver, &witness).await {
             log::info!(cause:% = error; "the connection to an entry ended");
         }
         self.leave(life);
@@ -146,8 +143,11 @@
         life: u64,
         sender: &Sender<ToEntry>,
         mut receiver: Receiver<ToMember>,
-        mut view: watch::Receiver<View>,
+        witness: &Witness,
     ) -> types::StepResult<()> {
+        let mut view = witness.view.clone();
+        let mut confirming = pin!(witness.confirm());
+        let mut confirmed = false;
         let mut handout = self.handout.subscribe();
         let mut digest = self.digest.subscribe();
         let mut told = Told::default();
@@ -156,7 +156,7 @@
             if told.held.is_none_or(|it| it.0 < seen.held.version) {
                 self.texts().note(&seen.held);
             }
-            told.tell_view(sender, &seen).await?;
+            told.tell_view(sender, &seen, confirmed).await?;
             let current = handout.borrow_and_update().clone();
             if seen.leads() {
                 told.tell_handout(sender, seen.term, current).await?;
@@ -164,6 +164,7 @@
                 told.tell_loads(sender, &loads).await?;
             }
             tokio::select! {
+                () = &mut confirming, if !confirmed => confirmed = true,
                 changed = view.changed() => if changed.is_err() { return Ok(()) },
                 changed = digest.changed() => if changed.is_err() { return Ok(()) },
                 changed = handout.changed() => if changed.is_err() { return Ok(()) },
@@ -205,8 +206,13 @@
 }
 
 impl Told {
-    async fn tell_view(&mut self, sender: &Sender<ToEntry>, view: &View) -> types::StepResult<()> {
-        let (version, current) = (view.held.version, view.current);
+    async fn tell_view(
+        &mut self,
+        sender: &Sender<ToEntry>,
+        view: &View,
+        confirmed: bool,
+    ) -> types::StepResult<()> {
+        let (version, current) = (view.held.version, confirmed && view.current);
         if self.held != Some((version, current)) {
             self.held = Some((version, current));
             sender.send(&ToEntry::Held { version, current }).await?;
--- a/crates/registry/src/member.rs
+++ b/crates/registry/src/member.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use tokio::sync::{oneshot, watch};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use types::{StepError, StepResult, Version, VmName};
 use wire::{Connection, Hello, Kind, Listener, Secret};
 
@@ -27,6 +27,10 @@
 /// How long an order waits for a leader to be known.
 const LEADER_WAIT: Duration = Duration::from_millis(600);
 
+/// The pause before the driver is asked again whether the plan is the newest: as long as it takes to open
+/// a data folder that failed again.
+const VOUCH_PAUSE: Duration = Duration::from_millis(400);
+
 /// How long a leader that ends waits for another to lead.
 const RESIGN: Duration = Duration::from_millis(600);
 
@@ -115,7 +119,8 @@
             .spawn(move || driver::run(driver, theirs, publish, waiting))
             .map_err(|e| StepError::new("start driver", e))?;
         let hub = Arc::new(Hub::new());
-        tokio::spawn(accept(listener, inputs.clone(), Arc::clone(&hub), view.clone()));
+        let witness = Witness { inputs: inputs.clone(), view: view.clone() };
+        tokio::spawn(accept(listener, inputs.clone(), Arc::clone(&hub), witness));
         tokio::spawn(Arc::clone(&hub).add_loads());
         tokio::spawn(reader::run(list, hub, view.clone()));
         Ok(Self { codec, inputs, view, peers, address })
@@ -180,12 +185,35 @@
     }
 }
 
+/// Shows the driver's view to an entry's connection, and has a quorum confirm it.
+#[derive(Clone)]
+pub(crate) struct Witness {
+    inputs: mpsc::SyncSender<Input>,
+    pub(crate) view: watch::Receiver<View>,
+}
+
+impl Witness {
+    /// Returns once a quorum has confirmed, after the call, that nothing newer than the plan in the
+    /// view had been acknowledged.
+    pub(crate) async fn confirm(&self) {
+        loop {
+            let (reply, confirmed) = oneshot::channel();
+            let asked = self.inputs.try_send(Input::Vouch(reply)).is_ok();
+            if asked && confirmed.await.is_ok() {
+                return;
+            }
+            // The driver has too much to take in, or opens its data folder anew.
+            sleep(VOUCH_PAUSE).await;
+        }
+    }
+}
+
 /// Takes connections of other members and of entries.
 async fn accept(
     mut listener: Listener,
     inputs: mpsc::SyncSender<Input>,
     hub: Arc<Hub>,
-    view: watch::Receiver<View>,
+    witness: Witness,
 ) {
     loop {
         let (hello, connection) = match listener.accept().await {
@@ -200,8 +228,8 @@
                 tokio::spawn(take(connection, inputs.clone()));
             }
             Kind::Entry => {
-                let (hub, view) = (Arc::clone(&hub), view.clone());
-                tokio::spawn(async move { hub.serve(hello.node, connection, view).await });
+                let (hub, witness) = (Arc::clone(&hub), witness.clone());
+                tokio::spawn(async move { hub.serve(hello.node, connection, witness).await });
             }
         }
     }
@@ -214,6 +242,8 @@
         let input = match message {
             PeerMessage::Log(message, from) => Input::Step(message, from),
             PeerMessage::Join { node, address, relayed } => Input::Join { node, address, relayed },
+            PeerMessage::Confirm { ticket, from } => Input::Confirm { ticket, from },
+            PeerMessage::Confirmed { ticket, index } => Input::Confirmed { ticket, index },
         };
         if let Err(mpsc::TrySendError::Disconnected(_)) = inputs.try_send(input) {
             return;
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -5,7 +5,7 @@
 
 use consensus::Message;
 use serde::{Deserialize, Serialize};
-use types::{NodeId, Version};
+use types::{LogIndex, NodeId, Version};
 
 use crate::parcel::{Label, Part};
 
@@ -24,6 +24,20 @@
         /// Whether the request was passed on by a member; it is passed on only once.
         relayed: bool,
     },
+    /// Asks the leader how far the log is committed, as a quorum confirms it after this question.
+    Confirm {
+        /// Repeated by the answer.
+        ticket: u64,
+        /// Where the asking member is reached.
+        from: SocketAddr,
+    },
+    /// Answers `Confirm`.
+    Confirmed {
+        /// The ticket of the question.
+        ticket: u64,
+        /// How far the log was committed.
+        index: LogIndex,
+    },
 }
 
 /// What an entry sends a member.
@@ -69,7 +83,8 @@
     Held {
         /// Its version; zero where there is none.
         version: Version,
-        /// Whether the member had applied everything it knows to be committed, and has a leader.
+        /// Whether a quorum confirmed, after the entry connected, that nothing newer had been
+        /// acknowledged.
         current: bool,
     },
     /// A plan, as the operator sent it, for an entry of the release before.
--- a/crates/registry/tests/slow_link.rs
+++ b/crates/registry/tests/slow_link.rs
@@ -8,7 +8,7 @@
 use registry::{Follower, Member, News};
 use standins::proxy::{Config, Proxy};
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use types::Version;
 
 /// Links of an entry to members: as many as it follows at once, so that none goes past a proxy.
@@ -29,13 +29,26 @@
     format!("{version} \n{}", (0..routes).map(route).collect::<String>())
 }
 
-/// Members, and an entry behind slow links to them.
+/// Members, and slow links to them.
 struct Scene {
     members: Vec<Member<env::TextCodec>>,
     links: Vec<Proxy>,
+    env: Env,
+}
+
+/// An entry behind the links.
+struct Entry {
     news: watch::Receiver<News>,
-    _entry: Follower,
-    _env: Env,
+    _follower: Follower,
+}
+
+impl Entry {
+    /// Waits until the entry has a plan with this version, or a newer one.
+    async fn shown(&mut self, version: Version) {
+        let known = self.news.wait_for(|it| it.plan.as_ref().is_some_and(|it| it.0 >= version));
+        let known = timeout(PATIENCE, known).await;
+        known.expect("the plan comes").expect("the entry runs");
+    }
 }
 
 impl Scene {
@@ -52,8 +65,12 @@
             link.delay(CHUNK_DELAY);
             links.push(link);
         }
-        let entry = env.follower_of(links.iter().map(Proxy::address).collect());
-        Self { members, links, news: entry.news(), _entry: entry, _env: env }
+        Self { members, links, env }
+    }
+
+    fn entry(&self) -> Entry {
+        let follower = self.env.follower_of(self.links.iter().map(Proxy::address).collect());
+        Entry { news: follower.news(), _follower: follower }
     }
 
     async fn put(&self, text: &str) -> Version {
@@ -61,13 +78,6 @@
         put(&all, text).await
     }
 
-    /// Waits until the entry has a plan with this version, or a newer one.
-    async fn shown(&mut self, version: Version) {
-        let known = self.news.wait_for(|it| it.plan.as_ref().is_some_and(|it| it.0 >= version));
-        let known = timeout(PATIENCE, known).await;
-        known.expect("the plan comes").expect("the entry runs");
-    }
-
     /// Bytes that went over the entry's links.
     fn bytes(&self) -> u64 {
         self.links.iter().map(|it| it.counts().forwarded).sum()
@@ -82,14 +92,41 @@
 /// 14 lines `a plan arrived` of 822 kB for two versions, 12 of them with `known`.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_plan_takes_a_slow_link_once_and_a_small_change_little_of_it() {
-    let mut scene = Scene::open().await;
+    let scene = Scene::open().await;
+    let mut entry = scene.entry();
     let first = plan(1, ROUTES, 0);
     let version = scene.put(&first).await;
-    scene.shown(version).await;
+    entry.shown(version).await;
     for (number, changed) in [(2, 40), (3, 4_000), (4, 2_000)] {
         let version = scene.put(&plan(number, ROUTES, changed)).await;
-        scene.shown(version).await;
+        entry.shown(version).await;
     }
     let (bytes, text) = (scene.bytes(), first.len() as u64);
     assert!(bytes < 2 * text, "{bytes} bytes for a text of {text} and three small changes");
 }
+
+/// How many changes come, at least 5 ms apart. An entry behind a slow link takes some 200 ms for its
+/// first plan.
+const CHANGES: u64 = 200;
+
+/// Symptom looked for: an entry that starts while operators send one change after the other answers
+/// every request with 503 until they pause.
+/// Sequence: by the time a text has arrived, each member holds a newer one.
+/// Cause it would have: only a member that holds nothing newer vouches for the text.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_that_starts_amid_changes_has_a_plan_before_they_end() {
+    let scene = Scene::open().await;
+    scene.put(&plan(1, ROUTES, 0)).await;
+    let mut entry = scene.entry();
+    let shown = entry.news.wait_for(|it| it.plan.is_some());
+    let changes = async {
+        for number in 2..=CHANGES {
+            scene.put(&plan(number, ROUTES, number as usize)).await;
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::select! {
+        shown = shown => assert!(shown.is_ok()),
+        () = changes => panic!("no plan is shown before the changes end"),
+    }
+}
