Show that a question for an acknowledged plan is dropped, red

Hypotheses: the message is lost in the connection (its receiver is safe to cancel, by reading); the member had not yet shown the plan when the question came. Both are listed until the mend.

--- a/crates/registry/tests/cluster.rs
+++ b/crates/registry/tests/cluster.rs
@@ -10,6 +10,7 @@
 use registry::{EntrySeen, PutOutcome, Relay, Stamp, UpstreamList};
 use tokio::time::timeout;
 use types::Version;
+use wire::Receiver;
 
 /// Symptom: no configuration was ever acknowledged.
 /// Sequence: one member begins a cluster; the others ask to take part and are sent the log.
@@ -130,18 +131,42 @@
     put(&[&member], "4 whole").await;
     let (sender, mut receiver) = env.connect(env.addresses[0]).await;
     sender.send(&ToMember::Fetch(Version(4))).await.expect("asked");
-    let plan = async {
-        loop {
-            let message = receiver.recv().await.expect("a message").expect("an open connection");
-            if let ToEntry::Plan { version, text } = message {
-                return (version, text);
-            }
-        }
-    };
+    let plan = plan_of(&mut receiver);
     let (version, text) = timeout(PATIENCE, plan).await.expect("in time");
     assert_eq!((version, text.as_slice()), (Version(4), b"4 whole".as_slice()));
 }
 
+/// How many versions are asked for, each as soon as it is acknowledged.
+const ASKED: u64 = 400;
+
+/// Symptom: an entry asks a member for a version that was acknowledged, and no answer ever comes.
+/// Sequence: the only member acknowledges version 4; an entry that was told of it asks for it at once.
+/// Cause: the member answers operators before it shows the plan to its connections, and a question for a
+/// plan that is not shown yet is dropped.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_is_acknowledged_is_sent_to_whoever_asks_at_once() {
+    let env = Env::new(1, 0);
+    let member = env.member(0, true).await;
+    let (sender, mut receiver) = env.connect(env.addresses[0]).await;
+    for number in 1..=ASKED {
+        let version = put(&[&member], &format!("{number} plan")).await;
+        sender.send(&ToMember::Fetch(version)).await.expect("asked");
+        let plan = plan_of(&mut receiver);
+        let (sent, _) = timeout(PATIENCE, plan).await.expect("version is sent in time");
+        assert_eq!(sent, version);
+    }
+}
+
+/// Returns the next plan that a member sends in one piece.
+async fn plan_of(receiver: &mut Receiver<ToEntry>) -> (Version, Vec<u8>) {
+    loop {
+        let message = receiver.recv().await.expect("a message").expect("an open connection");
+        if let ToEntry::Plan { version, text } = message {
+            return (version, text);
+        }
+    }
+}
+
 struct RelayCase {
     name: &'static str,
     count: u64,
