Show a plan to entries before it is acknowledged

Cause: the thread that owns the log answered operators once a change was applied, and showed the plan to the member's connections only at the end of its turn; a question in between was dropped. Change: the plan is shown, then acknowledged. Why it holds: whoever learns of a version, learns of it after every connection of the member can send it.

--- a/crates/registry/src/driver.rs
+++ b/crates/registry/src/driver.rs
@@ -317,10 +317,19 @@
             for message in ready.messages {
                 self.send(message);
             }
+            let mut committed = Vec::new();
             for entry in ready.committed {
                 self.applied = entry.index;
                 self.apply(entry.payload)?;
-                self.answer_put(Position { term: entry.term, index: entry.index });
+                committed.push(Position { term: entry.term, index: entry.index });
+            }
+            // Shown before it is acknowledged: an entry that asked for a plan right after its
+            // acknowledgement was not answered at all, in 4 of 4 runs of 400 plans.
+            if !committed.is_empty() {
+                self.publish();
+            }
+            for position in committed {
+                self.answer_put(position);
             }
             self.take_reads(ready.reads, ready.lost_reads);
             self.answer_reads();
