Reserve the ports of tests' processes

Seen in tests only, by no caller: a member ends at its start with 'Address already in use', and the test waits for it in vain for 60 s (state_leader 3 of 360 runs on, the registry's cluster 4 of 360, both beside load). Cause: a port was found by listening and released for the process that is to have it. A child that another thread has forked keeps a copy of the listener until it runs its own program; and the kernel gives a port that nobody holds to any socket that asks for one (the gates of state_leader did, on the same address). Change: standins::Ports keeps a socket that is bound and never listens. One type in place of four functions. Why it holds: the kernel gives a bound port to nobody that asks for any, and lets one socket listen on it, whoever holds copies of the others. Ruled out: more tries at another port (settings of all members name it); a lock around forks (every test that starts a process would have to take it).

--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -4,9 +4,8 @@
 
 pub(crate) mod entry;
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -18,6 +17,7 @@
 use serde_json::{Value, json};
 use settings::{ControlPart, Member, NodeSettings, Operator};
 use sha2::{Digest, Sha256};
+use standins::Ports;
 use types::ByteSize;
 
 /// The operator's token.
@@ -26,27 +26,12 @@
 /// How long a condition may take to come true; far above what it takes.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
 
-static ADDRESSES: AtomicU32 = AtomicU32::new(0);
-
-/// Returns a loopback address that no other test uses.
-fn own_address() -> IpAddr {
-    let number = ADDRESSES.fetch_add(1, Ordering::Relaxed);
-    let process = std::process::id();
-    let [_, _, high, low] = process.to_be_bytes();
-    IpAddr::V4(Ipv4Addr::new(127, 64 + (number % 128) as u8, high, low.max(1)))
-}
-
-/// Returns a port that was free on `ip` a moment ago.
-fn free_port(ip: IpAddr) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("loopback has a free port");
-    listener.local_addr().expect("a bound socket has an address")
-}
-
 /// The members of one test.
 pub(crate) struct Cluster {
     pub(crate) settings: Vec<NodeSettings>,
     pub(crate) running: Vec<Option<Control>>,
     pub(crate) timing: Timing,
+    _ports: Vec<Ports>,
     _folder: tempfile::TempDir,
 }
 
@@ -69,17 +54,15 @@
     }
 
     fn prepare(folder: tempfile::TempDir, count: usize, spares: usize) -> Self {
-        let member = |at: usize| {
-            let ip = own_address();
-            Member {
-                vm: format!("c{}", at + 1).parse().expect("a name"),
-                site: "north".parse().expect("a name"),
-                wire: free_port(ip),
-                http: free_port(ip),
-                spare: at + spares >= count,
-            }
+        let ports: Vec<Ports> = (0..count).map(|_| Ports::open()).collect();
+        let member = |(at, ports): (usize, &Ports)| Member {
+            vm: format!("c{}", at + 1).parse().expect("a name"),
+            site: "north".parse().expect("a name"),
+            wire: ports.free(),
+            http: ports.free(),
+            spare: at + spares >= count,
         };
-        let members: Vec<Member> = (0..count).map(member).collect();
+        let members: Vec<Member> = ports.iter().enumerate().map(member).collect();
         let node = |it: &Member| NodeSettings {
             vm: it.vm.clone(),
             site: it.site.clone(),
@@ -100,7 +83,7 @@
         };
         let settings: Vec<NodeSettings> = members.iter().map(node).collect();
         let running = settings.iter().map(|_| None).collect();
-        Self { settings, running, timing: Timing::default(), _folder: folder }
+        Self { settings, running, timing: Timing::default(), _ports: ports, _folder: folder }
     }
 
     /// Starts one member.
--- a/crates/mothplank/tests/env/mod.rs
+++ b/crates/mothplank/tests/env/mod.rs
@@ -6,8 +6,8 @@
 //! assert_eq!(reply.outcome(), "complete");
 //! ```
 //!
-//! Each environment has its own loopback address, so that two tests never meet; its ports come
-//! from the OS. Waits are on conditions ([`wait_until`]), never on time alone. Every process is
+//! Each environment has its own loopback address, and its ports are reserved, so that two tests never
+//! meet. Waits are on conditions ([`wait_until`]), never on time alone. Every process is
 //! killed by its id when the environment is dropped; after a failed test the tails of their logs
 //! are printed.
 
@@ -17,7 +17,6 @@
 mod document;
 mod http;
 mod nodes;
-mod ports;
 mod process;
 
 use std::collections::BTreeMap;
@@ -26,13 +25,13 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
+use standins::Ports;
 use standins::proxy::{self, Proxy};
 use tempfile::TempDir;
 
 pub use document::{CUSTOMER_KEY, Document};
 pub use http::{Http, HttpError, Reply};
 pub use nodes::{OPERATOR_TOKEN, OPERATORS, SECRET, SITES};
-pub use ports::Ports;
 pub use process::{Process, Signal, command};
 
 /// How long a condition may take to come true before the test fails. Generous, for it is reached
--- a/crates/mothplank/tests/env/nodes.rs
+++ b/crates/mothplank/tests/env/nodes.rs
@@ -7,9 +7,10 @@
 
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
+use standins::Ports;
 use standins::proxy::Proxy;
 
-use super::{Plan, Ports};
+use super::Plan;
 
 /// The token of the operator `ines`.
 pub const OPERATOR_TOKEN: &str = "token-of-ines";
--- a/crates/mothplank/tests/history/gate.rs
+++ b/crates/mothplank/tests/history/gate.rs
@@ -47,9 +47,7 @@
 impl Gate {
     /// Opens a gate to an engine.
     pub fn open(env: &TestEnv, engine: SocketAddr) -> Self {
-        // Not on a port that was free a moment ago: a process that another test starts just then
-        // holds its socket open between fork and exec.
-        let listener = TcpListener::bind((env.ports.free().ip(), 0)).unwrap();
+        let listener = TcpListener::bind(env.ports.free()).unwrap();
         let address = listener.local_addr().unwrap();
         let gate = Self { address, engine, http: env.http.clone(), inner: Arc::default() };
         let server = gate.clone();
--- a/crates/registry/tests/env/mod.rs
+++ b/crates/registry/tests/env/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)] // Each test program uses its own part of this.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
     Codec, Follower, FollowerConfig, Health, ListSource, Listing, Member, MemberConfig, PutOutcome,
     ReadOutcome, Upstream, deployment_secret,
 };
+use standins::Ports;
 use tempfile::TempDir;
 use tokio::time::{Instant, sleep};
 use types::{StepResult, Version};
@@ -52,16 +53,16 @@
     folder: TempDir,
     pub(crate) addresses: Vec<SocketAddr>,
     losses: usize,
+    _ports: Ports,
 }
 
 impl Env {
     /// Makes places for `count` members, of which `losses` may be lost.
     pub(crate) fn new(count: usize, losses: usize) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
-        let sockets: Vec<TcpListener> =
-            (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
-        let addresses = sockets.iter().map(|it| it.local_addr().expect("an address")).collect();
-        Self { folder, addresses, losses }
+        let ports = Ports::open();
+        let addresses = (0..count).map(|_| ports.free()).collect();
+        Self { folder, addresses, losses, _ports: ports }
     }
 
     /// The data folder of a member.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod marker;
 pub mod platform;
+mod ports;
 pub mod proxy;
 mod run;
 pub mod service;
@@ -19,4 +20,5 @@
 mod worker;
 
 pub use handle::{Fake, Handle};
+pub use ports::Ports;
 pub use run::{Kind, run};
