Look twice before an entry leaves a control member

Callers of the product's own entry got 503: an entry that had no service yet left a member that was well while it read the document, and was sent the whole of it again by the next. Cause: the entry's own time counted as the member's silence. Change: a pure Patience; two looks in a row, 100 ms apart, must find the time over, the second at 1.5 s as before. What arrives counts since the last confirmation. Why it holds: between the looks the entry waits on its connection, so what is there is read first. Ruled out: to add the entry's own time to the patience (tried: the 0.5 s on time before a stall and the stall's end still add up to 1.5 s, the test stayed red); a fresh patience after a stall (on a machine that is always late a member without a quorum would never be left).

--- a/crates/follower/src/session.rs
+++ b/crates/follower/src/session.rs
@@ -18,20 +18,13 @@
 use crate::questions::Questions;
 use crate::requests::{Answer, Claimed, Requests};
 use crate::{
-    Choice, DigestGate, Event, FollowerConfig, LoadDelta, Snapshot, Versions, merge_usage,
+    CONFIRM_PATIENCE, Choice, DigestGate, Event, FollowerConfig, LoadDelta, Patience, Snapshot,
+    Versions, merge_usage,
 };
 
 /// How often a quorum is asked for the version in force.
 const CONFIRM_PERIOD: Duration = Duration::from_millis(1_000);
 
-/// How long a member may go without confirming a quorum before another is tried. Together with one
-/// period of asking it stays below the shortest freshness bound worth setting.
-const CONFIRM_PATIENCE: Duration = Duration::from_millis(1_500);
-
-/// What must arrive within [`CONFIRM_PATIENCE`] for a message to count as under way, in bytes: far more
-/// than heartbeats (some 15), and 5 in 100 of a link of 10 Mbit/s.
-const UNDER_WAY: u64 = 100_000;
-
 /// How often failures to connect are logged at most.
 const FAULT_PERIOD: Duration = Duration::from_secs(5);
 
@@ -151,40 +144,25 @@
         let member = connection.address();
         let (sender, mut receiver) = connection.split::<EntryMessage, ControlMessage>();
         self.opened(member, &sender);
-        let mut last = Instant::now();
-        let mut received = receiver.received();
+        let mut patience = Patience::new(Instant::now(), receiver.received());
         let mut ticks = interval(CONFIRM_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let end = loop {
             let now = Instant::now();
-            if now.saturating_duration_since(last) > CONFIRM_PATIENCE
-                && receiver.received() >= received + UNDER_WAY
-            {
-                // A confirmation waits behind the document that it confirms. Without this an entry
-                // whose link needs longer for that than the patience leaves each member in turn while
-                // it is sending, and never has a service.
-                (last, received) = (now, receiver.received());
-            }
-            if now.saturating_duration_since(last) > CONFIRM_PATIENCE {
+            if patience.is_over(now, receiver.received()) {
                 let why = format!("no quorum confirmed for {CONFIRM_PATIENCE:?}");
                 break End::Failed(StepError::new("confirm version", why).at(member));
             }
             self.send_due(&sender, now);
             let due = self.requests.next_due().unwrap_or(now + CONFIRM_PERIOD);
-            let wake = due.min(last + CONFIRM_PATIENCE + Duration::from_millis(1));
+            let wake = due.min(patience.deadline());
             tokio::select! {
                 message = receiver.recv() => match message {
                     Ok(Some(ControlMessage::Leave)) => break End::Left,
                     Ok(Some(message)) => {
-                        let large = receiver.received() >= received + UNDER_WAY;
-                        received = receiver.received();
-                        let confirmed = self.message(message, &sender);
-                        if confirmed {
+                        if self.message(message, &sender) {
                             self.choice.good(member);
-                        }
-                        // To read a large document takes time too; its confirmation comes behind it.
-                        if confirmed || large {
-                            last = Instant::now();
+                            patience = Patience::new(Instant::now(), receiver.received());
                         }
                     }
                     Ok(None) => break End::Failed(StepError::new("follow", "closed").at(member)),
