--- a/crates/mothplank/tests/demo.rs
+++ b/crates/mothplank/tests/demo.rs
@@ -2,8 +2,35 @@
 
 mod env;
 
+use std::process::Command;
+
 use serde_json::Value;
 
+/// Symptom: the first command on the page, `cargo run --release -- demo`, ends with `cargo run could not
+/// determine which binary to run`, so no newcomer gets past it.
+/// Sequence: a second program is added to the workspace.
+/// Cause: the workspace doesn't say which of its packages are meant where a command names none; tests run
+/// the binary by its path and can't see it.
+#[test]
+fn a_newcomers_first_command_names_one_program() {
+    let page = include_str!("../../../README.md");
+    let command = page.lines().find(|it| it.starts_with("cargo run")).expect("a first command");
+    assert_eq!(command, "cargo run --release -- demo");
+    let manifest = concat!(env!("CARGO_MANIFEST_DIR"), "/../../Cargo.toml");
+    let cargo = std::env::var("CARGO").expect("cargo runs the tests");
+    let read = ["metadata", "--no-deps", "--offline", "--format-version", "1", "--manifest-path"];
+    let output = Command::new(cargo).args(read).arg(manifest).output().unwrap();
+    let metadata: Value = serde_json::from_slice(&output.stdout).unwrap();
+    let meant = metadata["workspace_default_members"].as_array().unwrap();
+    let packages = metadata["packages"].as_array().unwrap().iter();
+    let targets = packages
+        .filter(|it| meant.contains(&it["id"]))
+        .flat_map(|it| it["targets"].as_array().unwrap());
+    let programs: Vec<&str> =
+        targets.filter(|it| it["kind"][0] == "bin").filter_map(|it| it["name"].as_str()).collect();
+    assert_eq!(programs, ["mothplank"]);
+}
+
 #[test]
 fn the_demo_answers_through_four_stages_and_exits_with_0() {
     let output = env::command(&["demo", "--output", "json"]).output().unwrap();
