Tell where a start of control or an entry hangs

For KNOWN-RED.txt's first entry (a control member that wrote no line and never answered for 60 s, seen once): the first line came only once everything was open, so a start that hung, one that never began and one that was killed looked the same. Change: a line before anything that can wait, and one when the data folder is open, with its time; the tests say at once when a member has ended at its start, in place of after 60 s. Conclusion: kept; the cause is open.

--- a/crates/control/src/control.rs
+++ b/crates/control/src/control.rs
@@ -86,8 +86,12 @@
 pub async fn spawn_with(settings: NodeSettings, timing: Timing) -> StepResult<Control> {
     let (part, wire) = parts(&settings)?;
     let secret = Secret::new(settings.secret.as_bytes())?;
+    let began = Instant::now();
     let opened = folder::open(&part.data, &settings.vm)?;
     let node = opened.id;
+    // A disk that stalls holds up the start here and nowhere else.
+    log::info!(folder:% = part.data.display(), node:% = node, ms = began.elapsed().as_millis() as u64;
+        "opened the data folder");
     let me = Hello { kind: Kind::Member, vm: settings.vm.clone(), node: node.0 };
     let listener = Listener::bind(wire.wire, &secret, me.clone()).await?;
     let bound = listener.address();
--- a/crates/mothplank/src/commands/control.rs
+++ b/crates/mothplank/src/commands/control.rs
@@ -5,7 +5,7 @@
 use eyre::{Result, WrapErr};
 use settings::NodeSettings;
 
-use crate::commands::signals;
+use crate::commands::{RELEASE, signals};
 use crate::error::Ending;
 use crate::exit_codes::ExitCode;
 
@@ -19,6 +19,8 @@
 pub(crate) fn run(settings: &Path) -> Result<ExitCode> {
     let node = NodeSettings::read(settings)?;
     telemetry::open_log(&node.log);
+    // Before anything that may wait: a start that hangs is told from one that never began.
+    log::info!(vm:% = node.vm, release = RELEASE; "control starts");
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(THREADS)
         .enable_all()
--- a/crates/mothplank/src/commands/entry.rs
+++ b/crates/mothplank/src/commands/entry.rs
@@ -5,7 +5,7 @@
 use eyre::{Result, WrapErr};
 use settings::NodeSettings;
 
-use crate::commands::signals;
+use crate::commands::{RELEASE, signals};
 use crate::exit_codes::ExitCode;
 
 /// Threads that drive the stages where the settings have no entry part; it then cannot start.
@@ -18,6 +18,7 @@
 pub(crate) fn run(settings: &Path) -> Result<ExitCode> {
     let node = NodeSettings::read(settings)?;
     telemetry::open_log(&node.log);
+    log::info!(vm:% = node.vm, release = RELEASE; "entry starts");
     let threads = node.entry.as_ref().map_or(FALLBACK_THREADS, |it| it.threads);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(threads)
--- a/crates/mothplank/src/commands/host.rs
+++ b/crates/mothplank/src/commands/host.rs
@@ -19,14 +19,12 @@
 use tokio::time::{MissedTickBehavior, interval};
 use types::VmName;
 
+use crate::commands::RELEASE;
 use crate::exit_codes::ExitCode;
 
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(1);
 
-/// The release that runs.
-const RELEASE: &str = env!("CARGO_PKG_VERSION");
-
 /// Runs a program on one thread until SIGTERM: `open` starts it, `changed` takes new settings, and
 /// `end` ends it.
 ///
--- a/crates/mothplank/src/commands/mod.rs
+++ b/crates/mothplank/src/commands/mod.rs
@@ -25,6 +25,9 @@
 use crate::config::{Command, Config};
 use crate::exit_codes::ExitCode;
 
+/// The release that runs.
+const RELEASE: &str = env!("CARGO_PKG_VERSION");
+
 /// Does what the command line asked for.
 ///
 /// # Errors
--- a/crates/mothplank/tests/env/mod.rs
+++ b/crates/mothplank/tests/env/mod.rs
@@ -139,10 +139,18 @@
             self.control(n);
         }
         for n in 1..=self.plan.controls {
-            self.wait_live(self.control_address(n));
+            self.wait_started(&format!("control-{n}"), self.control_address(n));
         }
     }
 
+    /// Waits until a process that was started answers; one that has ended is told at once.
+    fn wait_started(&mut self, name: &str, address: SocketAddr) {
+        wait_until(&format!("{name} to be live at {address}"), || {
+            assert!(!self.process(name).ended(), "{name} ended at its start");
+            self.http.get(address, "/livez").is_ok_and(|it| it.status == 200)
+        });
+    }
+
     /// Starts control member `n`, from 1; spares follow the voters.
     pub fn control(&mut self, n: usize) -> &mut Process {
         let settings = self.nodes.file(n);
