End two circles of files in control

plan and view took from each other the address in the membership and the operators' roll; the address has a file of its own now. calls took its own time limit from operators, which calls it; the limit stands in calls.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -1,6 +1,7 @@
 //! The operators' calls, one function each.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::StatusCode;
 use serde::de::DeserializeOwned;
@@ -15,11 +16,13 @@
 use crate::ask::{Ask, Denied};
 use crate::keeper;
 use crate::member::Member;
-use crate::operators::CALL_TIMEOUT;
 use crate::protocol::{Span, UseRow};
 use crate::report::Rows;
 use crate::status;
 
+/// How long a call may take; the command line tries another member after 4 s.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// How many audit records one answer holds.
 const RECORD_LIMIT: usize = 500;
 
--- a/crates/control/src/core/asks.rs
+++ b/crates/control/src/core/asks.rs
@@ -3,10 +3,10 @@
 use types::{NodeId, VmName};
 
 use super::{Core, Outbox};
+use crate::address::Address;
 use crate::ask::{Ask, Denied, Responder, Told};
 use crate::folder;
 use crate::pending::{PENDING_LIMIT, answer};
-use crate::view::Address;
 
 impl<O: Outbox> Core<O> {
     pub(super) fn ask(&mut self, ask: Ask, responder: Responder) {
--- a/crates/control/src/core/turn.rs
+++ b/crates/control/src/core/turn.rs
@@ -8,11 +8,12 @@
 use types::{LogIndex, NodeId, StepError, StepResult, VmName};
 
 use super::{Core, Outbox, published};
+use crate::address::Address;
 use crate::ask::{Denied, Told};
 use crate::folder;
 use crate::image::Image;
 use crate::pending::answer;
-use crate::view::{Address, View};
+use crate::view::View;
 
 impl<O: Outbox> Core<O> {
     /// Writes, sends, applies and answers until the node has nothing more to do.
--- a/crates/control/src/folder/mod.rs
+++ b/crates/control/src/folder/mod.rs
@@ -10,9 +10,9 @@
 use serde::de::DeserializeOwned;
 use types::{LogIndex, NodeId, StepError, StepResult, Term, VmName};
 
+use crate::address::Address;
 use crate::identity::{Identity, draw_node};
 use crate::image::Image;
-use crate::view::Address;
 
 /// The length of one tick of the consensus node.
 pub(crate) const TICK: Duration = Duration::from_millis(50);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! entries ([`sessions`]). Operators' HTTP runs on threads of its own. Whatever needs the leader
 //! goes through [`asker`], which finds it and tells certain failures from uncertain ones.
 
+mod address;
 mod answers;
 pub mod ask;
 mod asker;
@@ -19,7 +20,6 @@
 mod handle;
 mod handout;
 mod history;
-
 mod identity;
 mod image;
 mod inbound;
@@ -43,9 +43,10 @@
 mod use_files;
 mod view;
 
+pub use address::Address;
 pub use board::{ChangeNumber, ShareBoard};
 pub use control::{Control, Timing, spawn, spawn_with};
 pub use owners::Owners;
 pub use protocol::{ClusterId, EntrySeen};
 pub use shares::{ShareTable, SharesByEntry};
-pub use view::{Address, Published, View};
+pub use view::{Published, View};
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -1,7 +1,6 @@
 //! The operators' HTTP side.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::{Method, StatusCode};
 use settings::Operator;
@@ -15,9 +14,6 @@
 /// The largest body, in bytes: a whole document.
 pub(crate) const BODY_LIMIT: usize = 8 << 20;
 
-/// How long a call may take; the command line tries another member after 4 s.
-pub(crate) const CALL_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// One call, read in full.
 pub(crate) struct Call {
     pub(crate) method: Method,
--- a/crates/control/src/plan.rs
+++ b/crates/control/src/plan.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use types::{LogIndex, NodeId, VmName};
 
-use crate::view::Address;
+use crate::address::Address;
 
 /// What operators asked for beyond the settings; part of the replicated state.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -4,33 +4,11 @@
 use std::sync::Arc;
 
 use consensus::{Membership, Role};
-use serde::{Deserialize, Serialize};
 use types::{Document, LogIndex, NodeId, Term, UpstreamName, Version, VmName};
 
+use crate::address::Address;
 use crate::plan::Roll;
 
-/// How a member is reached; the opaque address of a node in the membership.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Address {
-    /// Its VM; the settings of every member say where that VM is.
-    pub vm: VmName,
-}
-
-impl Address {
-    /// Encodes the address for the membership.
-    ///
-    /// # Panics
-    /// Never: a name always encodes.
-    pub fn encode(vm: &VmName) -> Vec<u8> {
-        postcard::to_stdvec(&Self { vm: vm.clone() }).expect("a name encodes")
-    }
-
-    /// Decodes an address of the membership.
-    pub fn decode(bytes: &[u8]) -> Option<VmName> {
-        postcard::from_bytes::<Self>(bytes).ok().map(|it| it.vm)
-    }
-}
-
 /// The service and the marks as applied by this member.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Published {
