Ask a leader that never answers less and less

Hypothesis: in a rolling upgrade a new member's question to an old leader ends their connection, every 200 ms. Seen by hand with both releases: 191 and 97 connections between members ended while three were upgraded one by one; changes still took 4 to 7 ms and no election came of it. Change: the pause is doubled up to 3.2 s for the same leader and term, and begins anew with another. The table of questions has the case. Ruled out: to give up after some tries (an entry that waits would never have a plan from that member); to learn the release of a member first (one more message for the time of an upgrade).

--- a/crates/registry/src/driver/confirm.rs
+++ b/crates/registry/src/driver/confirm.rs
@@ -9,24 +9,40 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::oneshot;
-use types::LogIndex;
+use types::{LogIndex, NodeId, Term};
 
 use super::Driver;
 use super::answers::Reader;
 use crate::message::PeerMessage;
 
-/// The pause before the leader is asked again: many times a quorum's round trip between domains (some
-/// 3 ms), and a fraction of the time in which another leader is elected (700 ms and more).
+/// The pause before the same leader is asked again: many times a quorum's round trip between domains
+/// (some 3 ms), and a fraction of the time in which another leader is elected (700 ms and more).
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 
+/// How often that pause is doubled at most, to 3.2 s. A leader that does not answer for longer than an
+/// election takes is of a release that doesn't know the question: it ends the connection on each one.
+const DOUBLINGS: u32 = 4;
+
+/// A leader and its term.
+type Led = (NodeId, Term);
+
+/// A question to the leader that has no answer yet.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    leader: Led,
+    at: Instant,
+    /// How often it was sent again.
+    again: u32,
+}
+
 /// The questions of entries' connections; all that wait share one question to the leader.
 #[derive(Debug)]
 pub(super) struct Confirms {
     /// The number of the question that was sent last. The first is random: the answer to a question of
     /// an earlier run of this process must not count for one of this run.
     ticket: u64,
-    /// When it was sent, while it has no answer.
-    asked: Option<Instant>,
+    /// Whom it was sent to, while it has no answer.
+    asked: Option<Asked>,
     /// Those that its answer is for.
     open: Vec<oneshot::Sender<()>>,
     /// Those that came later: an answer to it may be older than they are.
@@ -56,21 +72,26 @@
     }
 
     /// Returns the ticket of the question to send now. One without an answer is sent again under the
-    /// same ticket, so that a late answer counts.
-    fn due(&mut self, now: Instant) -> Option<u64> {
-        if let Some(at) = self.asked {
-            return (now.duration_since(at) >= ASK_AGAIN).then(|| {
-                self.asked = Some(now);
-                self.ticket
-            });
-        }
-        self.waiting.retain(|it| !it.is_closed());
-        if self.waiting.is_empty() {
-            return None;
+    /// same ticket, so that a late answer counts; to another leader at once.
+    fn due(&mut self, now: Instant, leader: Led) -> Option<u64> {
+        let mut again = 0;
+        if let Some(asked) = self.asked {
+            if asked.leader == leader {
+                let pause = ASK_AGAIN * 2_u32.pow(asked.again.min(DOUBLINGS));
+                if now.duration_since(asked.at) < pause {
+                    return None;
+                }
+                again = asked.again + 1;
+            }
+        } else {
+            self.waiting.retain(|it| !it.is_closed());
+            if self.waiting.is_empty() {
+                return None;
+            }
+            self.open = std::mem::take(&mut self.waiting);
+            self.ticket = self.ticket.wrapping_add(1);
         }
-        self.open = std::mem::take(&mut self.waiting);
-        self.ticket = self.ticket.wrapping_add(1);
-        self.asked = Some(now);
+        self.asked = Some(Asked { leader, at: now, again });
         Some(self.ticket)
     }
 
@@ -96,9 +117,10 @@
         if self.confirms.is_idle() {
             return;
         }
-        let Some(leader) = self.node.status().leader else { return };
+        let status = self.node.status();
+        let Some(leader) = status.leader else { return };
         let Some(address) = self.address(leader) else { return };
-        let Some(ticket) = self.confirms.due(now) else { return };
+        let Some(ticket) = self.confirms.due(now, (leader, status.term)) else { return };
         let from = self.config.address;
         if leader == self.id {
             self.read_for(ticket, from);
--- a/crates/registry/src/driver/confirm/tests.rs
+++ b/crates/registry/src/driver/confirm/tests.rs
@@ -13,13 +13,15 @@
     Add,
     /// So many ms pass, and a question is sent or not.
     Due { ms: u64, sends: bool },
+    /// Another node leads.
+    Elected,
     /// The leader answers the question sent this many questions ago, 0 being the latest.
     Answer { back: u64, index: u64 },
     /// The log is applied so far.
     Applied(u64),
 }
 
-use Event::{Add, Answer, Applied, Due};
+use Event::{Add, Answer, Applied, Due, Elected};
 
 struct Case {
     name: &'static str,
@@ -81,6 +83,27 @@
             step(Applied(3), &[]),
         ],
     },
+    Case {
+        name: "a leader that never answers is asked less and less, another at once",
+        steps: &[
+            step(Add, &[]),
+            step(Due { ms: 0, sends: true }, &[]),
+            step(Due { ms: 200, sends: true }, &[]),
+            step(Due { ms: 399, sends: false }, &[]),
+            step(Due { ms: 1, sends: true }, &[]),
+            step(Due { ms: 800, sends: true }, &[]),
+            step(Due { ms: 1_600, sends: true }, &[]),
+            step(Due { ms: 3_200, sends: true }, &[]),
+            step(Due { ms: 3_199, sends: false }, &[]),
+            step(Due { ms: 1, sends: true }, &[]),
+            step(Elected, &[]),
+            step(Due { ms: 0, sends: true }, &[]),
+            step(Due { ms: 199, sends: false }, &[]),
+            step(Due { ms: 1, sends: true }, &[]),
+            step(Answer { back: 0, index: 3 }, &[]),
+            step(Applied(3), &[0]),
+        ],
+    },
     Case { name: "nobody waits", steps: &[step(Due { ms: 500, sends: false }, &[])] },
 ];
 
@@ -89,6 +112,7 @@
     for case in CASES {
         let mut confirms = Confirms::new();
         let mut now = Instant::now();
+        let mut leader = (NodeId(1), Term(1));
         let mut waiting = Vec::new();
         for (number, Step { event, answered }) in case.steps.iter().enumerate() {
             let name = format!("{}, step {number}", case.name);
@@ -100,8 +124,9 @@
                 }
                 Due { ms, sends } => {
                     now += Duration::from_millis(ms);
-                    assert_eq!(confirms.due(now).is_some(), sends, "{name}");
+                    assert_eq!(confirms.due(now, leader).is_some(), sends, "{name}");
                 }
+                Elected => leader.1 = Term(leader.1.0 + 1),
                 Answer { back, index } => {
                     confirms.answered(confirms.ticket.wrapping_sub(back), LogIndex(index));
                 }
