--- a/crates/registry/src/current.rs
+++ b/crates/registry/src/current.rs
@@ -1,4 +1,6 @@
-//! Tells whether a member holds every plan that was ever acknowledged. Pure.
+//! Tells whether a member may hold every plan that was ever acknowledged, by what it knows itself. Pure.
+//!
+//! It can't know of what it has not heard of; a quorum confirms it besides, for each entry that connects.
 
 use types::{LogIndex, Term};
 
--- a/crates/registry/src/driver/view.rs
+++ b/crates/registry/src/driver/view.rs
@@ -17,7 +17,8 @@
     pub(crate) role: Role,
     pub(crate) settled: bool,
     pub(crate) leader: Option<SocketAddr>,
-    /// Whether the held plan is the newest that was acknowledged; see [`CurrentView`].
+    /// Whether the held plan is the newest acknowledged one, as far as this member knows; see
+    /// [`CurrentView`].
     pub(crate) current: bool,
     pub(crate) held: Arc<Held>,
     pub(crate) members: Vec<SocketAddr>,
