Use the field's words for a confirmed view

Names only: the type that shows a member's view to a connection and has a quorum confirm it is Confirmer, in place of a metaphor; the driver's input and the entry's field are named for what they hold.

--- a/crates/registry/src/driver.rs
+++ b/crates/registry/src/driver.rs
@@ -67,7 +67,7 @@
     Read(oneshot::Sender<Answer>),
     /// Asks whether the plan that is shown is the newest that was acknowledged; answered once a quorum
     /// has confirmed so after the question, and the plan is shown.
-    Vouch(oneshot::Sender<()>),
+    ConfirmView(oneshot::Sender<()>),
     /// Another member asks the same of the leader.
     Confirm { ticket: u64, from: SocketAddr },
     /// The leader's answer to this member's question.
@@ -250,7 +250,7 @@
             Input::Join { node, address, relayed } => self.take_join(node, address, relayed),
             Input::Put(put, reply) => self.take_put(put, reply),
             Input::Read(reply) => self.take_read(reply),
-            Input::Vouch(reply) => self.confirms.add(reply),
+            Input::ConfirmView(reply) => self.confirms.add(reply),
             Input::Confirm { ticket, from } => self.read_for(ticket, from),
             Input::Confirmed { ticket, index } => self.confirms.answered(ticket, index),
             Input::Resign => {
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -146,7 +146,7 @@
         links: HashMap::new(),
         members: Vec::new(),
         held: HashMap::new(),
-        vouched: None,
+        confirmed: None,
         text: None,
         fetch,
         leader: None,
--- a/crates/registry/src/follow/state.rs
+++ b/crates/registry/src/follow/state.rs
@@ -33,7 +33,7 @@
     pub(super) held: HashMap<SocketAddr, Version>,
     /// The version of a plan that was the newest acknowledged one after this entry had started, as a
     /// quorum confirmed.
-    pub(super) vouched: Option<Version>,
+    pub(super) confirmed: Option<Version>,
     pub(super) text: Option<(Version, Arc<Vec<u8>>)>,
     pub(super) fetch: Fetch,
     /// The member that sent the newest list: the leader.
@@ -104,9 +104,9 @@
         match message {
             ToEntry::Held { version, current } => {
                 self.held.insert(from, version);
-                if current && self.vouched.is_none() {
+                if current && self.confirmed.is_none() {
                     log::info!(version:% = version, peer:% = from; "a member vouches for its plan");
-                    self.vouched = Some(version);
+                    self.confirmed = Some(version);
                 }
                 self.show();
             }
@@ -190,7 +190,7 @@
     /// newer will do, so that an entry that starts need not wait until changes cease.
     fn show(&self) {
         let Some((version, text)) = &self.text else { return };
-        if self.vouched.is_none_or(|it| it > *version) {
+        if self.confirmed.is_none_or(|it| it > *version) {
             return;
         }
         self.news.send_if_modified(|news| {
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -10,7 +10,7 @@
 use wire::{Connection, Receiver, Sender};
 
 use crate::driver::View;
-use crate::member::Witness;
+use crate::member::Confirmer;
 use crate::message::{EntrySeen, LoadReport, Stamp, ToEntry, ToMember, UpstreamList, UpstreamLoad};
 use crate::texts::Texts;
 
@@ -130,9 +130,9 @@
     }
 
     /// Serves one entry until its connection ends.
-    pub(crate) async fn serve(&self, life: u64, connection: Connection, witness: Witness) {
+    pub(crate) async fn serve(&self, life: u64, connection: Connection, confirmer: Confirmer) {
         let (sender, receiver) = connection.split::<ToEntry, ToMember>();
-        if let Err(error) = self.talk(life, &sender, receiver, &witness).await {
+        if let Err(error) = self.talk(life, &sender, receiver, &confirmer).await {
             log::info!(cause:% = error; "the connection to an entry ended");
         }
         self.leave(life);
@@ -143,10 +143,10 @@
         life: u64,
         sender: &Sender<ToEntry>,
         mut receiver: Receiver<ToMember>,
-        witness: &Witness,
+        confirmer: &Confirmer,
     ) -> types::StepResult<()> {
-        let mut view = witness.view.clone();
-        let mut confirming = pin!(witness.confirm());
+        let mut view = confirmer.view.clone();
+        let mut confirming = pin!(confirmer.confirm());
         let mut confirmed = false;
         let mut handout = self.handout.subscribe();
         let mut digest = self.digest.subscribe();
--- a/crates/registry/src/member.rs
+++ b/crates/registry/src/member.rs
@@ -29,7 +29,7 @@
 
 /// The pause before the driver is asked again whether the plan is the newest: as long as it takes to open
 /// a data folder that failed again.
-const VOUCH_PAUSE: Duration = Duration::from_millis(400);
+const CONFIRM_PAUSE: Duration = Duration::from_millis(400);
 
 /// How long a leader that ends waits for another to lead.
 const RESIGN: Duration = Duration::from_millis(600);
@@ -119,8 +119,8 @@
             .spawn(move || driver::run(driver, theirs, publish, waiting))
             .map_err(|e| StepError::new("start driver", e))?;
         let hub = Arc::new(Hub::new());
-        let witness = Witness { inputs: inputs.clone(), view: view.clone() };
-        tokio::spawn(accept(listener, inputs.clone(), Arc::clone(&hub), witness));
+        let confirmer = Confirmer { inputs: inputs.clone(), view: view.clone() };
+        tokio::spawn(accept(listener, inputs.clone(), Arc::clone(&hub), confirmer));
         tokio::spawn(Arc::clone(&hub).add_loads());
         tokio::spawn(reader::run(list, hub, view.clone()));
         Ok(Self { codec, inputs, view, peers, address })
@@ -187,23 +187,23 @@
 
 /// Shows the driver's view to an entry's connection, and has a quorum confirm it.
 #[derive(Clone)]
-pub(crate) struct Witness {
+pub(crate) struct Confirmer {
     inputs: mpsc::SyncSender<Input>,
     pub(crate) view: watch::Receiver<View>,
 }
 
-impl Witness {
+impl Confirmer {
     /// Returns once a quorum has confirmed, after the call, that nothing newer than the plan in the
     /// view had been acknowledged.
     pub(crate) async fn confirm(&self) {
         loop {
             let (reply, confirmed) = oneshot::channel();
-            let asked = self.inputs.try_send(Input::Vouch(reply)).is_ok();
+            let asked = self.inputs.try_send(Input::ConfirmView(reply)).is_ok();
             if asked && confirmed.await.is_ok() {
                 return;
             }
             // The driver has too much to take in, or opens its data folder anew.
-            sleep(VOUCH_PAUSE).await;
+            sleep(CONFIRM_PAUSE).await;
         }
     }
 }
@@ -213,7 +213,7 @@
     mut listener: Listener,
     inputs: mpsc::SyncSender<Input>,
     hub: Arc<Hub>,
-    witness: Witness,
+    confirmer: Confirmer,
 ) {
     loop {
         let (hello, connection) = match listener.accept().await {
@@ -228,8 +228,8 @@
                 tokio::spawn(take(connection, inputs.clone()));
             }
             Kind::Entry => {
-                let (hub, witness) = (Arc::clone(&hub), witness.clone());
-                tokio::spawn(async move { hub.serve(hello.node, connection, witness).await });
+                let (hub, confirmer) = (Arc::clone(&hub), confirmer.clone());
+                tokio::spawn(async move { hub.serve(hello.node, connection, confirmer).await });
             }
         }
     }
