Write a stream's events before its break reaches the caller

Cause: events and the break reach the HTTP server by one channel. Where it takes them in one turn it returns on the break at once, without the flush that follows a turn, and drops what it has buffered with the connection. Change: the connection tells the body once all that it took is written (the server flushes only an empty buffer); the body hands a break out only then. Callers that read slowly are covered too: one turn of waiting would not be enough for them, which was the mend suspected first. Looked at besides: large plain answers take the same body, so they are mended with it; the own entry's HTTP server writes its buffer before it returns on a failed body; orders and operators' answers are whole.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -24,6 +24,7 @@
 use crate::request::CallerRequest;
 use crate::shared::Shared;
 use crate::stream::Streams;
+use crate::unwritten::Unwritten;
 
 /// The pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -71,9 +72,16 @@
     let limits = shared.plan().map_or_else(Limits::default, |it| it.limits);
     let conflict = Conflict::default();
     let seen = conflict.clone();
+    let unwritten = Unwritten::default();
+    let taken = unwritten.clone();
     let service = service_fn(move |request| {
         let (shared, streams, seen) = (Arc::clone(&shared), Arc::clone(&streams), seen.clone());
-        async move { Ok::<_, Infallible>(answer(shared, streams, seen, request).await) }
+        let taken = taken.clone();
+        async move {
+            let mut reply = answer(shared, streams, seen, request).await;
+            reply.body_mut().watch(taken);
+            Ok::<_, Infallible>(reply)
+        }
     });
     // A caller that leaves ends its connection, which drops the handler and all its work.
     let readings = Readings::default();
@@ -81,7 +89,10 @@
         .timer(HeadTimer::new(readings.clone(), limits.header_time))
         .header_read_timeout(limits.idle_time)
         .max_buf_size(limits.header_bytes.max(16 << 10) * 2)
-        .serve_connection(TokioIo::new(Guarded::new(stream, conflict, readings)), service);
+        .serve_connection(
+            TokioIo::new(Guarded::new(stream, conflict, readings, unwritten)),
+            service,
+        );
     if let Err(error) = served.await {
         log::debug!(cause:% = error; "a caller's connection broke off");
     }
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -9,11 +9,12 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::head_time::Readings;
+use crate::unwritten::Unwritten;
 
 const LENGTH: &[u8] = b"content-length:";
 const ENCODING: &[u8] = b"transfer-encoding:";
@@ -87,11 +88,17 @@
     scanner: Scanner,
     conflict: Conflict,
     readings: Readings,
+    unwritten: Unwritten,
 }
 
 impl<S> Guarded<S> {
-    pub(crate) fn new(stream: S, conflict: Conflict, readings: Readings) -> Self {
-        Self { stream, scanner: Scanner::default(), conflict, readings }
+    pub(crate) fn new(
+        stream: S,
+        conflict: Conflict,
+        readings: Readings,
+        unwritten: Unwritten,
+    ) -> Self {
+        Self { stream, scanner: Scanner::default(), conflict, readings, unwritten }
     }
 }
 
@@ -125,7 +132,12 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        // The server flushes only once it has written all that it took.
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        if self.unwritten.clear() {
+            cx.waker().wake_by_ref();
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod shared;
 mod stages;
 mod stream;
+mod unwritten;
 mod upstream;
 
 pub use batch::queue;
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,6 +11,10 @@
 use tokio::sync::mpsc;
 
 use crate::drain::UnderWay;
+use crate::unwritten::Unwritten;
+
+#[cfg(test)]
+mod tests;
 
 /// The shortest time after which a refused caller should come back, in ms.
 const RETRY_LEAST: u64 = 150;
@@ -37,6 +41,7 @@
 #[derive(Debug)]
 pub(crate) struct ReplyBody {
     source: Source,
+    unwritten: Unwritten,
     _under_way: Option<UnderWay>,
 }
 
@@ -44,18 +49,29 @@
 enum Source {
     Whole(Option<Bytes>),
     Stream(mpsc::Receiver<Result<Bytes, Broken>>),
+    /// The answer broke off; the break is not handed out yet.
+    Broken,
 }
 
 impl ReplyBody {
     /// A body that is there.
     pub(crate) fn whole(bytes: Bytes) -> Self {
         let bytes = Some(bytes).filter(|it| !it.is_empty());
-        Self { source: Source::Whole(bytes), _under_way: None }
+        Self::new(Source::Whole(bytes))
     }
 
     /// A body that comes.
     pub(crate) fn stream(receiver: mpsc::Receiver<Result<Bytes, Broken>>) -> Self {
-        Self { source: Source::Stream(receiver), _under_way: None }
+        Self::new(Source::Stream(receiver))
+    }
+
+    fn new(source: Source) -> Self {
+        Self { source, unwritten: Unwritten::default(), _under_way: None }
+    }
+
+    /// Holds a break back until its connection has written what came before.
+    pub(crate) fn watch(&mut self, unwritten: Unwritten) {
+        self.unwritten = unwritten;
     }
 
     /// Keeps the request counted until its last byte is taken.
@@ -72,11 +88,24 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        match &mut self.source {
-            Source::Whole(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
-            Source::Stream(receiver) => {
-                receiver.poll_recv(cx).map(|it| it.map(|it| it.map(Frame::data)))
+        let next = match &mut self.source {
+            Source::Whole(bytes) => return Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
+            Source::Stream(receiver) => ready!(receiver.poll_recv(cx)),
+            Source::Broken => Some(Err(Broken)),
+        };
+        match next {
+            Some(Ok(bytes)) => {
+                self.unwritten.note();
+                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            }
+            // On a break the server drops the connection with what it has not written yet: events that
+            // the engine had sent would be lost to the caller.
+            Some(Err(Broken)) if self.unwritten.wait() => {
+                self.source = Source::Broken;
+                Poll::Pending
             }
+            Some(Err(Broken)) => Poll::Ready(Some(Err(Broken))),
+            None => Poll::Ready(None),
         }
     }
 
@@ -89,7 +118,7 @@
             Source::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |it| it.len() as u64))
             }
-            Source::Stream(_) => SizeHint::default(),
+            Source::Stream(_) | Source::Broken => SizeHint::default(),
         }
     }
 }
