Split a service among owners where one link is too little

Cause: at 295 entries the one owner of a service names every input of every piece in its calls: 253 bytes a piece, 835 kB a second at 3,300 pieces, on a link of 1.25 MB a second; bursts are twice that. Its results come 300 ms late, it is taken for silent, and each entry splits the service for itself. Change: where full calls to all upstreams would take more than 0.3 of an entry's link, a service has a section, and so an owner, for each failure domain; the owner is an entry of that domain. Jobs go to the section of their inputs' or users' domain, and leave it in part where the wait elsewhere is over 100 ms shorter. Two releases in any order: each side tells its level in its heartbeats, of which the release before reads the tag alone; a job for a section goes to an owner of that release as a plain one. Ruled out: processors (0.0011 of 0.12 cores), the wire between entries (about 0.2 of the bytes), pulses and backlogs (small once an owner serves 60 entries and not 295).

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -19,6 +19,7 @@
 use crate::batch::owner::{OWN, Owner, OwnerEvent};
 use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput};
 use crate::place::score;
+use crate::section::Section;
 use crate::shared::Shared;
 
 use self::job::{Ended, LocalJob, Progress, RemoteJob, job};
@@ -130,7 +131,8 @@
         };
         let mut again = false;
         for turn in 1..=OWNERS {
-            let Some(address) = self.owner_of(&spec.service, turn == OWNERS) else { break };
+            let section = self.shared.section(&spec.service, spec.domain.as_deref(), spec.rank);
+            let Some(address) = self.owner_of(&section, turn == OWNERS) else { break };
             if again {
                 let entries = self.shared.entries();
                 let count = progress.left.len() as u32;
@@ -138,7 +140,7 @@
                     break;
                 }
             }
-            match self.run_at(address, spec, again, &mut progress).await {
+            match self.run_at(address, section, spec, again, &mut progress).await {
                 Ended::Done => {
                     let done = std::mem::take(&mut progress.done);
                     let first = progress.first.unwrap_or_else(Instant::now);
@@ -162,18 +164,18 @@
             return;
         }
         let directory = self.shared.directory();
-        let mut by_service: HashMap<Arc<str>, Vec<String>> = HashMap::new();
+        let mut by_section: HashMap<Section, Vec<String>> = HashMap::new();
         for handle in handles {
             let address = D::keeper(handle);
             let keeper = directory.all().find(|it| Some(it.address) == address);
             if let Some(keeper) = keeper {
-                let list = by_service.entry(Arc::clone(&keeper.service)).or_default();
+                let list = by_section.entry(directory.section_of(keeper)).or_default();
                 list.push(handle.to_string());
             }
         }
-        for (service, handles) in by_service {
+        for (section, handles) in by_section {
             let message = ToOwner::Free(handles);
-            match self.owner_of(&service, false) {
+            match self.owner_of(&section, false) {
                 Some(address) if address != self.own => self.link(address).tell(message),
                 _ => {
                     let (replies, _) = mpsc::unbounded_channel();
@@ -192,7 +194,8 @@
         let crowded = |it: &&Handle| {
             let address = D::keeper(it);
             let keeper = directory.all().find(|it| Some(it.address) == address);
-            let wait = keeper.map(|it| self.shared.backlogs.wait(&it.service, u8::MAX));
+            let section = keeper.map(|it| directory.section_of(it));
+            let wait = section.map(|it| self.shared.backlogs.wait(&it, u8::MAX));
             wait.is_some_and(|it| it >= CROWDED)
         };
         let crowded: Vec<Handle> = handles.iter().filter(crowded).cloned().collect();
@@ -212,19 +215,24 @@
         counts.into_iter().max_by_key(|it| it.1).map(|it| it.0)
     }
 
-    /// The owner of a service from this entry's view. An entry that others count as gone is no
+    /// The owner of a section from this entry's view, one in the section's failure domain if there is any:
+    /// it is next to the upstreams, and to most that hand it jobs. An entry that others count as gone is no
     /// owner: they have chosen another, and two owners send calls to the same upstreams without
     /// knowledge of each other. But `alone`, where no other answers, it is.
-    fn owner_of(&self, service: &str, alone: bool) -> Option<SocketAddr> {
+    fn owner_of(&self, section: &Section, alone: bool) -> Option<SocketAddr> {
         let now = Instant::now();
         let mut suspects = self.suspects.lock().unwrap_or_else(PoisonError::into_inner);
         suspects.retain(|_, until| now < *until);
-        let key = score(0, service);
+        let key = score(0, &section.service);
+        let key = section.domain.as_ref().map_or(key, |it| score(key, it));
+        let near = |domain: &str| section.domain.as_deref().is_none_or(|it| it == domain);
         let peers = self.shared.peers();
-        let others = peers.iter().map(|it| it.address).filter(|it| !suspects.contains_key(it));
+        let others = peers.iter().map(|it| (near(&it.domain), it.address));
+        let others = others.filter(|it| !suspects.contains_key(&it.1));
         let counts = alone || self.shared.is_listed();
-        let free = others.chain(counts.then_some(self.own));
-        free.max_by_key(|it| score(key, &it.to_string())).or(Some(self.own))
+        let free = others.chain(counts.then_some((near(&self.shared.domain), self.own)));
+        let first = free.max_by_key(|it| (it.0, score(key, &it.1.to_string())));
+        first.map(|it| it.1).or(Some(self.own))
     }
 
     /// Asks other entries for the registry's news while this one has no member, for as long as the
@@ -265,12 +273,17 @@
     async fn run_at(
         &self,
         address: SocketAddr,
+        section: Section,
         spec: &JobSpec,
         again: bool,
         progress: &mut Progress<'_, D>,
     ) -> Ended {
         let id = self.next.fetch_add(1, Ordering::Relaxed) + 1;
-        let message = ToOwner::Submit(job(id, spec, again, &progress.left));
+        let job = job(id, spec, again, &progress.left);
+        let message = match section.domain {
+            Some(domain) => ToOwner::SubmitIn(domain.to_string(), job),
+            None => ToOwner::Submit(job),
+        };
         let (replies, mut answers) = mpsc::unbounded_channel();
         if address == self.own {
             let _guard = LocalJob { owner: &self.owner, id };
--- a/crates/gateway/src/batch/client/job.rs
+++ b/crates/gateway/src/batch/client/job.rs
@@ -48,7 +48,8 @@
             FromOwner::Accepted(_)
             | FromOwner::Pulse
             | FromOwner::News(_)
-            | FromOwner::Backlog(..) => return None,
+            | FromOwner::Backlog(..)
+            | FromOwner::SectionBacklog(..) => return None,
         };
         self.times = StageTimes {
             wait: Duration::from_millis(done.wait_ms.into()),
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -13,6 +13,7 @@
 use crate::backlog::Backlogs;
 use crate::batch::message::{FromOwner, ToOwner};
 use crate::batch::owner::{Owner, OwnerEvent};
+use crate::section::Section;
 
 /// How often an owner shows a submitter with open jobs that it lives.
 pub(crate) const PULSE: Duration = Duration::from_millis(60);
@@ -20,6 +21,10 @@
 /// How long a dial may take.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long the other side may take to tell its level after the hello; one of the release before tells
+/// none.
+const LEVEL_PATIENCE: Duration = Duration::from_millis(60);
+
 /// For how long news are passed on after they were asked for; some of the periods in which entries
 /// without a member ask.
 pub(crate) const FOLLOW: Duration = Duration::from_secs(2);
@@ -102,7 +107,14 @@
             FromOwner::Results(done) => done.id,
             FromOwner::Pulse => return,
             FromOwner::Backlog(service, waits) => {
-                self.inlets.backlogs.set(service, *waits);
+                let section = Section { service: service.as_str().into(), domain: None };
+                self.inlets.backlogs.set(section, *waits);
+                return;
+            }
+            FromOwner::SectionBacklog(service, domain, waits) => {
+                let domain = Some(domain.as_str().into());
+                let section = Section { service: service.as_str().into(), domain };
+                self.inlets.backlogs.set(section, *waits);
                 return;
             }
             FromOwner::News(relay) => {
@@ -135,11 +147,12 @@
     let dialled = timeout(DIAL_TIMEOUT, wire::connect(address, &secret, me, Kind::Entry)).await;
     if let Ok(Ok(connection)) = dialled {
         let (sender, mut receiver) = connection.split::<ToOwner, FromOwner>();
+        let level = sender.level(LEVEL_PATIENCE).await;
         loop {
             tokio::select! {
                 message = outgoing.recv() => {
                     let Some(message) = message else { break };
-                    if sender.send(&message).await.is_err() {
+                    if sender.send(&message.at_level(level)).await.is_err() {
                         break;
                     }
                 }
@@ -175,6 +188,7 @@
 /// Serves one submitter until its connection ends.
 async fn serve(origin: u64, connection: Connection, owner: Owner, mut news: watch::Receiver<News>) {
     let (sender, mut receiver) = connection.split::<FromOwner, ToOwner>();
+    let level = sender.level(LEVEL_PATIENCE).await;
     let (replies, mut answers) = mpsc::unbounded_channel();
     let mut pulse = interval(PULSE);
     pulse.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -186,7 +200,7 @@
             message = receiver.recv() => match message {
                 Ok(Some(message)) => {
                     match &message {
-                        ToOwner::Submit(job) => {
+                        ToOwner::Submit(job) | ToOwner::SubmitIn(_, job) => {
                             left.insert(job.id, job.segments.len());
                         }
                         ToOwner::Cancel(id) => {
@@ -228,7 +242,7 @@
         if let FromOwner::Refused(id) = &answer {
             left.remove(id);
         }
-        if sender.send(&answer).await.is_err() {
+        if answer.is_known_at(level) && sender.send(&answer).await.is_err() {
             break;
         }
     }
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -52,6 +52,21 @@
     Free(Vec<String>),
     /// Asks for the registry's news for [`FOLLOW`](super::link::FOLLOW): the sender has no member.
     Follow,
+    /// Asks for the pieces of a job, to be made in the section of this failure domain.
+    SubmitIn(String, Job),
+}
+
+/// The level of an owner that knows sections.
+pub(crate) const SECTIONS: u8 = 1;
+
+impl ToOwner {
+    /// What an owner of this level can read: one that knows no sections makes the pieces anywhere.
+    pub(crate) fn at_level(self, level: u8) -> Self {
+        match self {
+            Self::SubmitIn(_, job) if level < SECTIONS => Self::Submit(job),
+            message => message,
+        }
+    }
 }
 
 /// The pieces of a job that ended together, mostly in one call.
@@ -84,4 +99,13 @@
     Backlog(String, [u32; RANKS]),
     /// The registry's news, as the owner knows them.
     News(Box<Relay>),
+    /// How long pieces of a service wait in the section of a failure domain, by rank, in ms.
+    SectionBacklog(String, String, [u32; RANKS]),
+}
+
+impl FromOwner {
+    /// Whether an entry of this level can read it.
+    pub(crate) fn is_known_at(&self, level: u8) -> bool {
+        level >= SECTIONS || !matches!(self, Self::SectionBacklog(..))
+    }
 }
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -15,6 +15,7 @@
 use crate::batch::queue::{JobKey, Lane, NextCall, Piece, Queue};
 use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, PieceInput, RoomReport};
 use crate::exchange::{self, Fault};
+use crate::section::Section;
 use crate::shared::Shared;
 use crate::upstream::Upstream;
 
@@ -61,14 +62,14 @@
     /// A call has ended.
     Ended(CallEnd),
     /// An upstream told its room, or gave no answer.
-    Room(Arc<Upstream>, Option<RoomReport>),
+    Room(Arc<Upstream>, Section, Option<RoomReport>),
     /// An upstream was told to drop results.
     Freed(Arc<Upstream>, Vec<Handle>),
 }
 
 /// The end of a call.
 pub(crate) struct CallEnd {
-    service: Arc<str>,
+    section: Section,
     upstream: Arc<Upstream>,
     call: u64,
     pieces: Vec<Piece>,
@@ -89,7 +90,7 @@
 
 /// A job that is not done.
 struct Open {
-    service: Arc<str>,
+    section: Section,
     replies: Replies,
     left: HashSet<u32>,
 }
@@ -97,6 +98,7 @@
 /// A call under way.
 struct Flying {
     call: u64,
+    section: Section,
     overdue: Instant,
     pieces: Vec<Piece>,
     requeued: bool,
@@ -108,7 +110,7 @@
 struct State<D> {
     shared: Arc<Shared<D>>,
     events: mpsc::UnboundedSender<OwnerEvent>,
-    queues: HashMap<Arc<str>, Queue>,
+    queues: HashMap<Section, Queue>,
     jobs: HashMap<JobKey, Open>,
     flying: HashMap<Arc<str>, Flying>,
     /// What is known of the room of each upstream.
@@ -179,10 +181,10 @@
     fn take(&mut self, event: OwnerEvent) {
         match event {
             OwnerEvent::Told(origin, ToOwner::Submit(job), replies) => {
-                if origin != OWN {
-                    self.peers.entry(origin).or_insert_with(|| replies.clone());
-                }
-                self.submit(origin, job, replies);
+                self.submit(origin, None, job, replies);
+            }
+            OwnerEvent::Told(origin, ToOwner::SubmitIn(domain, job), replies) => {
+                self.submit(origin, Some(domain.into()), job, replies);
             }
             OwnerEvent::Told(origin, ToOwner::Cancel(id), _) => {
                 let key = JobKey { origin, id };
@@ -198,16 +200,22 @@
                 self.queues.values_mut().for_each(|it| it.drop_jobs(|key| key.origin == origin));
             }
             OwnerEvent::Ended(end) => self.ended(end),
-            OwnerEvent::Room(upstream, report) => self.take_room(&upstream, report),
+            OwnerEvent::Room(upstream, section, report) => {
+                self.take_room(&upstream, &section, report);
+            }
             OwnerEvent::Freed(upstream, handles) => {
-                if let Some(queue) = self.queues.get_mut(&upstream.service) {
+                let section = self.shared.directory().section_of(&upstream);
+                if let Some(queue) = self.queues.get_mut(&section) {
                     queue.freed(&upstream.id, &handles);
                 }
             }
         }
     }
 
-    fn submit(&mut self, origin: u64, job: Job, replies: Replies) {
+    fn submit(&mut self, origin: u64, domain: Option<Arc<str>>, job: Job, replies: Replies) {
+        if origin != OWN {
+            self.peers.entry(origin).or_insert_with(|| replies.clone());
+        }
         let now = Instant::now();
         let plan = self.shared.plan();
         let service: Arc<str> = job.service.as_str().into();
@@ -236,7 +244,8 @@
             Ok(ms) => now + Duration::from_millis(ms),
             Err(_) => now,
         };
-        let queue = self.queues.entry(Arc::clone(&service)).or_insert_with(|| Queue::new(spec));
+        let section = Section { service, domain };
+        let queue = self.queues.entry(section.clone()).or_insert_with(|| Queue::new(spec));
         queue.set_spec(spec);
         let attempt: Arc<str> = job.attempt.into();
         let domain: Option<Arc<str>> = job.domain.map(Arc::from);
@@ -258,7 +267,7 @@
             });
         }
         let left = job.segments.into_iter().collect();
-        self.jobs.insert(key, Open { service, replies, left });
+        self.jobs.insert(key, Open { section, replies, left });
     }
 
     fn give_up(&mut self, handles: Vec<String>) {
@@ -296,10 +305,10 @@
         }
         self.requeue_overdue(now);
         self.tell_fetched(now);
-        let services: Vec<Arc<str>> = self.queues.keys().cloned().collect();
-        for service in services {
-            self.end_late(&service, now);
-            self.send_calls(&service, now);
+        let sections: Vec<Section> = self.queues.keys().cloned().collect();
+        for section in sections {
+            self.end_late(&section, now);
+            self.send_calls(&section, now);
         }
         self.tell_results();
         if now.duration_since(self.told.0) >= BACKLOG_PERIOD {
@@ -312,9 +321,9 @@
     }
 
     /// Ends the pieces whose deadline has passed, and those that can't be made before it.
-    fn end_late(&mut self, service: &Arc<str>, now: Instant) {
-        let lanes = self.lanes(service, now);
-        let Some(queue) = self.queues.get_mut(service) else { return };
+    fn end_late(&mut self, section: &Section, now: Instant) {
+        let lanes = self.lanes(section, now);
+        let Some(queue) = self.queues.get_mut(section) else { return };
         let mut late = queue.take_expired(now);
         late.append(&mut queue.take_infeasible(lanes, now));
         for piece in late {
@@ -322,28 +331,34 @@
         }
     }
 
-    /// How many upstreams of a service take calls.
-    fn lanes(&self, service: &str, now: Instant) -> usize {
-        let directory = self.shared.directory();
-        let upstreams = directory.service(service).iter();
-        upstreams.filter(|it| it.is_open() && !it.is_paused(now)).count()
+    /// How many upstreams of a section take calls.
+    fn lanes(&self, section: &Section, now: Instant) -> usize {
+        let upstreams = self.shared.directory().members(section);
+        upstreams.iter().filter(|it| it.is_open() && !it.is_paused(now)).count()
+    }
+
+    /// Whether an upstream works on a call of another section: the list may have changed meanwhile.
+    fn works_elsewhere(&self, upstream: &str, section: &Section) -> bool {
+        self.flying.get(upstream).is_some_and(|it| it.section != *section)
     }
 
-    fn send_calls(&mut self, service: &Arc<str>, now: Instant) {
-        let directory = self.shared.directory();
-        let upstreams = directory.service(service);
-        if self.queues.get(service).is_none_or(Queue::is_empty) {
+    fn send_calls(&mut self, section: &Section, now: Instant) {
+        if self.queues.get(section).is_none_or(Queue::is_empty) {
             return;
         }
+        let upstreams = self.shared.directory().members(section);
         let lanes: Vec<Lane> = upstreams
             .iter()
             .map(|it| Lane {
                 id: Arc::clone(&it.id),
                 domain: Arc::clone(&it.domain),
-                open: it.is_open() && !it.is_paused(now) && self.is_surveyed(it, now),
+                open: it.is_open()
+                    && !it.is_paused(now)
+                    && !self.works_elsewhere(&it.id, section)
+                    && self.is_surveyed(it, section, now),
             })
             .collect();
-        let Some(queue) = self.queues.get_mut(service) else { return };
+        let Some(queue) = self.queues.get_mut(section) else { return };
         queue.retain(|id| upstreams.iter().any(|it| &*it.id == id));
         let mut calls = Vec::new();
         while let Some(next) = queue.next(&lanes, now) {
@@ -351,15 +366,16 @@
         }
         for next in calls {
             let Some(upstream) = upstreams.iter().find(|it| it.id == next.upstream) else { break };
-            self.send(Arc::clone(upstream), next, now);
+            self.send(Arc::clone(upstream), section, next, now);
         }
     }
 
-    fn send(&mut self, upstream: Arc<Upstream>, next: NextCall, now: Instant) {
+    fn send(&mut self, upstream: Arc<Upstream>, section: &Section, next: NextCall, now: Instant) {
         self.calls += 1;
         self.uses(&upstream.id, now);
         let flying = Flying {
             call: self.calls,
+            section: section.clone(),
             overdue: now + next.expected.mul_f64(OVERDUE_FACTOR) + OVERDUE,
             pieces: next.pieces.clone(),
             requeued: false,
@@ -367,13 +383,14 @@
             told_fetched: false,
         };
         self.flying.insert(Arc::clone(&next.upstream), flying);
-        tokio::spawn(call::<D>(self.events.clone(), upstream, self.calls, next));
+        tokio::spawn(call::<D>(self.events.clone(), upstream, section.clone(), self.calls, next));
     }
 }
 
 async fn call<D: Dialect>(
     events: mpsc::UnboundedSender<OwnerEvent>,
     upstream: Arc<Upstream>,
+    section: Section,
     call: u64,
     next: NextCall,
 ) {
@@ -382,8 +399,7 @@
     let by = start + next.expected * CALL_FACTOR + CALL_SLACK;
     let outcome = exchange::pieces::<D>(&upstream, &calls, by).await;
     let took = start.elapsed();
-    let service = Arc::clone(&upstream.service);
-    let end = CallEnd { service, upstream, call, pieces: next.pieces, took, outcome };
+    let end = CallEnd { section, upstream, call, pieces: next.pieces, took, outcome };
     // The owner's task ends only with the process.
     let _ = events.send(OwnerEvent::Ended(end));
 }
--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -10,6 +10,7 @@
 use crate::batch::queue::Piece;
 use crate::dialect::{Dialect, PieceFailure, PieceResult};
 use crate::life::Life;
+use crate::section::Section;
 
 /// How often one piece may be sent.
 const SENDS: u32 = 3;
@@ -35,19 +36,19 @@
 
     /// Puts a piece back, or fails it where it was sent too often.
     fn requeue(&mut self, piece: Piece, now: Instant) {
-        let Some(service) = self.service_of(&piece) else { return };
+        let Some(section) = self.section_of(&piece) else { return };
         let entries = self.shared.entries();
-        if piece.sent >= SENDS || !self.shared.budget.take(&service, 1, entries, now) {
+        if piece.sent >= SENDS || !self.shared.budget.take(&section.service, 1, entries, now) {
             self.deliver(&piece, Err(PieceFailure::Failed), now, Duration::ZERO);
             return;
         }
-        if let Some(queue) = self.queues.get_mut(&service) {
+        if let Some(queue) = self.queues.get_mut(&section) {
             queue.push(piece);
         }
     }
 
-    fn service_of(&self, piece: &Piece) -> Option<Arc<str>> {
-        self.jobs.get(&piece.job).map(|it| Arc::clone(&it.service))
+    fn section_of(&self, piece: &Piece) -> Option<Section> {
+        self.jobs.get(&piece.job).map(|it| it.section.clone())
     }
 
     pub(super) fn ended(&mut self, end: CallEnd) {
@@ -55,7 +56,7 @@
         let flying = self.flying.remove(&end.upstream.id);
         let requeued = flying.as_ref().is_some_and(|it| it.call == end.call && it.requeued);
         let whole = end.outcome.is_ok();
-        if let Some(queue) = self.queues.get_mut(&end.service) {
+        if let Some(queue) = self.queues.get_mut(&end.section) {
             queue.ended(&end.upstream.id, end.pieces.len(), whole.then_some(end.took), now);
         }
         match end.outcome {
@@ -68,7 +69,7 @@
                     return;
                 }
                 if life == Life::New
-                    && let Some(queue) = self.queues.get_mut(&end.service)
+                    && let Some(queue) = self.queues.get_mut(&end.section)
                 {
                     queue.reborn(&end.upstream.id);
                 }
@@ -78,7 +79,7 @@
                 }
             }
             Err(fault) => {
-                log::warn!(upstream:% = end.upstream.id, service:% = end.service,
+                log::warn!(upstream:% = end.upstream.id, section:% = end.section,
                     pieces = end.pieces.len(), cause:% = fault,
                     ms = end.took.as_millis() as u64; "a call with pieces failed");
                 if !fault.not_run || fault.unreachable {
@@ -109,7 +110,7 @@
     ) {
         match result {
             Ok(handle) => {
-                if let Some(queue) = self.queues.get_mut(&end.service) {
+                if let Some(queue) = self.queues.get_mut(&end.section) {
                     queue.kept(&end.upstream.id, piece.size, Arc::clone(&handle), now);
                 }
                 if !self.deliver(piece, Ok(Arc::clone(&handle)), now, end.took) {
@@ -118,7 +119,7 @@
                 }
             }
             Err(PieceFailure::NoRoom) if !requeued => {
-                if let Some(queue) = self.queues.get_mut(&end.service) {
+                if let Some(queue) = self.queues.get_mut(&end.section) {
                     queue.crowded(&end.upstream.id, piece.size, now);
                 }
                 self.requeue(piece.clone(), now);
--- a/crates/gateway/src/batch/owner/room.rs
+++ b/crates/gateway/src/batch/owner/room.rs
@@ -14,6 +14,7 @@
 use crate::dialect::{Dialect, RoomReport};
 use crate::exchange;
 use crate::life::Life;
+use crate::section::Section;
 use crate::upstream::Upstream;
 
 /// After how long without a call of this owner its knowledge of an upstream is void. Results live for
@@ -33,11 +34,16 @@
 
 impl<D: Dialect> State<D> {
     /// Whether a call may go to an upstream; asks it for its room first where that is not known.
-    pub(super) fn is_surveyed(&mut self, upstream: &Arc<Upstream>, now: Instant) -> bool {
+    pub(super) fn is_surveyed(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        section: &Section,
+        now: Instant,
+    ) -> bool {
         let known = self.surveys.get(&upstream.id).copied();
         let fresh = known.filter(|it| now.duration_since(it.used.max(it.asked)) < FORGET);
         let Some(survey) = fresh else {
-            self.ask_room(upstream, now);
+            self.ask_room(upstream, section, now);
             return false;
         };
         survey.answered || now.duration_since(survey.asked) >= ANSWER
@@ -51,13 +57,18 @@
     }
 
     /// Takes an upstream's answer; `None` where it gave none.
-    pub(super) fn take_room(&mut self, upstream: &Upstream, report: Option<RoomReport>) {
+    pub(super) fn take_room(
+        &mut self,
+        upstream: &Upstream,
+        section: &Section,
+        report: Option<RoomReport>,
+    ) {
         let now = Instant::now();
         if let Some(survey) = self.surveys.get_mut(&upstream.id) {
             survey.answered = true;
         }
         let Some(report) = report else { return };
-        let Some(queue) = self.queues.get_mut(&upstream.service) else { return };
+        let Some(queue) = self.queues.get_mut(section) else { return };
         match upstream.observe(report.born) {
             Life::Past => return,
             Life::New => queue.reborn(&upstream.id),
@@ -65,16 +76,17 @@
         }
         let Some(free) = report.free else { return };
         queue.set_free(&upstream.id, free, now);
-        log::info!(upstream:% = upstream.id, service:% = upstream.service, free,
+        log::info!(upstream:% = upstream.id, section:% = section, free,
             foreign = queue.foreign(&upstream.id, now); "an upstream told its room");
     }
 
-    fn ask_room(&mut self, upstream: &Arc<Upstream>, now: Instant) {
+    fn ask_room(&mut self, upstream: &Arc<Upstream>, section: &Section, now: Instant) {
         // Upstreams that are gone are never asked again.
         self.surveys.retain(|_, it| now.duration_since(it.used.max(it.asked)) < FORGET * 4);
         let survey = Survey { asked: now, answered: false, used: now };
         self.surveys.insert(Arc::clone(&upstream.id), survey);
-        let (events, upstream) = (self.events.clone(), Arc::clone(upstream));
+        let (events, upstream, section) =
+            (self.events.clone(), Arc::clone(upstream), section.clone());
         tokio::spawn(async move {
             let report = match exchange::room::<D>(&upstream, now + ANSWER).await {
                 Ok(report) => Some(report),
@@ -85,7 +97,7 @@
                 }
             };
             // The owner's task ends only with the process.
-            let _ = events.send(OwnerEvent::Room(upstream, report));
+            let _ = events.send(OwnerEvent::Room(upstream, section, report));
         });
     }
 }
--- a/crates/gateway/src/batch/owner/tell.rs
+++ b/crates/gateway/src/batch/owner/tell.rs
@@ -6,24 +6,34 @@
 
 use super::{OwnerEvent, State};
 use crate::batch::message::FromOwner;
+use crate::batch::queue::RANKS;
 use crate::dialect::{Dialect, PieceInput};
 use crate::exchange;
+use crate::section::Section;
+
+fn backlog(section: &Section, waits: [u32; RANKS]) -> FromOwner {
+    let service = section.service.to_string();
+    match &section.domain {
+        Some(domain) => FromOwner::SectionBacklog(service, domain.to_string(), waits),
+        None => FromOwner::Backlog(service, waits),
+    }
+}
 
 impl<D: Dialect> State<D> {
     /// Tells every entry how long pieces wait, so that it can refuse what would come too late.
     pub(super) fn tell_backlogs(&mut self, now: Instant) {
         let mut any = false;
         let had = self.told.1;
-        for (service, queue) in &self.queues {
+        for (section, queue) in &self.queues {
             if queue.is_empty() && !had {
                 continue;
             }
             any |= !queue.is_empty();
-            let waits = queue.backlog(self.lanes(service, now)).map(|it| it.as_millis() as u32);
-            self.shared.backlogs.set(service, waits);
+            let waits = queue.backlog(self.lanes(section, now)).map(|it| it.as_millis() as u32);
+            self.shared.backlogs.set(section.clone(), waits);
             for peer in self.peers.values() {
                 // A connection that has ended is removed by its own event.
-                let _ = peer.send(FromOwner::Backlog(service.to_string(), waits));
+                let _ = peer.send(backlog(section, waits));
             }
         }
         self.told = (now, any);
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -6,6 +6,7 @@
 use registry::{LoadReport, News, Stamp, UpstreamLoad};
 
 use crate::plan::Plan;
+use crate::section::{self, LinkRate, Section};
 use crate::upstream::Upstream;
 
 /// Connections to an upstream of a service that the plan does not describe.
@@ -15,6 +16,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Directory {
     services: HashMap<Arc<str>, Vec<Arc<Upstream>>>,
+    /// How services with stage work are split.
+    sections: HashMap<Arc<str>, Vec<Section>>,
     by_id: HashMap<Arc<str>, Arc<Upstream>>,
     listed: Stamp,
     positions: Vec<Arc<Upstream>>,
@@ -22,7 +25,7 @@
 
 impl Directory {
     /// Makes the next directory; lives that were known before keep their connections and health.
-    pub(crate) fn next(&self, news: &News, plan: &Plan, entries: usize) -> Self {
+    pub(crate) fn next(&self, news: &News, plan: &Plan, entries: usize, link: LinkRate) -> Self {
         let mut next = Self { listed: news.listed, ..Self::default() };
         for it in news.upstreams.iter() {
             let share = share(plan, &it.service, entries);
@@ -43,9 +46,41 @@
                 upstream.sweep(true);
             }
         }
+        next.split(plan, link);
         next
     }
 
+    fn split(&mut self, plan: &Plan, link: LinkRate) {
+        for (service, upstreams) in &self.services {
+            let spec = plan.services.get(service).and_then(|it| it.batch);
+            let Some(spec) = spec else { continue };
+            let sections = section::split(service, &spec, upstreams, link);
+            self.sections.insert(Arc::clone(service), sections);
+        }
+    }
+
+    /// The sections of a service with stage work; one where none of its upstreams is listed.
+    pub(crate) fn sections(&self, service: &Arc<str>) -> Vec<Section> {
+        self.sections.get(service).cloned().unwrap_or_else(|| vec![Section::whole(service)])
+    }
+
+    /// The section to which an upstream belongs.
+    pub(crate) fn section_of(&self, upstream: &Upstream) -> Section {
+        let sections = self.sections(&upstream.service).into_iter();
+        let mut sections = sections.filter(|it| it.domain.is_some());
+        let own = sections.find(|it| it.domain.as_ref() == Some(&upstream.domain));
+        own.unwrap_or_else(|| Section::whole(&upstream.service))
+    }
+
+    /// The upstreams of a section. One that the list does not know any more gets all of its service: its
+    /// jobs must end somewhere.
+    pub(crate) fn members(&self, section: &Section) -> Vec<Arc<Upstream>> {
+        let all = self.service(&section.service);
+        let near = |it: &&Arc<Upstream>| section.domain.as_ref().is_none_or(|d| *d == it.domain);
+        let members: Vec<Arc<Upstream>> = all.iter().filter(near).cloned().collect();
+        if members.is_empty() { all.to_vec() } else { members }
+    }
+
     /// The upstreams of a service, those that are leaving included.
     pub(crate) fn service(&self, service: &str) -> &[Arc<Upstream>] {
         self.services.get(service).map_or(&[], Vec::as_slice)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 use crate::drain::Phase;
 use crate::front;
 use crate::metrics::Metrics;
+use crate::section::LinkRate;
 use crate::shared::Shared;
 use crate::stream::Streams;
 
@@ -54,6 +55,8 @@
     pub address: SocketAddr,
     /// Where members of the registry were, when the settings were written.
     pub seeds: Vec<SocketAddr>,
+    /// The rate of its VM's link; the VMs of all entries are taken to be alike.
+    pub link: LinkRate,
     /// The retry budget of the deployment.
     pub budget: BudgetSpec,
 }
@@ -77,7 +80,8 @@
         let budget = Budget::new(config.budget, Instant::now());
         let metrics = Metrics::open(metrics)?;
         let domain: Arc<str> = config.domain.as_str().into();
-        let shared = Arc::new(Shared::<D>::new(config.address, domain, budget, metrics));
+        let shared =
+            Arc::new(Shared::<D>::new(config.address, domain, config.link, budget, metrics));
         let entry = EntrySeen {
             name: config.vm.to_string(),
             address: config.address,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,11 +26,12 @@
 mod reply;
 mod request;
 pub mod room;
+pub mod section;
 mod shared;
 mod stages;
 mod stream;
 mod unwritten;
-mod upstream;
+pub mod upstream;
 
 pub use batch::queue;
 pub use gateway::{Gateway, GatewayConfig};
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::pace::Paces;
 use crate::plan::Plan;
 use crate::room::{BODY_ROOM, Room};
+use crate::section::{self, LinkRate, Section};
 
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
@@ -41,6 +42,7 @@
     /// Told at each news.
     known: Notify,
     own: SocketAddr,
+    link: LinkRate,
     pub(crate) domain: Arc<str>,
     pub(crate) budget: Budget,
     pub(crate) metrics: Metrics,
@@ -52,7 +54,13 @@
 }
 
 impl<D: Dialect> Shared<D> {
-    pub(crate) fn new(own: SocketAddr, domain: Arc<str>, budget: Budget, metrics: Metrics) -> Self {
+    pub(crate) fn new(
+        own: SocketAddr,
+        domain: Arc<str>,
+        link: LinkRate,
+        budget: Budget,
+        metrics: Metrics,
+    ) -> Self {
         Self {
             plan: ArcSwapOption::empty(),
             directory: ArcSwap::default(),
@@ -61,6 +69,7 @@
             listed: AtomicBool::new(false),
             known: Notify::new(),
             own,
+            link,
             domain,
             budget,
             metrics,
@@ -106,6 +115,15 @@
         self.directory.load_full()
     }
 
+    /// The section in which a job of `rank` is best made, near `domain` if there is a reason for it.
+    pub(crate) fn section(&self, service: &Arc<str>, domain: Option<&str>, rank: u8) -> Section {
+        let sections = self.directory().sections(service);
+        let wait = |it: &Section| self.backlogs.wait(it, rank);
+        let near = domain.unwrap_or(&self.domain);
+        let chosen = section::choose(&sections, Some(near), wait, rand::random());
+        chosen.cloned().unwrap_or_else(|| Section::whole(service))
+    }
+
     /// The other entries.
     pub(crate) fn peers(&self) -> Arc<Vec<EntrySeen>> {
         self.peers.load_full()
@@ -195,7 +213,7 @@
             }
         }
         let plan = self.plan().unwrap_or_default();
-        let next = self.directory().next(news, &plan, self.entries());
+        let next = self.directory().next(news, &plan, self.entries(), self.link);
         self.directory.store(Arc::new(next));
         self.known.notify_waiters();
     }
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -211,7 +211,7 @@
 }
 
 /// How long the stages of a request are likely to take from now on.
-pub(crate) fn expected(run: &StageRun<'_>, wait: impl Fn(&str) -> Duration) -> Duration {
+pub(crate) fn expected(run: &StageRun<'_>, wait: impl Fn(&Arc<str>) -> Duration) -> Duration {
     let count = run.route.stages.len();
     let mut ends: Vec<Duration> = Vec::with_capacity(count);
     for (stage, it) in run.route.stages.iter().enumerate() {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -206,7 +206,10 @@
     fn admit(&self, request: &CallerRequest, service: &Arc<str>) -> Result<(), Refusal> {
         let Some(segments) = &request.ask.segments else { return Ok(()) };
         let run = self.stage_run(request, segments, service);
-        let waits = |it: &str| self.shared.backlogs.wait(it, request.rank());
+        let waits = |it: &Arc<str>| {
+            let section = self.shared.section(it, None, request.rank());
+            self.shared.backlogs.wait(&section, request.rank())
+        };
         let engine = request.ask.generation.as_ref();
         let engine = engine.map_or(Duration::ZERO, |it| self.shared.paces.least(service, it));
         let expected = stages::expected(&run, waits) + engine;
--- a/crates/mothplank/src/commands/gateway.rs
+++ b/crates/mothplank/src/commands/gateway.rs
@@ -4,6 +4,7 @@
 
 use eyre::{OptionExt, Result};
 use gateway::budget::BudgetSpec;
+use gateway::section::LinkRate;
 use gateway::{Gateway, GatewayConfig};
 use platform::{PlatformDialect, Settings};
 
@@ -25,6 +26,7 @@
         ready: settings.ready.ok_or_eyre("the settings name no address for the balancer")?,
         address: settings.address,
         seeds: settings.seeds,
+        link: LinkRate::from_megabits(settings.link_megabits),
         budget: BudgetSpec {
             ratio: settings.retry_ratio,
             window: settings.retry_window,
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -4,6 +4,7 @@
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -144,6 +145,14 @@
 }
 
 impl<Out> Sender<Out> {
+    /// Returns the level of the other side, which it tells first of all. 0 where it tells none within
+    /// `patience`: it is of a release that knows no levels, or slow.
+    pub async fn level(&self, patience: Duration) -> u8 {
+        let mut level = self.shared.level.subscribe();
+        let told = timeout(patience, level.wait_for(|it| *it > 0)).await;
+        told.ok().and_then(Result::ok).map_or(0, |it| *it)
+    }
+
     /// Waits until the connection has ended, and returns the cause.
     pub async fn ended(&self) -> WireError {
         self.shared.ended.cancelled().await;
--- a/crates/wire/src/pump.rs
+++ b/crates/wire/src/pump.rs
@@ -4,14 +4,14 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::time::timeout;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::frame::HEARTBEAT_TAG;
 use crate::hello::{Frames, Reader, Writer};
 use crate::progress::Meter;
-use crate::{HEARTBEAT, WireError};
+use crate::{HEARTBEAT, LEVEL, WireError};
 
 /// How many messages a queue holds.
 const QUEUE_LENGTH: usize = 1024;
@@ -38,6 +38,8 @@
     unread: CancellationToken,
     cause: OnceLock<WireError>,
     room: Arc<Semaphore>,
+    /// The level of the other side; 0 until it tells one.
+    pub(crate) level: watch::Sender<u8>,
     /// Counts what arrives.
     pub(crate) received: Meter,
 }
@@ -98,6 +100,7 @@
         unread: CancellationToken::new(),
         cause: OnceLock::new(),
         room: Arc::new(Semaphore::new(QUEUE_UNITS as usize)),
+        level: watch::Sender::new(0),
         received: reader.get_ref().meter(),
     });
     let permit = permit.map(Arc::new);
@@ -105,7 +108,7 @@
     tokio::spawn(async move {
         let _held = held;
         let cause = tokio::select! {
-            cause = read(reader, from_read) => cause,
+            cause = read(reader, from_read, &mine.level) => cause,
             () = mine.ended.cancelled() => return,
         };
         mine.end(cause);
@@ -124,7 +127,11 @@
 }
 
 /// Reads until the connection ends, and returns why.
-async fn read(mut reader: Reader, queue: mpsc::Sender<Queued>) -> WireError {
+async fn read(
+    mut reader: Reader,
+    queue: mpsc::Sender<Queued>,
+    level: &watch::Sender<u8>,
+) -> WireError {
     let meter = reader.get_ref().meter();
     let room = Arc::new(Semaphore::new(QUEUE_UNITS as usize));
     loop {
@@ -135,6 +142,9 @@
             Err(silent) => return silent,
         };
         if frame.first() == Some(&HEARTBEAT_TAG) {
+            if let Some(told) = frame.get(1) {
+                level.send_if_modified(|it| std::mem::replace(it, *told) != *told);
+            }
             continue;
         }
         // While the queue is full nothing is read, and that is not the other side's silence.
@@ -153,6 +163,9 @@
     unread: &CancellationToken,
 ) -> WireError {
     let meter = writer.get_ref().meter();
+    if let Err(error) = SinkExt::<Bytes>::send(&mut writer, heartbeat()).await {
+        return error.into();
+    }
     loop {
         let next = match timeout(HEARTBEAT, queue.recv()).await {
             Ok(Some(queued)) => Some(queued),
@@ -164,7 +177,7 @@
             }
             Err(_) => None,
         };
-        let frame = next.map_or(Bytes::from_static(&[HEARTBEAT_TAG]), |it| it.frame);
+        let frame = next.map_or_else(heartbeat, |it| it.frame);
         match meter.watch(put(&mut writer, frame, &mut queue)).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => return error.into(),
@@ -178,6 +191,12 @@
     }
 }
 
+/// A frame that shows that its sender is alive, and its level. A release that knows no levels reads the
+/// tag alone.
+fn heartbeat() -> Bytes {
+    Bytes::from_static(&[HEARTBEAT_TAG, LEVEL])
+}
+
 /// Writes one frame and those that wait behind it, then flushes once for all.
 async fn put(
     writer: &mut Writer,
