Tell lists to entries as differences, gathered, the newest alone

Cause: each entry that came or went had the whole list of entries sent to every entry, a copy for each connection, into queues of megabytes: the cube of their number at the leader. Change: lists go as differences between numbers, encoded once for all connections; entries that come and go are gathered for 60 ms; a connection gets news only once what it was sent before is written, so at most the newest state waits for a slow reader. The list of upstreams goes the same way. An entry of the release before tells no level and gets whole lists; a difference to another list ends the connection, and the next begins anew. Bytes that wait in queues are a metric of every process. Tests: differences (table), the crowd, an emptied queue, levels.

--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -71,7 +71,7 @@
     /// Renders the text of `/metrics`.
     pub(crate) fn render(&self) -> String {
         let traffic = wire::Traffic::read();
-        self.bytes.set(traffic.sent, traffic.received);
+        self.bytes.set(traffic.sent, traffic.received, traffic.queued);
         telemetry::render(&self.registry)
     }
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -112,7 +112,7 @@
     pub(crate) fn text(&self) -> Vec<u8> {
         if let Some(bytes) = &self.bytes {
             let traffic = wire::Traffic::read();
-            bytes.set(traffic.sent, traffic.received);
+            bytes.set(traffic.sent, traffic.received, traffic.queued);
         }
         let mut text = Vec::new();
         if let Err(e) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
--- a/crates/mothplank/src/commands/host.rs
+++ b/crates/mothplank/src/commands/host.rs
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use platform::Settings;
+use telemetry::ByteCounters;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{MissedTickBehavior, interval};
@@ -98,10 +99,19 @@
             return;
         }
     };
+    let bytes = match ByteCounters::open(&registry) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::warn!(cause:% = error; "no metrics are served");
+            return;
+        }
+    };
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
-            let registry = registry.clone();
+            let (registry, bytes) = (registry.clone(), bytes.clone());
             let service = service_fn(move |_| {
+                let traffic = wire::Traffic::read();
+                bytes.set(traffic.sent, traffic.received, traffic.queued);
                 let text = telemetry::render(&registry);
                 async move { Ok::<_, Infallible>(Response::new(Full::new(Bytes::from(text)))) }
             });
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -150,6 +150,7 @@
         text: None,
         fetch,
         leader: None,
+        lists: HashMap::new(),
     };
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/registry/src/follow/state.rs
+++ b/crates/registry/src/follow/state.rs
@@ -11,8 +11,11 @@
 
 use super::link::{Event, link};
 use super::{FollowerConfig, News};
+use crate::difference::Numbered;
 use crate::fetch::Fetch;
-use crate::message::{EntrySeen, LoadReport, Relay, Stamp, ToEntry, ToMember, UpstreamList};
+use crate::message::{
+    EntrySeen, LoadReport, Relay, Stamp, ToEntry, ToMember, Upstream, UpstreamList,
+};
 use crate::parcel::Part;
 
 /// The most members that are followed at once.
@@ -38,6 +41,15 @@
     pub(super) fetch: Fetch,
     /// The member that sent the newest list: the leader.
     pub(super) leader: Option<SocketAddr>,
+    /// The lists as each member told them last; its next difference is to these.
+    pub(super) lists: HashMap<SocketAddr, Lists>,
+}
+
+/// What one member told.
+#[derive(Default)]
+pub(super) struct Lists {
+    entries: Numbered<EntrySeen>,
+    upstreams: Numbered<Upstream>,
 }
 
 impl Loop {
@@ -71,6 +83,7 @@
                     log::warn!(peer:% = address; "lost a member");
                 }
                 self.held.remove(&address);
+                self.lists.remove(&address);
                 self.fetch.lost(address);
                 self.count();
             }
@@ -115,15 +128,49 @@
                 log::warn!(version:% = version, peer:% = from;
                     "a member sent a plan in one piece, which this entry never asks for");
             }
-            ToEntry::Upstreams(list) => self.take_upstreams(from, list),
+            ToEntry::Upstreams(list) => {
+                self.lists(from).upstreams = Numbered::new(list.stamp, list.upstreams.clone());
+                self.take_upstreams(from, list);
+            }
+            ToEntry::UpstreamsChanged(difference) => {
+                let Some(next) = self.lists(from).upstreams.apply(difference) else {
+                    return self.redial(from, "upstreams");
+                };
+                self.lists(from).upstreams = next.clone();
+                let list = UpstreamList { stamp: next.stamp, upstreams: next.list };
+                self.take_upstreams(from, list);
+            }
             ToEntry::Loads(loads) => {
                 self.loads.send_replace(Arc::new(loads));
             }
-            ToEntry::Entries(stamp, entries) => self.take_entries(stamp, entries),
+            ToEntry::Entries(stamp, entries) => {
+                self.lists(from).entries = Numbered::new(stamp, entries.clone());
+                self.take_entries(stamp, entries);
+            }
+            ToEntry::EntriesChanged(difference) => {
+                let Some(next) = self.lists(from).entries.apply(difference) else {
+                    return self.redial(from, "entries");
+                };
+                self.lists(from).entries = next.clone();
+                self.take_entries(next.stamp, next.list);
+            }
             ToEntry::Members(members) => self.members = members,
         }
     }
 
+    fn lists(&mut self, from: SocketAddr) -> &mut Lists {
+        self.lists.entry(from).or_default()
+    }
+
+    /// Ends the connection to a member whose difference is to a list that this entry does not have; the
+    /// next connection begins with the whole list.
+    fn redial(&mut self, from: SocketAddr, list: &str) {
+        log::error!(peer:% = from, list; "a difference to another list; the member is dialled again");
+        if let Some(sender) = self.links.get(&from).and_then(Option::as_ref) {
+            sender.abort();
+        }
+    }
+
     fn take_part(&mut self, from: SocketAddr, part: Part) {
         let (base, sent) = (part.label.base.unwrap_or(Version(0)), part.label.size);
         let held = self.text.as_ref();
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -5,13 +5,17 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 use wire::{Connection, Receiver, Sender};
 
+use crate::difference::Numbered;
 use crate::driver::View;
+use crate::handout::{Digest, Published};
 use crate::member::Confirmer;
-use crate::message::{EntrySeen, LoadReport, Stamp, ToEntry, ToMember, UpstreamList, UpstreamLoad};
+use crate::message::{
+    EntrySeen, LoadReport, Stamp, ToEntry, ToMember, Upstream, UpstreamList, UpstreamLoad,
+};
 use crate::texts::Texts;
 
 /// How often entries tell their loads, and their sum is handed out, at most. What is not known yet of
@@ -33,20 +37,28 @@
     needed.max(LOADS_PERIOD)
 }
 
+/// For how long entries that come and go are gathered before the others are told, so that many that
+/// come at once cost a few messages to each and not one for each of them.
+const GATHER: Duration = Duration::from_millis(60);
+
+/// How long an entry may take to tell its level; one of the release before tells none.
+const LEVEL_PATIENCE: Duration = Duration::from_millis(60);
+
 /// What is handed out besides the plan.
 #[derive(Clone, Debug, Default)]
 struct Handout {
-    upstreams: UpstreamList,
-    entries: Vec<EntrySeen>,
-    count: u64,
+    upstreams: Published<Upstream>,
+    entries: Published<EntrySeen>,
 }
 
 /// The entries that are connected to this member.
 pub(crate) struct Hub {
     handout: watch::Sender<Handout>,
     seen: Mutex<HashMap<u64, EntrySeen>>,
+    /// Told when an entry came or went.
+    moved: Notify,
     loads: Mutex<HashMap<u64, LoadReport>>,
-    digest: watch::Sender<Arc<LoadReport>>,
+    digest: watch::Sender<Option<Arc<Digest>>>,
     texts: Mutex<Texts>,
 }
 
@@ -55,6 +67,7 @@
         Self {
             handout: watch::Sender::new(Handout::default()),
             seen: Mutex::default(),
+            moved: Notify::new(),
             loads: Mutex::default(),
             digest: watch::Sender::default(),
             texts: Mutex::default(),
@@ -67,23 +80,51 @@
 
     /// Hands out another list of upstreams.
     pub(crate) fn set_upstreams(&self, list: UpstreamList) {
-        self.handout.send_modify(|it| it.upstreams = list);
+        let next = Numbered::new(list.stamp, list.upstreams);
+        self.handout.send_modify(|it| report(it.upstreams.publish(next)));
+    }
+
+    /// Tells which entries are there, for as long as the member runs. The numbers of the lists go with
+    /// the term in which they were made.
+    pub(crate) async fn tell_entries(self: Arc<Self>, mut view: watch::Receiver<View>) {
+        loop {
+            let told = self.handout.borrow().entries.numbered.stamp.term;
+            tokio::select! {
+                () = self.moved.notified() => {}
+                changed = view.wait_for(|it| it.leads() && it.term != told) => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+            }
+            let entries = {
+                let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+                seen.values().cloned().collect()
+            };
+            let term = view.borrow().term;
+            self.handout.send_modify(|it| {
+                let last = it.entries.numbered.stamp;
+                let count = if last.term == term { last.count + 1 } else { 1 };
+                report(it.entries.publish(Numbered::new(Stamp { term, count }, entries)));
+            });
+            sleep(GATHER).await;
+        }
     }
 
     /// Adds up what the entries report, for as long as the member runs.
     pub(crate) async fn add_loads(self: Arc<Self>) {
         loop {
-            let count = self.handout.borrow().upstreams.upstreams.len();
+            let count = self.handout.borrow().upstreams.numbered.list.len();
             sleep(loads_period(count)).await;
-            let listed = self.handout.borrow().upstreams.stamp;
-            let digest = LoadReport { listed, loads: self.sum(listed) };
-            self.digest.send_if_modified(|it| {
-                let changed = **it != digest;
-                if changed {
-                    *it = Arc::new(digest);
-                }
-                changed
-            });
+            let listed = self.handout.borrow().upstreams.numbered.stamp;
+            let report = LoadReport { listed, loads: self.sum(listed) };
+            if self.digest.borrow().as_ref().is_some_and(|it| it.report == report) {
+                continue;
+            }
+            match Digest::new(report) {
+                Ok(digest) => drop(self.digest.send_replace(Some(Arc::new(digest)))),
+                Err(error) => log::error!(cause:% = error; "loads can't be handed out"),
+            }
         }
     }
 
@@ -102,31 +143,17 @@
 
     fn enter(&self, life: u64, entry: EntrySeen) {
         log::info!(entry = entry.name.as_str(), address:% = entry.address; "an entry connected");
-        self.change(|seen| {
-            seen.insert(life, entry);
-        });
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner).insert(life, entry);
+        self.moved.notify_one();
     }
 
     fn leave(&self, life: u64) {
         self.loads.lock().unwrap_or_else(PoisonError::into_inner).remove(&life);
-        self.change(|seen| {
-            if let Some(entry) = seen.remove(&life) {
-                log::info!(entry = entry.name.as_str(); "an entry is gone");
-            }
-        });
-    }
-
-    fn change(&self, change: impl FnOnce(&mut HashMap<u64, EntrySeen>)) {
-        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
-        change(&mut seen);
-        let mut entries: Vec<EntrySeen> = seen.values().cloned().collect();
-        entries.sort_by(|a, b| a.name.cmp(&b.name));
-        entries.dedup_by(|a, b| a.address == b.address);
-        drop(seen);
-        self.handout.send_modify(|it| {
-            it.entries = entries;
-            it.count += 1;
-        });
+        let gone = self.seen.lock().unwrap_or_else(PoisonError::into_inner).remove(&life);
+        if let Some(entry) = gone {
+            log::info!(entry = entry.name.as_str(); "an entry is gone");
+            self.moved.notify_one();
+        }
     }
 
     /// Serves one entry until its connection ends.
@@ -150,24 +177,47 @@
         let mut confirmed = false;
         let mut handout = self.handout.subscribe();
         let mut digest = self.digest.subscribe();
-        let mut told = Told::default();
+        let level = sender.level(LEVEL_PATIENCE).await;
+        let mut told = Told::new(level);
+        let mut behind = true;
         loop {
-            let seen = view.borrow_and_update().clone();
-            if told.held.is_none_or(|it| it.0 < seen.held.version) {
-                self.texts().note(&seen.held);
-            }
-            told.tell_view(sender, &seen, confirmed).await?;
-            let current = handout.borrow_and_update().clone();
-            if seen.leads() {
-                told.tell_handout(sender, seen.term, current).await?;
-                let loads = Arc::clone(&digest.borrow_and_update());
-                told.tell_loads(sender, &loads).await?;
-            }
             tokio::select! {
-                () = &mut confirming, if !confirmed => confirmed = true,
-                changed = view.changed() => if changed.is_err() { return Ok(()) },
-                changed = digest.changed() => if changed.is_err() { return Ok(()) },
-                changed = handout.changed() => if changed.is_err() { return Ok(()) },
+                // News of a state wait here, not in the queue: who reads slowly gets the newest alone, and
+                // what is held for one connection is bounded by what one telling takes.
+                drained = sender.drained(), if behind => {
+                    drained?;
+                    behind = false;
+                    let seen = view.borrow_and_update().clone();
+                    if told.held.is_none_or(|it| it.0 < seen.held.version) {
+                        self.texts().note(&seen.held);
+                    }
+                    told.tell_view(sender, &seen, confirmed).await?;
+                    let current = handout.borrow_and_update().clone();
+                    if seen.leads() {
+                        told.tell_handout(sender, seen.term, &current).await?;
+                        let loads = digest.borrow_and_update().clone();
+                        told.tell_loads(sender, loads).await?;
+                    }
+                }
+                () = &mut confirming, if !confirmed => (confirmed, behind) = (true, true),
+                changed = view.changed(), if !behind => {
+                    if changed.is_err() {
+                        return Ok(());
+                    }
+                    behind = true;
+                }
+                changed = digest.changed(), if !behind => {
+                    if changed.is_err() {
+                        return Ok(());
+                    }
+                    behind = true;
+                }
+                changed = handout.changed(), if !behind => {
+                    if changed.is_err() {
+                        return Ok(());
+                    }
+                    behind = true;
+                }
                 message = receiver.recv() => match message? {
                     Some(ToMember::Hello(entry)) => self.enter(life, entry),
                     Some(ToMember::Leave) => self.leave(life),
@@ -195,17 +245,35 @@
     }
 }
 
+/// Logs what can't be handed out.
+fn report(published: types::StepResult<()>) {
+    if let Err(error) = published {
+        log::error!(cause:% = error; "a list can't be handed out; the one before stays");
+    }
+}
+
 /// What one entry was told.
-#[derive(Default)]
 struct Told {
+    level: u8,
     held: Option<(types::Version, bool)>,
     members: Vec<std::net::SocketAddr>,
     upstreams: Stamp,
     entries: Stamp,
-    loads: Option<Arc<LoadReport>>,
+    loads: Option<Arc<Digest>>,
 }
 
 impl Told {
+    fn new(level: u8) -> Self {
+        Self {
+            level,
+            held: None,
+            members: Vec::new(),
+            upstreams: Stamp::default(),
+            entries: Stamp::default(),
+            loads: None,
+        }
+    }
+
     async fn tell_view(
         &mut self,
         sender: &Sender<ToEntry>,
@@ -227,29 +295,28 @@
     async fn tell_loads(
         &mut self,
         sender: &Sender<ToEntry>,
-        loads: &Arc<LoadReport>,
+        loads: Option<Arc<Digest>>,
     ) -> types::StepResult<()> {
-        if self.loads.as_ref().is_some_and(|it| Arc::ptr_eq(it, loads)) {
+        let Some(loads) = loads else { return Ok(()) };
+        if self.loads.as_ref().is_some_and(|it| Arc::ptr_eq(it, &loads)) {
             return Ok(());
         }
-        self.loads = Some(Arc::clone(loads));
-        sender.send(&ToEntry::Loads(LoadReport::clone(loads))).await
+        let sent = sender.send_encoded(&loads.message).await;
+        self.loads = Some(loads);
+        sent
     }
 
     async fn tell_handout(
         &mut self,
         sender: &Sender<ToEntry>,
         term: u64,
-        handout: Handout,
+        handout: &Handout,
     ) -> types::StepResult<()> {
-        if handout.upstreams.stamp.term == term && self.upstreams < handout.upstreams.stamp {
-            self.upstreams = handout.upstreams.stamp;
-            sender.send(&ToEntry::Upstreams(handout.upstreams)).await?;
+        if handout.upstreams.numbered.stamp.term == term {
+            handout.upstreams.tell(sender, self.level, &mut self.upstreams).await?;
         }
-        let stamp = Stamp { term, count: handout.count };
-        if self.entries < stamp {
-            self.entries = stamp;
-            sender.send(&ToEntry::Entries(stamp, handout.entries)).await?;
+        if handout.entries.numbered.stamp.term == term {
+            handout.entries.tell(sender, self.level, &mut self.entries).await?;
         }
         Ok(())
     }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -5,6 +5,7 @@
 //! voters that are gone. The leader reads the platform's list of upstreams and hands it out.
 //! Entries follow every member they can reach and use the newest of what they are told.
 
+pub mod difference;
 pub mod fetch;
 pub mod message;
 pub mod parcel;
@@ -14,6 +15,7 @@
 mod driver;
 mod folder;
 mod follow;
+mod handout;
 mod hub;
 mod member;
 mod peers;
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use types::{LogIndex, NodeId, Version};
 
+use crate::difference::Difference;
 use crate::parcel::{Label, Part};
 
 /// What one member sends another.
@@ -104,8 +105,15 @@
     Members(Vec<SocketAddr>),
     /// A part of a plan.
     Part(Part),
+    /// How the entries that are there differ from those that the leader told last.
+    EntriesChanged(Difference<EntrySeen, SocketAddr>),
+    /// How the upstreams differ from those that the leader told last.
+    UpstreamsChanged(Difference<Upstream, String>),
 }
 
+/// The level of an entry that takes differences of lists.
+pub const DIFFERENCES: u8 = 1;
+
 /// Orders what successive leaders hand out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Stamp {
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,7 +1,7 @@
 //! The text of `/metrics`.
 
 use prometheus::process_collector::ProcessCollector;
-use prometheus::{IntCounter, Registry, TextEncoder};
+use prometheus::{IntCounter, IntGauge, Registry, TextEncoder};
 
 /// The content type of the rendered text.
 pub const CONTENT_TYPE: &str = prometheus::TEXT_FORMAT;
@@ -25,10 +25,11 @@
 pub struct ByteCounters {
     sent: IntCounter,
     received: IntCounter,
+    queued: IntGauge,
 }
 
 impl ByteCounters {
-    /// Registers both.
+    /// Registers them.
     ///
     /// # Errors
     /// Where a metric of the same name is registered already.
@@ -36,13 +37,16 @@
         let sent = IntCounter::new("mothplank_wire_sent_bytes_total", "Bytes to other nodes.")?;
         let received =
             IntCounter::new("mothplank_wire_received_bytes_total", "Bytes from other nodes.")?;
+        let queued = IntGauge::new("mothplank_wire_queued_bytes", "Bytes that wait to be sent.")?;
         registry.register(Box::new(sent.clone()))?;
         registry.register(Box::new(received.clone()))?;
-        Ok(Self { sent, received })
+        registry.register(Box::new(queued.clone()))?;
+        Ok(Self { sent, received, queued })
     }
 
-    /// Takes the totals since the process started.
-    pub fn set(&self, sent: u64, received: u64) {
+    /// Takes the totals since the process started, and what waits in queues now.
+    pub fn set(&self, sent: u64, received: u64, queued: u64) {
+        self.queued.set(i64::try_from(queued).unwrap_or(i64::MAX));
         self.sent.inc_by(sent.saturating_sub(self.sent.get()));
         self.received.inc_by(received.saturating_sub(self.received.get()));
     }
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use socket2::SockRef;
@@ -125,8 +126,15 @@
     /// Where the connection ended, with the cause, or the message is too large. A message that was
     /// queued may still be lost with the connection.
     pub async fn send(&self, message: &Out) -> StepResult<()> {
-        let frame = frame::encode(message).map_err(|e| self.fault(e))?;
-        let queued = self.shared.room(frame).await.map_err(|e| self.fault(e))?;
+        self.send_encoded(&Encoded::new(message).map_err(|e| self.fault(e))?).await
+    }
+
+    /// Queues a message that is encoded, waiting for room.
+    ///
+    /// # Errors
+    /// As [`Sender::send`].
+    pub async fn send_encoded(&self, message: &Encoded<Out>) -> StepResult<()> {
+        let queued = self.shared.room(message.frame.clone()).await.map_err(|e| self.fault(e))?;
         self.queue.send(queued).await.map_err(|_| self.fault(self.shared.cause()))
     }
 
@@ -145,6 +153,15 @@
 }
 
 impl<Out> Sender<Out> {
+    /// Waits until all that was queued is written. Who sends news of a state only then holds back no more
+    /// than its newest form, however slowly the other side reads.
+    ///
+    /// # Errors
+    /// Where the connection ended.
+    pub async fn drained(&self) -> StepResult<()> {
+        self.shared.drained().await.map_err(|e| self.fault(e))
+    }
+
     /// Returns the level of the other side, which it tells first of all. 0 where it tells none within
     /// `patience`: it is of a release that knows no levels, or slow.
     pub async fn level(&self, patience: Duration) -> u8 {
@@ -186,6 +203,34 @@
     }
 }
 
+/// A message that is encoded once and sent to many.
+pub struct Encoded<Out> {
+    frame: Bytes,
+    message: PhantomData<fn(Out)>,
+}
+
+impl<Out: Serialize> Encoded<Out> {
+    /// Encodes a message.
+    ///
+    /// # Errors
+    /// Where it is too large.
+    pub fn new(message: &Out) -> Result<Self, WireError> {
+        Ok(Self { frame: frame::encode(message)?, message: PhantomData })
+    }
+}
+
+impl<Out> Clone for Encoded<Out> {
+    fn clone(&self) -> Self {
+        Self { frame: self.frame.clone(), message: PhantomData }
+    }
+}
+
+impl<Out> fmt::Debug for Encoded<Out> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} encoded bytes", self.frame.len())
+    }
+}
+
 /// The receiving half.
 pub struct Receiver<In> {
     incoming: Incoming,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,7 +22,7 @@
 
 use std::time::Duration;
 
-pub use connection::{Connection, Receiver, Sender, connect};
+pub use connection::{Connection, Encoded, Receiver, Sender, connect};
 pub use datagram::{DATAGRAM_LIMIT, Datagrams};
 pub use error::{RefusalCause, WireError};
 pub use frame::{FRAME_LIMIT, decode, encode};
--- a/crates/wire/src/pump.rs
+++ b/crates/wire/src/pump.rs
@@ -11,6 +11,7 @@
 use crate::frame::HEARTBEAT_TAG;
 use crate::hello::{Frames, Reader, Writer};
 use crate::progress::Meter;
+use crate::traffic::Held;
 use crate::{HEARTBEAT, LEVEL, WireError};
 
 /// How many messages a queue holds.
@@ -27,6 +28,14 @@
 pub(crate) struct Queued {
     pub(crate) frame: Bytes,
     _room: OwnedSemaphorePermit,
+    _held: Held,
+}
+
+impl Queued {
+    fn new(frame: Bytes, room: OwnedSemaphorePermit) -> Self {
+        let held = Held::new(frame.len());
+        Self { frame, _room: room, _held: held }
+    }
 }
 
 /// What both tasks and all handles of a connection share.
@@ -59,7 +68,15 @@
     pub(crate) async fn room(&self, frame: Bytes) -> Result<Queued, WireError> {
         let room = Arc::clone(&self.room).acquire_many_owned(units(&frame));
         tokio::select! {
-            room = room => room.map(|_room| Queued { frame, _room }).map_err(|_| WireError::Closed),
+            room = room => room.map(|it| Queued::new(frame, it)).map_err(|_| WireError::Closed),
+            () = self.ended.cancelled() => Err(self.cause()),
+        }
+    }
+
+    /// Waits until the send queue is empty.
+    pub(crate) async fn drained(&self) -> Result<(), WireError> {
+        tokio::select! {
+            all = self.room.acquire_many(QUEUE_UNITS) => all.map(drop).map_err(|_| WireError::Closed),
             () = self.ended.cancelled() => Err(self.cause()),
         }
     }
@@ -70,7 +87,7 @@
             return Err(self.cause());
         }
         let room = Arc::clone(&self.room).try_acquire_many_owned(units(&frame));
-        room.map(|_room| Queued { frame, _room }).map_err(|_| WireError::Full)
+        room.map(|it| Queued::new(frame, it)).map_err(|_| WireError::Full)
     }
 }
 
@@ -148,11 +165,11 @@
             continue;
         }
         // While the queue is full nothing is read, and that is not the other side's silence.
-        let Ok(_room) = Arc::clone(&room).acquire_many_owned(units(&frame)).await else {
+        let Ok(taken) = Arc::clone(&room).acquire_many_owned(units(&frame)).await else {
             return WireError::Closed;
         };
         // Without a receiver the frames are dropped: the connection may serve one way only.
-        let _ = queue.send(Queued { frame, _room }).await;
+        let _ = queue.send(Queued::new(frame, taken)).await;
     }
 }
 
@@ -177,8 +194,7 @@
             }
             Err(_) => None,
         };
-        let frame = next.map_or_else(heartbeat, |it| it.frame);
-        match meter.watch(put(&mut writer, frame, &mut queue)).await {
+        match meter.watch(put(&mut writer, next, &mut queue)).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => return error.into(),
             Err(silent) => return silent,
@@ -197,15 +213,19 @@
     Bytes::from_static(&[HEARTBEAT_TAG, LEVEL])
 }
 
-/// Writes one frame and those that wait behind it, then flushes once for all.
+/// Writes one frame, or a heartbeat, and those that wait behind it, then flushes once for all. Their room
+/// in the queue is given back only then.
 async fn put(
     writer: &mut Writer,
-    frame: Bytes,
+    first: Option<Queued>,
     queue: &mut mpsc::Receiver<Queued>,
 ) -> std::io::Result<()> {
+    let frame = first.as_ref().map_or_else(heartbeat, |it| it.frame.clone());
     writer.feed(frame).await?;
+    let mut written = Vec::from_iter(first);
     while let Ok(queued) = queue.try_recv() {
-        writer.feed(queued.frame).await?;
+        writer.feed(queued.frame.clone()).await?;
+        written.push(queued);
     }
     SinkExt::<Bytes>::flush(writer).await
 }
--- a/crates/wire/tests/connection.rs
+++ b/crates/wire/tests/connection.rs
@@ -32,6 +32,43 @@
     }
 }
 
+/// Symptom looked for: a process that tells many others its state runs out of memory while they read
+/// slowly.
+/// Sequence: the state changes again and again while the other side does not read.
+/// Cause it would have: each news of the state is queued though the one before still waits.
+#[tokio::test]
+async fn a_sender_sees_when_all_that_it_queued_is_written() {
+    let ((sender, _keep), (_hold, mut receiver)) = halves().await;
+    within("an empty queue", sender.drained()).await.unwrap();
+    // Together more than the other side and both sockets take unread.
+    const MESSAGES: usize = 8;
+    let large = vec![7; 8 << 20];
+    let (task, sent) = (sender.clone(), large.clone());
+    let sends = tokio::spawn(async move {
+        for _ in 0..MESSAGES {
+            task.send(&sent).await.unwrap();
+        }
+    });
+    within("a message", receiver.recv()).await.unwrap();
+    let early = tokio::time::timeout(Duration::from_millis(300), sender.drained()).await;
+    assert!(early.is_err(), "the queue counts as empty while a message waits in it");
+    assert!(wire::Traffic::read().queued >= large.len() as u64);
+    for _ in 1..MESSAGES {
+        let message = within("a message", receiver.recv()).await.unwrap();
+        assert_eq!(message.map(|it| it.len()), Some(large.len()));
+    }
+    within("all sent", sends).await.unwrap();
+    within("an empty queue", sender.drained()).await.unwrap();
+}
+
+#[tokio::test]
+async fn each_side_tells_its_level() {
+    let ((dialed, _keep), (accepted, _hold)) = halves().await;
+    let patience = Duration::from_secs(10);
+    assert_eq!(dialed.level(patience).await, wire::LEVEL);
+    assert_eq!(accepted.level(patience).await, wire::LEVEL);
+}
+
 #[tokio::test]
 async fn what_was_queued_arrives_before_the_end() {
     let ((sender, unused), (_hold, mut receiver)) = halves().await;
