Count a piece as late that ends after it is due in the next call

Cause: a piece counted as in time while it was due later than 0.7 of a full call from now. Change: the end of the call that what waits will make decides; a lone piece still has a short call. The share is gone.

--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -27,12 +27,6 @@
 /// them, in the mean of days under load.
 const EFFICIENCY: f64 = 0.8;
 
-/// The share of a full call that a piece needs at least before it is due, or it counts as late. Calls
-/// under load are that long. What goes wrong otherwise: pieces whose result comes a little too late go
-/// before those that can still be in time, until all come a little too late (value of all answers on days
-/// under load of three deployments, paired: 0.600 to 0.601, 0.519 to 0.524, 0.623 to 0.636).
-const CALL_SHARE: f64 = 0.7;
-
 /// Idle upstreams up to this share of all, and one at least, wait for fuller calls. What goes wrong
 /// otherwise: the last idle one takes a call of a piece or two, and what comes a moment later waits for
 /// the end of a whole call. Value of all answers on days under load 0.587 before and 0.597 with it (15
@@ -254,9 +248,12 @@
         self.records.retain(|id, record| record.busy.is_some() || known(id));
     }
 
-    /// Puts the waiting pieces into their order.
+    /// Puts the waiting pieces into their order. The next call is as long as what waits makes it: a piece
+    /// that is due sooner than its end counts as late. What goes wrong otherwise: under overload those whose
+    /// results come a little too late go before those that can still be in time, until all come a little
+    /// too late.
     fn sort(&mut self, now: Instant) {
-        let ready = now + self.plain(self.spec.batch).mul_f64(CALL_SHARE);
+        let ready = now + self.plain(self.spec.batch.min(self.waiting.len()));
         self.waiting.sort_by_key(|it| it.urgency(ready));
     }
 
--- a/crates/gateway/tests/queue.rs
+++ b/crates/gateway/tests/queue.rs
@@ -106,6 +106,21 @@
         lanes: &[("u", "d")],
         next: Some(("u", &[2, 2, 2, 2, 2, 2, 2, 1])),
     },
+    Case {
+        name: "nor does what ends just after it is due in a full call",
+        given: &[
+            Given { job: 1, pieces: 7, due: 300, ..PLAIN },
+            Given { job: 2, pieces: 7, due: 900, ..PLAIN },
+        ],
+        lanes: &[("u", "d")],
+        next: Some(("u", &[2, 2, 2, 2, 2, 2, 2, 1])),
+    },
+    Case {
+        name: "a short call ends sooner",
+        given: &[Given { job: 1, due: 900, ..PLAIN }, Given { job: 2, due: 300, ..PLAIN }],
+        lanes: &[("u", "d")],
+        next: Some(("u", &[2, 1])),
+    },
     Case {
         name: "a higher rank goes first",
         given: &[
