Count the entries when a service is split

Cause: the service with few pieces stayed whole by a hair; its owner answers 295 entries and tells each of them its waits 12 times a second. Its way (answers less wait and call) grew from 6 to 87 ms in the burst (from the entries' logs, seconds 4 to 6), then three entries took it for silent. Change: each entry counts 1.5 kB a second in what an owner needs of its link, so services are split at some 150 entries however few their pieces.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -46,15 +46,15 @@
                 upstream.sweep(true);
             }
         }
-        next.split(plan, link);
+        next.split(plan, news.entries.len(), link);
         next
     }
 
-    fn split(&mut self, plan: &Plan, link: LinkRate) {
+    fn split(&mut self, plan: &Plan, entries: usize, link: LinkRate) {
         for (service, upstreams) in &self.services {
             let spec = plan.services.get(service).and_then(|it| it.batch);
             let Some(spec) = spec else { continue };
-            let sections = section::split(service, &spec, upstreams, link);
+            let sections = section::split(service, &spec, upstreams, entries, link);
             self.sections.insert(Arc::clone(service), sections);
         }
     }
--- a/crates/gateway/src/section.rs
+++ b/crates/gateway/src/section.rs
@@ -16,8 +16,12 @@
 /// some inputs.
 const PIECE_BYTES: f64 = 300.0;
 
-/// The share of its link that an owner may need for full calls to all its upstreams. The rest is for
-/// its own callers, and for what the entries send it.
+/// What each entry takes of an owner's link, in bytes a second: answers, and news of waits, in small
+/// packets.
+const ENTRY_BYTES: f64 = 1_500.0;
+
+/// The share of its link that an owner may need for full calls to all its upstreams and for the entries.
+/// The rest is for its own callers, and for bursts.
 const LINK_SHARE: f64 = 0.3;
 
 /// How many upstreams a section must have on average: with fewer, calls are not full.
@@ -73,13 +77,13 @@
     }
 }
 
-/// Splits a service: by failure domain where full calls to all its upstreams would need more than
-/// [`LINK_SHARE`] of one owner's link, else not at all. All entries that know the same list get the same
-/// sections.
+/// Splits a service: by failure domain where one owner of all would need more than [`LINK_SHARE`] of its
+/// link, else not at all. All entries that know the same lists get the same sections.
 pub fn split(
     service: &Arc<str>,
     spec: &BatchSpec,
     upstreams: &[Arc<Upstream>],
+    entries: usize,
     link: LinkRate,
 ) -> Vec<Section> {
     let mut domains: Vec<&Arc<str>> = upstreams.iter().map(|it| &it.domain).collect();
@@ -87,7 +91,8 @@
     domains.dedup();
     let full = spec.call + spec.item * spec.batch as u32;
     let pieces = (upstreams.len() * spec.batch) as f64 / full.as_secs_f64().max(0.001);
-    let fits = pieces * PIECE_BYTES <= link.bytes_per_second() * LINK_SHARE;
+    let needed = pieces * PIECE_BYTES + entries as f64 * ENTRY_BYTES;
+    let fits = needed <= link.bytes_per_second() * LINK_SHARE;
     if fits || upstreams.len() < LEAST_UPSTREAMS * domains.len() {
         return vec![Section::whole(service)];
     }
--- a/crates/gateway/tests/section.rs
+++ b/crates/gateway/tests/section.rs
@@ -32,34 +32,46 @@
 struct SplitCase {
     name: &'static str,
     upstreams: &'static [(&'static str, usize)],
+    entries: usize,
     megabits: f64,
     /// The domains of the sections; none for a service that stays whole.
     domains: &'static [&'static str],
 }
 
 const SPLITS: &[SplitCase] = &[
-    SplitCase { name: "no upstream", upstreams: &[], megabits: 10.0, domains: &[] },
+    SplitCase { name: "no upstream", upstreams: &[], entries: 10, megabits: 10.0, domains: &[] },
     SplitCase {
         name: "few upstreams on a fast link",
         upstreams: &[("a", 2), ("b", 2)],
+        entries: 10,
         megabits: 1_000.0,
         domains: &[],
     },
     SplitCase {
         name: "many upstreams on a slow link",
         upstreams: &[("b", 9), ("a", 8)],
+        entries: 10,
         megabits: 10.0,
         domains: &["a", "b"],
     },
     SplitCase {
         name: "many upstreams on a fast link",
         upstreams: &[("a", 9), ("b", 9)],
+        entries: 10,
         megabits: 1_000.0,
         domains: &[],
     },
+    SplitCase {
+        name: "few upstreams, many entries on slow links",
+        upstreams: &[("a", 4), ("b", 4)],
+        entries: 300,
+        megabits: 10.0,
+        domains: &["a", "b"],
+    },
     SplitCase {
         name: "too few in each domain to fill calls",
         upstreams: &[("a", 3), ("b", 3), ("c", 3), ("d", 3)],
+        entries: 10,
         megabits: 5.0,
         domains: &[],
     },
@@ -69,7 +81,8 @@
 fn services_are_split_where_one_link_is_too_little() {
     for case in SPLITS {
         let link = LinkRate::from_megabits(case.megabits);
-        let sections = split(&"s".into(), &SPEC, &upstreams(case.upstreams), link);
+        let upstreams = upstreams(case.upstreams);
+        let sections = split(&"s".into(), &SPEC, &upstreams, case.entries, link);
         let domains: Vec<&str> = sections.iter().filter_map(|it| it.domain.as_deref()).collect();
         assert_eq!(domains, case.domains, "{}", case.name);
         assert_eq!(sections.len(), domains.len().max(1), "{}", case.name);
