--- a/crates/mothplank/tests/env/process.rs
+++ b/crates/mothplank/tests/env/process.rs
@@ -2,10 +2,11 @@
 
 use std::fs::{self, File};
 use std::io::{BufRead, BufReader};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
-use rustix::process::{Pid, kill_process};
+use rustix::process::{Pid, PidfdFlags, pidfd_open, pidfd_send_signal};
 
 use super::wait_for;
 
@@ -19,6 +20,8 @@
 pub struct Process {
     name: String,
     child: Child,
+    /// Names this start alone, also once its number is given to another process.
+    handle: OwnedFd,
     log: PathBuf,
     ended: Option<ExitStatus>,
 }
@@ -36,7 +39,8 @@
         let log = folder.join(format!("{name}.log"));
         let file = File::options().create(true).append(true).open(&log).unwrap();
         let child = command(args).stdout(Stdio::piped()).stderr(file).spawn().unwrap();
-        Self { name: name.to_owned(), child, log, ended: None }
+        let handle = pidfd_open(Pid::from_child(&child), PidfdFlags::empty()).unwrap();
+        Self { name: name.to_owned(), child, handle, log, ended: None }
     }
 
     /// Reads the first line of its standard output.
@@ -59,7 +63,8 @@
     /// Sends it a signal, unless it has ended.
     pub fn signal(&mut self, signal: Signal) {
         if !self.ended() {
-            kill_process(Pid::from_child(&self.child), signal).unwrap();
+            eprintln!("{} (process {}) is sent {signal:?}", self.name, self.id());
+            pidfd_send_signal(&self.handle, signal).unwrap();
         }
     }
 
