Take requests by what goes before them

Cause: an owner told how long all that waits takes. Pieces that are late go after new ones that can be in time, but counted as ahead of them. Change: owners tell both waits. A request is taken if it is in time behind what can be in time and its caller would also wait for it behind all, or if its caller is likely to wait, as before. Jobs choose their section by the timely wait. The decision stands in admission.rs, without I/O; its verdict is in the log line. Tests: verdicts (table); late ones ahead of a new request are the case that the code before refused.

--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -13,41 +13,46 @@
 /// wait.
 const FRESH: Duration = Duration::from_millis(500);
 
-/// What an owner told last.
+/// What an owner tells of a section, in ms.
 #[derive(Clone, Copy, Debug)]
-struct Told {
-    at: Instant,
-    /// The waits by rank, in ms.
-    waits: [u32; RANKS],
-    /// What a piece needs that waits for nothing but the next call, in ms.
-    need: u32,
+pub(crate) struct Backlog {
+    /// How long pieces wait, by rank.
+    pub(crate) waits: [u32; RANKS],
+    /// How long those wait that can be in time, by rank.
+    pub(crate) timely: [u32; RANKS],
+    /// What a piece needs that goes before all others.
+    pub(crate) need: u32,
 }
 
-/// The waits of all sections, by rank.
+/// What the owners of all sections told last.
 #[derive(Debug, Default)]
-pub(crate) struct Backlogs(Mutex<HashMap<Section, Told>>);
+pub(crate) struct Backlogs(Mutex<HashMap<Section, (Instant, Backlog)>>);
 
 impl Backlogs {
-    /// Takes an owner's report, in ms.
-    pub(crate) fn set(&self, section: Section, waits: [u32; RANKS], need: u32) {
+    /// Takes an owner's report.
+    pub(crate) fn set(&self, section: Section, backlog: Backlog) {
         let mut all = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        all.insert(section, Told { at: Instant::now(), waits, need });
+        all.insert(section, (Instant::now(), backlog));
     }
 
     /// How long a piece of `rank` is likely to wait; nothing where no owner spoke lately.
     pub(crate) fn wait(&self, section: &Section, rank: u8) -> Duration {
-        let rank = usize::from(rank).min(RANKS - 1);
-        self.fresh(section)
-            .map_or(Duration::ZERO, |it| Duration::from_millis(it.waits[rank].into()))
+        self.told(section, |it| it.waits[usize::from(rank).min(RANKS - 1)])
     }
 
-    /// What a piece needs that is in time; nothing where no owner spoke lately.
+    /// How long a piece of `rank` waits that can be in time.
+    pub(crate) fn timely_wait(&self, section: &Section, rank: u8) -> Duration {
+        self.told(section, |it| it.timely[usize::from(rank).min(RANKS - 1)])
+    }
+
+    /// What a piece needs that goes before all others; nothing where no owner spoke lately.
     pub(crate) fn need(&self, section: &Section) -> Duration {
-        self.fresh(section).map_or(Duration::ZERO, |it| Duration::from_millis(it.need.into()))
+        self.told(section, |it| it.need)
     }
 
-    fn fresh(&self, section: &Section) -> Option<Told> {
+    fn told(&self, section: &Section, field: impl Fn(&Backlog) -> u32) -> Duration {
         let all = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        all.get(section).filter(|it| it.at.elapsed() < FRESH).copied()
+        let fresh = all.get(section).filter(|it| it.0.elapsed() < FRESH);
+        fresh.map_or(Duration::ZERO, |it| Duration::from_millis(field(&it.1).into()))
     }
 }
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 use wire::{Connection, Hello, Kind, Listener, Secret};
 
-use crate::backlog::Backlogs;
+use crate::backlog::{Backlog, Backlogs};
 use crate::batch::message::{FromOwner, ToOwner};
 use crate::batch::owner::{Owner, OwnerEvent};
 use crate::section::Section;
@@ -108,13 +108,14 @@
             FromOwner::Pulse => return,
             FromOwner::Backlog(service, waits) => {
                 let section = Section { service: service.as_str().into(), domain: None };
-                self.inlets.backlogs.set(section, *waits, 0);
+                let backlog = Backlog { waits: *waits, timely: *waits, need: 0 };
+                self.inlets.backlogs.set(section, backlog);
                 return;
             }
             FromOwner::Section(news) => {
                 let domain = news.domain.as_deref().map(Into::into);
                 let section = Section { service: news.service.as_str().into(), domain };
-                self.inlets.backlogs.set(section, news.waits, news.need);
+                self.inlets.backlogs.set(section, news.backlog());
                 return;
             }
             FromOwner::News(relay) => {
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -3,6 +3,7 @@
 use registry::Relay;
 use serde::{Deserialize, Serialize};
 
+use crate::backlog::Backlog;
 use crate::batch::queue::RANKS;
 use crate::dialect::PieceFailure;
 
@@ -103,6 +104,13 @@
     Section(SectionNews),
 }
 
+impl SectionNews {
+    /// The waits alone.
+    pub(crate) fn backlog(&self) -> Backlog {
+        Backlog { waits: self.waits, timely: self.timely, need: self.need }
+    }
+}
+
 /// What the pieces of a section wait and take, as its owner sees it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct SectionNews {
@@ -111,6 +119,8 @@
     pub(crate) domain: Option<String>,
     /// How long pieces wait, by rank, in ms.
     pub(crate) waits: [u32; RANKS],
+    /// The same for pieces that can be in time.
+    pub(crate) timely: [u32; RANKS],
     /// What a piece needs that waits for nothing but the next call, in ms.
     pub(crate) need: u32,
 }
--- a/crates/gateway/src/batch/owner/tell.rs
+++ b/crates/gateway/src/batch/owner/tell.rs
@@ -1,6 +1,7 @@
 //! What an owner tells besides results: waits, fetched inputs, and results that are given up.
 
 use std::collections::HashSet;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -20,15 +21,15 @@
             }
             any |= !queue.is_empty();
             let lanes = self.lanes(section, now);
-            let waits = queue.backlog(lanes).map(|it| it.as_millis() as u32);
-            let need = queue.need(lanes).as_millis() as u32;
-            self.shared.backlogs.set(section.clone(), waits, need);
+            let ms = |it: Duration| it.as_millis() as u32;
             let news = SectionNews {
                 service: section.service.to_string(),
                 domain: section.domain.as_ref().map(ToString::to_string),
-                waits,
-                need,
+                waits: queue.backlog(lanes).map(ms),
+                timely: queue.timely_backlog(lanes, now).map(ms),
+                need: ms(queue.need(lanes)),
             };
+            self.shared.backlogs.set(section.clone(), news.backlog());
             for peer in self.peers.values() {
                 // A connection that has ended is removed by its own event.
                 let _ = peer.send(FromOwner::Section(news.clone()));
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -145,8 +145,20 @@
 
     /// For each rank, how long a piece is likely to wait for those of its rank and above.
     pub fn backlog(&self, lanes: usize) -> [Duration; RANKS] {
+        self.waits(lanes, |_| true)
+    }
+
+    /// As [`backlog`](Self::backlog), for a piece that can be in time: those that can't go after it. What
+    /// goes wrong with all of them: after a burst, requests that would be in time are refused for as long
+    /// as late ones wait.
+    pub fn timely_backlog(&self, lanes: usize, now: Instant) -> [Duration; RANKS] {
+        let ready = self.ready(now);
+        self.waits(lanes, |it| it.due > ready)
+    }
+
+    fn waits(&self, lanes: usize, counts_for: impl Fn(&Piece) -> bool) -> [Duration; RANKS] {
         let mut counts = [0usize; RANKS];
-        for piece in &self.waiting {
+        for piece in self.waiting.iter().filter(|it| counts_for(it)) {
             counts[usize::from(piece.rank).min(RANKS - 1)] += 1;
         }
         let call = self.plain(self.spec.batch).as_secs_f64();
@@ -262,12 +274,16 @@
         self.records.retain(|id, record| record.busy.is_some() || known(id));
     }
 
-    /// Puts the waiting pieces into their order. The next call is as long as what waits makes it: a piece
-    /// that is due sooner than its end counts as late. What goes wrong otherwise: under overload those whose
-    /// results come a little too late go before those that can still be in time, until all come a little
-    /// too late.
+    /// When the next call ends, which is as long as what waits makes it; a piece that is due sooner counts
+    /// as late. What goes wrong otherwise: under overload those whose results come a little too late go
+    /// before those that can still be in time, until all come a little too late.
+    fn ready(&self, now: Instant) -> Instant {
+        now + self.plain(self.spec.batch.min(self.waiting.len()))
+    }
+
+    /// Puts the waiting pieces into their order.
     fn sort(&mut self, now: Instant) {
-        let ready = now + self.plain(self.spec.batch.min(self.waiting.len()));
+        let ready = self.ready(now);
         self.waiting.sort_by_key(|it| it.urgency(ready));
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! comes. Before an engine runs a request, the stages of its route are done, their pieces batched
 //! with those of all other entries. What the platform calls things is met by [`dialect::Dialect`].
 
+pub mod admission;
 mod backlog;
 mod batch;
 pub mod budget;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -118,7 +118,7 @@
     /// The section in which a job of `rank` is best made, near `domain` if there is a reason for it.
     pub(crate) fn section(&self, service: &Arc<str>, domain: Option<&str>, rank: u8) -> Section {
         let sections = self.directory().sections(service);
-        let wait = |it: &Section| self.backlogs.wait(it, rank);
+        let wait = |it: &Section| self.backlogs.timely_wait(it, rank);
         let near = domain.unwrap_or(&self.domain);
         let chosen = section::choose(&sections, Some(near), wait, rand::random());
         chosen.cloned().unwrap_or_else(|| Section::whole(service))
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
+use crate::admission::{self, Forecast, Terms, Verdict};
 use crate::batch::Batches;
 use crate::dialect::{Dialect, PieceFailure, PromptPart, Segments};
 use crate::directory::Directory;
@@ -41,17 +42,6 @@
 /// To how many engines that did not run it a request is offered at most.
 const OFFERS: usize = 4;
 
-/// A wait for other requests' pieces that is no reason to refuse.
-const SHORT_WAIT: Duration = Duration::from_millis(250);
-
-/// A request whose stages end within this share of its caller's patience is taken although it will
-/// be late.
-const WORTH_WAITING: f64 = 0.45;
-
-/// How much smaller that share is for each step of lower priority: what is less urgent is refused
-/// before what is more urgent.
-const RANK_SHARE: f64 = 0.6;
-
 /// How often the stages of a request run.
 const STAGE_RUNS: u32 = 2;
 
@@ -206,29 +196,40 @@
     fn admit(&self, request: &CallerRequest, service: &Arc<str>) -> Result<(), Refusal> {
         let Some(segments) = &request.ask.segments else { return Ok(()) };
         let run = self.stage_run(request, segments, service);
-        let waits = |it: &Arc<str>| {
-            let section = self.shared.section(it, None, request.rank());
-            self.shared.backlogs.wait(&section, request.rank())
-        };
+        let rank = request.rank();
+        let section = |it: &Arc<str>| self.shared.section(it, None, rank);
+        let backlogs = &self.shared.backlogs;
         let engine = request.ask.generation.as_ref();
         let engine = engine.map_or(Duration::ZERO, |it| self.shared.paces.least(service, it));
-        let expected = stages::expected(&run, waits) + engine;
-        let plain = stages::expected(&run, |_| Duration::ZERO) + engine;
-        let wait = expected.saturating_sub(plain);
-        let now = Instant::now();
-        let patience = request.first_by.saturating_duration_since(request.arrived);
-        let share = WORTH_WAITING * RANK_SHARE.powi(i32::from(request.route.priority.min(2)));
-        let worth = request.route.target.max(patience.mul_f64(share));
-        if wait < SHORT_WAIT || now + expected <= request.arrived + worth {
-            log::info!(request = request.ask.attempt.as_str(), rank = request.rank(),
-                wait_ms = wait.as_millis() as u64, expected_ms = expected.as_millis() as u64;
-                "admitted a request to its stages");
-            return Ok(());
+        let forecast = Forecast {
+            plain: stages::expected(&run, |_| Duration::ZERO) + engine,
+            timely: stages::expected(&run, |it| backlogs.timely_wait(&section(it), rank)) + engine,
+            late: stages::expected(&run, |it| backlogs.wait(&section(it), rank)) + engine,
+        };
+        let terms = Terms {
+            age: request.arrived.elapsed(),
+            target: request.route.target,
+            patience: request.first_by.saturating_duration_since(request.arrived),
+            priority: request.route.priority,
+        };
+        let verdict = admission::admit(&forecast, &terms);
+        let (attempt, target) = (request.ask.attempt.as_str(), terms.target.as_millis() as u64);
+        let wait = forecast.late.saturating_sub(forecast.plain).as_millis() as u64;
+        let (timely, late) = (forecast.timely.as_millis() as u64, forecast.late.as_millis() as u64);
+        match verdict {
+            Verdict::Timely | Verdict::Late => {
+                log::info!(request = attempt, rank, verdict = verdict.name(), wait_ms = wait,
+                    timely_ms = timely, expected_ms = late, target_ms = target;
+                    "admitted a request to its stages");
+                Ok(())
+            }
+            Verdict::Refused(wait) => {
+                log::info!(request = attempt, rank, wait_ms = wait.as_millis() as u64,
+                    timely_ms = timely, expected_ms = late, target_ms = target;
+                    "refused a request: its stages take too long");
+                Err(Refusal::Overloaded(wait / 2))
+            }
         }
-        log::info!(request = request.ask.attempt.as_str(), rank = request.rank(),
-            wait_ms = wait.as_millis() as u64, expected_ms = expected.as_millis() as u64,
-            worth_ms = worth.as_millis() as u64; "refused a request: its stages take too long");
-        Err(Refusal::Overloaded(wait / 2))
     }
 
     fn stage_run<'a>(
--- /dev/null
+++ b/crates/gateway/tests/admission.rs
@@ -0,0 +1,78 @@
+//! Which requests are taken, by what their stages are likely to take.
+
+use std::time::Duration;
+
+use gateway::admission::{Forecast, Terms, Verdict, admit};
+
+struct Case {
+    name: &'static str,
+    /// Plain, timely and late, in ms.
+    forecast: [u64; 3],
+    priority: u8,
+    verdict: Verdict,
+}
+
+const CASES: &[Case] = &[
+    Case { name: "nothing waits", forecast: [900; 3], priority: 0, verdict: Verdict::Timely },
+    Case {
+        name: "a long chain that hardly waits",
+        forecast: [2_500, 2_600, 2_600],
+        priority: 2,
+        verdict: Verdict::Timely,
+    },
+    Case {
+        name: "a wait within the target",
+        forecast: [900, 1_900, 1_900],
+        priority: 2,
+        verdict: Verdict::Timely,
+    },
+    Case {
+        name: "late ones wait, which go after it",
+        forecast: [900, 1_200, 9_000],
+        priority: 2,
+        verdict: Verdict::Timely,
+    },
+    Case {
+        name: "in time if all goes well, and else too late for its caller",
+        forecast: [900, 1_200, 11_000],
+        priority: 0,
+        verdict: Verdict::Refused(Duration::from_millis(10_100)),
+    },
+    Case {
+        name: "late, and its caller waits",
+        forecast: [900, 2_500, 4_000],
+        priority: 0,
+        verdict: Verdict::Late,
+    },
+    Case {
+        name: "late, and less urgent",
+        forecast: [900, 2_500, 4_000],
+        priority: 2,
+        verdict: Verdict::Refused(Duration::from_millis(3_100)),
+    },
+    Case {
+        name: "too late for any caller",
+        forecast: [900, 5_000, 9_000],
+        priority: 0,
+        verdict: Verdict::Refused(Duration::from_millis(8_100)),
+    },
+];
+
+/// Symptom: for seconds after a burst the least urgent requests are refused, though upstreams could have
+/// answered them in time.
+/// Sequence: late pieces of the burst wait; new requests come at the usual rate.
+/// Cause: the late pieces count as ahead of the new ones, which go before them.
+#[test]
+fn requests_are_taken_by_when_they_would_be_done() {
+    for case in CASES {
+        let [plain, timely, late] = case.forecast.map(Duration::from_millis);
+        let terms = Terms {
+            age: Duration::ZERO,
+            target: Duration::from_millis(2_000),
+            patience: Duration::from_millis(10_000),
+            priority: case.priority,
+        };
+        let verdict = admit(&Forecast { plain, timely, late }, &terms);
+        assert_eq!(verdict, case.verdict, "{}", case.name);
+    }
+}
