--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -25,9 +25,8 @@
 use self::job::{Ended, LocalJob, Progress, RemoteJob, job};
 
 /// How long an owner may take to accept a job: a packet that is lost and sent again after 200 ms, each
-/// way. With 160 ms, entries on a link that lost packets passed over owners that were well, and two
-/// owners sent calls to the same upstreams: value of all answers on simulated days with such a link
-/// 0.48 before, 0.73 with this time, six plays each.
+/// way. With less, entries on a link that loses packets pass over owners that are well, and two owners
+/// send calls to the same upstreams.
 const ACCEPT: Duration = Duration::from_millis(420);
 
 /// How long an owner with open jobs may be silent: some pulses, and a packet that is sent again.
@@ -186,8 +185,8 @@
     }
 
     /// Gives up inputs that were fetched, while the request still runs, where pieces wait for their
-    /// makers. Room for results is what bounds these: results of 60 kB filled it for the time of
-    /// another call, and calls with a backlog took 14 pieces of 22. Where there is no backlog the
+    /// makers. Room for results is what bounds these: results that stay for the time of another call leave
+    /// the next calls half full. Where there is no backlog the
     /// results stay until their request is done, in case their followers must run again.
     fn free_crowded(&self, handles: &[Handle]) {
         let directory = self.shared.directory();
--- a/crates/gateway/src/batch/owner/room.rs
+++ b/crates/gateway/src/batch/owner/room.rs
@@ -2,8 +2,7 @@
 //!
 //! What goes wrong otherwise: an entry that has just become the owner of a service takes upstreams that
 //! keep results of the owner before for empty. They refuse the pieces that find no room, the retry budget
-//! ends, and requests fail (on three days 73, 37 and 46 in the seconds after a loss of all power; 0, 2 and
-//! 0 with this).
+//! ends, and requests fail in the seconds after a loss of all power.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -32,8 +32,7 @@
 
 /// Idle upstreams up to this share of all, and one at least, wait for fuller calls. What goes wrong
 /// otherwise: the last idle one takes a call of a piece or two, and what comes a moment later waits for
-/// the end of a whole call. Value of all answers on days under load 0.587 before and 0.597 with it (15
-/// plays each).
+/// the end of a whole call.
 const LAST_SHARE: f64 = 0.25;
 
 /// How long they wait, as a share of the fixed time of a call.
@@ -232,8 +231,7 @@
     /// rest is taken by results of other owners.
     ///
     /// Later reports are no use: they may still count results that were given up since. Taken as they
-    /// came, each upstream seemed full with this queue's own results, and a call took 4.3 pieces in the
-    /// mean where it takes 8.3 now.
+    /// came, each upstream would seem full with this queue's own results, and calls would be half full.
     pub fn set_free(&mut self, upstream: &str, free: u64, now: Instant) {
         let until = now + self.spec.ttl;
         let taken = self.spec.room.saturating_sub(free);
--- a/crates/gateway/src/pace.rs
+++ b/crates/gateway/src/pace.rs
@@ -86,7 +86,7 @@
 
     /// How long a prompt takes to its first event where nothing runs before it. For admission: with the
     /// mean, long prompts count as late before they begin, and are refused in a burst though they are
-    /// worth the most (value of all answers on days under load 0.597 with the mean, 0.600 with this).
+    /// worth the most.
     pub fn least(&self, service: &str, generation: &Generation) -> Duration {
         let read = f64::from(own_tokens(generation)) * self.token_ms(service);
         FIRST_STEP + Duration::from_secs_f64(read / 1e3)
@@ -98,7 +98,7 @@
     }
 
     /// How long a prompt is likely to take to its first event, with what is read before it. For the order
-    /// of pieces: a long prompt needs its inputs sooner (0.593 with the bare time there, too).
+    /// of pieces: a long prompt needs its inputs sooner.
     pub fn first_event(&self, service: &str, generation: &Generation) -> Duration {
         let read = f64::from(own_tokens(generation)) * self.pace(service).mean * MARGIN;
         FIRST_STEP + Duration::from_secs_f64(read / 1e3)
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -3,8 +3,7 @@
 //! All entries rank the upstreams of a part alike, without talking: the deepest part that requests
 //! share is read once, by one upstream, and they follow it there for as long as it can answer them in
 //! time. First parts, which most requests share, are not kept together: the uneven load costs more
-//! than the reading that it saves (value of all answers, late ones at a part of theirs, on one simulated
-//! day without faults: 0.923 with a fifth of the upstreams for a first part, 0.969 with all).
+//! than the reading that it saves.
 //!
 //! The load pattern that it answers: long prompts that come in bursts. An upstream that reads some of
 //! them is late for the next, however few requests it runs; a count of requests does not show it.
@@ -70,9 +69,8 @@
 /// Chooses among `candidates`: the first in rank if it can be in time, else the first of those in the
 /// domain of the inputs that can, else the first of all that can, else the one that is done soonest.
 ///
-/// Staying where a part was read, for as long as that is in time, counts more than an idle upstream: of
-/// all value, 0.013 to 0.022 went to parts that were read again and 0.021 to 0.026 to results that crossed
-/// domains (days under load, 15 plays each way).
+/// Staying where a part was read, for as long as that is in time, counts more than an idle upstream:
+/// parts that are read again, and results that cross domains, cost more than the wait.
 pub fn place<'a>(
     placing: &Placing<'_>,
     candidates: &'a [Arc<Upstream>],
--- a/crates/registry/src/follow/link.rs
+++ b/crates/registry/src/follow/link.rs
@@ -14,7 +14,7 @@
 
 /// How long a dial may take: many times the way between regions. A lost first packet is sent again
 /// only after a second, and one to a host that is off is never answered, so another dial is sooner:
-/// with 700 ms, entries found members 1.1 s after a loss of all power, up to 0.9 s late.
+/// after a loss of all power entries must find members before their callers give up.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// What the connections tell the loop.
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -19,8 +19,7 @@
 use crate::texts::Texts;
 
 /// How often entries tell their loads, and their sum is handed out, at most. What is not known yet of
-/// others' prompts makes two meet at one engine: value of all answers on days under load 0.601 at 150 ms,
-/// 0.604 at 75 (15 plays each).
+/// others' prompts makes two meet at one engine.
 const LOADS_PERIOD: Duration = Duration::from_millis(75);
 
 /// What an entry may be sent for loads, in bytes a second: two thirds of the 9 kB/s that control may
