Ask for the other side's level at each message

Cause, from reading: a level was asked for once, for 60 ms after a connection had opened. Where its packet is lost and sent again after 200 ms, the other side counted as of the release before for as long as the connection lived: its jobs came as plain ones, and the owner of one domain sent calls to all upstreams of the service, beside their owners. Change: the level is looked at for each message; a plain job goes to the section of its owner's domain where the service is split. Tests: what each level is told (tables).

--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -148,12 +148,12 @@
     let dialled = timeout(DIAL_TIMEOUT, wire::connect(address, &secret, me, Kind::Entry)).await;
     if let Ok(Ok(connection)) = dialled {
         let (sender, mut receiver) = connection.split::<ToOwner, FromOwner>();
-        let level = sender.level(LEVEL_PATIENCE).await;
+        sender.wait_level(LEVEL_PATIENCE).await;
         loop {
             tokio::select! {
                 message = outgoing.recv() => {
                     let Some(message) = message else { break };
-                    if sender.send(&message.at_level(level)).await.is_err() {
+                    if sender.send(&message.at_level(sender.level())).await.is_err() {
                         break;
                     }
                 }
@@ -189,7 +189,7 @@
 /// Serves one submitter until its connection ends.
 async fn serve(origin: u64, connection: Connection, owner: Owner, mut news: watch::Receiver<News>) {
     let (sender, mut receiver) = connection.split::<FromOwner, ToOwner>();
-    let level = sender.level(LEVEL_PATIENCE).await;
+    sender.wait_level(LEVEL_PATIENCE).await;
     let (replies, mut answers) = mpsc::unbounded_channel();
     let mut pulse = interval(PULSE);
     pulse.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -243,7 +243,7 @@
         if let FromOwner::Refused(id) = &answer {
             left.remove(id);
         }
-        let Some(answer) = answer.at_level(level) else { continue };
+        let Some(answer) = answer.at_level(sender.level()) else { continue };
         if sender.send(&answer).await.is_err() {
             break;
         }
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -7,6 +7,9 @@
 use crate::batch::queue::RANKS;
 use crate::dialect::PieceFailure;
 
+#[cfg(test)]
+mod tests;
+
 /// What the pieces of a job work on.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum JobInput {
--- /dev/null
+++ b/crates/gateway/src/batch/message/tests.rs
@@ -0,0 +1,78 @@
+//! What a release that knows no sections is told.
+
+use super::*;
+
+fn job() -> Job {
+    Job {
+        id: 7,
+        service: "s".to_owned(),
+        attempt: "a".to_owned(),
+        stage: 0,
+        segments: vec![0],
+        input: JobInput::Key("k".to_owned()),
+        size: 1,
+        domain: None,
+        weight: 0,
+        rank: 0,
+        due_ms: 0,
+        left_ms: 0,
+        again: false,
+    }
+}
+
+fn news(domain: Option<&str>) -> FromOwner {
+    FromOwner::Section(SectionNews {
+        service: "s".to_owned(),
+        domain: domain.map(str::to_owned),
+        waits: [5; RANKS],
+        timely: [1; RANKS],
+        need: 3,
+    })
+}
+
+#[test]
+fn jobs_for_sections_become_plain_ones() {
+    let plain = ToOwner::SubmitIn("d".to_owned(), job()).at_level(0);
+    assert!(matches!(plain, ToOwner::Submit(it) if it.id == 7));
+    let whole = ToOwner::SubmitIn("d".to_owned(), job()).at_level(SECTIONS);
+    assert!(matches!(whole, ToOwner::SubmitIn(domain, it) if domain == "d" && it.id == 7));
+}
+
+struct Case {
+    name: &'static str,
+    domain: Option<&'static str>,
+    level: u8,
+    told: Told,
+}
+
+#[derive(Debug, PartialEq)]
+enum Told {
+    Nothing,
+    Waits,
+    News,
+}
+
+const CASES: &[Case] = &[
+    Case { name: "whole, to the release before", domain: None, level: 0, told: Told::Waits },
+    Case { name: "split, to the release before", domain: Some("d"), level: 0, told: Told::Nothing },
+    Case { name: "whole", domain: None, level: SECTIONS, told: Told::News },
+    Case { name: "split", domain: Some("d"), level: SECTIONS, told: Told::News },
+];
+
+/// Symptom looked for: in a rolling upgrade entries end each other's connections again and again.
+/// Sequence: an owner of this release tells its waits to an entry of the release before.
+/// Cause it would have: the entry can't read the message, and ends the connection.
+#[test]
+fn news_of_sections_go_to_who_can_read_them() {
+    for case in CASES {
+        let told = match news(case.domain).at_level(case.level) {
+            None => Told::Nothing,
+            Some(FromOwner::Backlog(service, waits)) if service == "s" && waits[0] == 5 => {
+                Told::Waits
+            }
+            Some(FromOwner::Section(_)) => Told::News,
+            Some(other) => panic!("{}: {other:?}", case.name),
+        };
+        assert_eq!(told, case.told, "{}", case.name);
+    }
+}
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -244,7 +244,11 @@
             Ok(ms) => now + Duration::from_millis(ms),
             Err(_) => now,
         };
-        let section = Section { service, domain };
+        let section = match domain {
+            Some(domain) => Section { service, domain: Some(domain) },
+            // Of an entry that knows no sections. Another owner works with the rest of the upstreams.
+            None => self.own_section(&service),
+        };
         let queue = self.queues.entry(section.clone()).or_insert_with(|| Queue::new(spec));
         queue.set_spec(spec);
         let attempt: Arc<str> = job.attempt.into();
@@ -270,6 +274,13 @@
         self.jobs.insert(key, Open { section, replies, left });
     }
 
+    /// The section of this entry's failure domain, where a service is split.
+    fn own_section(&self, service: &Arc<str>) -> Section {
+        let sections = self.shared.directory().sections(service).into_iter();
+        let mut own = sections.filter(|it| it.domain.as_ref() == Some(&self.shared.domain));
+        own.next().unwrap_or_else(|| Section::whole(service))
+    }
+
     fn give_up(&mut self, handles: Vec<String>) {
         for handle in handles.into_iter().map(Handle::from) {
             if let Some(address) = D::keeper(&handle) {
--- a/crates/registry/src/handout.rs
+++ b/crates/registry/src/handout.rs
@@ -49,16 +49,11 @@
     }
 
     /// Tells an entry the list, if it was told another one.
-    pub(crate) async fn tell(
-        &self,
-        sender: &Sender<ToEntry>,
-        level: u8,
-        told: &mut Stamp,
-    ) -> StepResult<()> {
+    pub(crate) async fn tell(&self, sender: &Sender<ToEntry>, told: &mut Stamp) -> StepResult<()> {
         if *told >= self.numbered.stamp {
             return Ok(());
         }
-        let news = self.news(*told, level);
+        let news = self.news(*told, sender.level());
         *told = self.numbered.stamp;
         match news {
             Some(news) => sender.send_encoded(news).await,
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -176,8 +176,8 @@
         let mut confirmed = false;
         let mut handout = self.handout.subscribe();
         let mut digest = self.digest.subscribe();
-        let level = sender.level(LEVEL_PATIENCE).await;
-        let mut told = Told::new(level);
+        sender.wait_level(LEVEL_PATIENCE).await;
+        let mut told = Told::default();
         let mut behind = true;
         loop {
             tokio::select! {
@@ -252,8 +252,8 @@
 }
 
 /// What one entry was told.
+#[derive(Default)]
 struct Told {
-    level: u8,
     held: Option<(types::Version, bool)>,
     members: Vec<std::net::SocketAddr>,
     upstreams: Stamp,
@@ -262,17 +262,6 @@
 }
 
 impl Told {
-    fn new(level: u8) -> Self {
-        Self {
-            level,
-            held: None,
-            members: Vec::new(),
-            upstreams: Stamp::default(),
-            entries: Stamp::default(),
-            loads: None,
-        }
-    }
-
     async fn tell_view(
         &mut self,
         sender: &Sender<ToEntry>,
@@ -312,10 +301,10 @@
         handout: &Handout,
     ) -> types::StepResult<()> {
         if handout.upstreams.numbered.stamp.term == term {
-            handout.upstreams.tell(sender, self.level, &mut self.upstreams).await?;
+            handout.upstreams.tell(sender, &mut self.upstreams).await?;
         }
         if handout.entries.numbered.stamp.term == term {
-            handout.entries.tell(sender, self.level, &mut self.entries).await?;
+            handout.entries.tell(sender, &mut self.entries).await?;
         }
         Ok(())
     }
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -162,12 +162,18 @@
         self.shared.drained().await.map_err(|e| self.fault(e))
     }
 
-    /// Returns the level of the other side, which it tells first of all. 0 where it tells none within
-    /// `patience`: it is of a release that knows no levels, or slow.
-    pub async fn level(&self, patience: Duration) -> u8 {
+    /// Waits until the other side has told its level, which it does first of all, for `patience` at the
+    /// most: one of a release that knows no levels tells none.
+    pub async fn wait_level(&self, patience: Duration) {
         let mut level = self.shared.level.subscribe();
-        let told = timeout(patience, level.wait_for(|it| *it > 0)).await;
-        told.ok().and_then(Result::ok).map_or(0, |it| *it)
+        // Without an answer the level stays 0 until one comes.
+        let _ = timeout(patience, level.wait_for(|it| *it > 0)).await;
+    }
+
+    /// Returns the level of the other side as it has told it so far; 0 for none. What it told may come late,
+    /// where packets are lost: ask anew for each message.
+    pub fn level(&self) -> u8 {
+        *self.shared.level.borrow()
     }
 
     /// Waits until the connection has ended, and returns the cause.
--- a/crates/wire/tests/connection.rs
+++ b/crates/wire/tests/connection.rs
@@ -65,8 +65,9 @@
 async fn each_side_tells_its_level() {
     let ((dialed, _keep), (accepted, _hold)) = halves().await;
     let patience = Duration::from_secs(10);
-    assert_eq!(dialed.level(patience).await, wire::LEVEL);
-    assert_eq!(accepted.level(patience).await, wire::LEVEL);
+    dialed.wait_level(patience).await;
+    accepted.wait_level(patience).await;
+    assert_eq!((dialed.level(), accepted.level()), (wire::LEVEL, wire::LEVEL));
 }
 
 #[tokio::test]
