--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::queue::RANKS;
@@ -14,7 +15,7 @@
 const FRESH: Duration = Duration::from_millis(500);
 
 /// What an owner tells of a section, in ms.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct Backlog {
     /// How long pieces wait, by rank.
     pub(crate) waits: [u32; RANKS],
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -115,7 +115,7 @@
             FromOwner::Section(news) => {
                 let domain = news.domain.as_deref().map(Into::into);
                 let section = Section { service: news.service.as_str().into(), domain };
-                self.inlets.backlogs.set(section, news.backlog());
+                self.inlets.backlogs.set(section, news.backlog);
                 return;
             }
             FromOwner::News(relay) => {
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -103,29 +103,17 @@
     Backlog(String, [u32; RANKS]),
     /// The registry's news, as the owner knows them.
     News(Box<Relay>),
-    /// What the pieces of a section wait and take.
+    /// What the pieces of a section wait and need.
     Section(SectionNews),
 }
 
-impl SectionNews {
-    /// The waits alone.
-    pub(crate) fn backlog(&self) -> Backlog {
-        Backlog { waits: self.waits, timely: self.timely, need: self.need }
-    }
-}
-
-/// What the pieces of a section wait and take, as its owner sees it.
+/// What the pieces of a section wait and need, as its owner sees it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct SectionNews {
     pub(crate) service: String,
     /// The failure domain, where the service is split.
     pub(crate) domain: Option<String>,
-    /// How long pieces wait, by rank, in ms.
-    pub(crate) waits: [u32; RANKS],
-    /// The same for pieces that can be in time.
-    pub(crate) timely: [u32; RANKS],
-    /// What a piece needs that waits for nothing but the next call, in ms.
-    pub(crate) need: u32,
+    pub(crate) backlog: Backlog,
 }
 
 impl FromOwner {
@@ -133,7 +121,7 @@
     pub(crate) fn at_level(self, level: u8) -> Option<Self> {
         match self {
             Self::Section(news) if level < SECTIONS => {
-                news.domain.is_none().then_some(Self::Backlog(news.service, news.waits))
+                news.domain.is_none().then_some(Self::Backlog(news.service, news.backlog.waits))
             }
             message => Some(message),
         }
--- a/crates/gateway/src/batch/message/tests.rs
+++ b/crates/gateway/src/batch/message/tests.rs
@@ -24,9 +24,7 @@
     FromOwner::Section(SectionNews {
         service: "s".to_owned(),
         domain: domain.map(str::to_owned),
-        waits: [5; RANKS],
-        timely: [1; RANKS],
-        need: 3,
+        backlog: Backlog { waits: [5; RANKS], timely: [1; RANKS], need: 3 },
     })
 }
 
--- a/crates/gateway/src/batch/owner/tell.rs
+++ b/crates/gateway/src/batch/owner/tell.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use super::{OwnerEvent, State};
+use crate::backlog::Backlog;
 use crate::batch::message::{FromOwner, SectionNews};
 use crate::dialect::{Dialect, PieceInput};
 use crate::exchange;
@@ -22,14 +23,17 @@
             any |= !queue.is_empty();
             let lanes = self.lanes(section, now);
             let ms = |it: Duration| it.as_millis() as u32;
-            let news = SectionNews {
-                service: section.service.to_string(),
-                domain: section.domain.as_ref().map(ToString::to_string),
+            let backlog = Backlog {
                 waits: queue.backlog(lanes).map(ms),
                 timely: queue.timely_backlog(lanes, now).map(ms),
                 need: ms(queue.need(lanes)),
             };
-            self.shared.backlogs.set(section.clone(), news.backlog());
+            self.shared.backlogs.set(section.clone(), backlog);
+            let news = SectionNews {
+                service: section.service.to_string(),
+                domain: section.domain.as_ref().map(ToString::to_string),
+                backlog,
+            };
             for peer in self.peers.values() {
                 // A connection that has ended is removed by its own event.
                 let _ = peer.send(FromOwner::Section(news.clone()));
