Say which request a failed call was for

What callers saw: nothing new; an operator could not tell from the logs whether several upstreams ended under one request or under many. Change: lines of a failed call and of a stream that broke off or goes on elsewhere carry a digest of what makes a request the same at each return (method, host, path, customer, body) and where it was sent; the first also its path. Worked out only where a call fails.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -130,8 +130,8 @@
     let outcome = if fault.not_run { "not run" } else { "unknown" };
     shared.metrics.calls.with_label_values(&[outcome]).inc();
     log::info!(request = request.ask.attempt.as_str(), upstream:% = upstream.id,
-        service:% = upstream.service, cause:% = fault,
-        age_ms = request.arrived.elapsed().as_millis() as u64; "a call brought no answer");
+        service:% = upstream.service, cause:% = fault, digest:% = request.digest(),
+        path = request.uri.path(), age_ms = request.arrived.elapsed().as_millis() as u64; "a call brought no answer");
     if fault.unreachable || !fault.not_run {
         upstream.failed(fault.unreachable);
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,7 +1,7 @@
 //! A caller's request, checked and read.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -9,6 +9,7 @@
 use http::{HeaderMap, Method, Request, Uri, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use registry::RequestDigest;
 use tokio::time::{Instant, timeout_at};
 
 use crate::dialect::{Ask, Dialect, Handle, Marks};
@@ -60,6 +61,7 @@
     pub(crate) first_by: Instant,
     /// Whether an upstream may have run it.
     pub(crate) sent: Arc<AtomicBool>,
+    digest: OnceLock<RequestDigest>,
 }
 
 impl CallerRequest {
@@ -104,6 +106,26 @@
             deadline,
             first_by,
             sent,
+            digest: OnceLock::new(),
+        })
+    }
+
+    /// What it asks, the same for each attempt of it. Worked out when it is first needed: a body may be
+    /// large.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let host = self.headers.get(header::HOST).map_or(&[][..], |it| it.as_bytes());
+            let path = self.uri.path_and_query().map_or("", |it| it.as_str());
+            // All keys of a customer are one caller.
+            let caller = self.customer.as_ref().map_or("", |it| &*it.name);
+            let method = self.method.as_str();
+            RequestDigest::of(&[
+                method.as_bytes(),
+                &host.to_ascii_lowercase(),
+                path.as_bytes(),
+                caller.as_bytes(),
+                &self.body,
+            ])
         })
     }
 
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -55,7 +55,7 @@
                 PartEnd::Late => "its time is over",
                 PartEnd::Lost(why) => {
                     upstream.failed(false);
-                    match self.resume(why).await {
+                    match self.resume(&upstream.id, why).await {
                         Some(next) => {
                             attached = next;
                             continue;
@@ -65,7 +65,8 @@
                 }
             };
             log::info!(request = self.request.ask.attempt.as_str(), upstream:% = upstream.id,
-                last = self.last, cause = why; "a stream broke off");
+                last = self.last, cause = why, digest:% = self.request.digest();
+                "a stream broke off");
             // The caller sees the connection break, for the stream is not complete.
             let _ = self.events.send(Err(Broken)).await;
             return;
@@ -128,15 +129,15 @@
     }
 
     /// Goes on at another engine, where the route allows it.
-    async fn resume(&mut self, why: &'static str) -> Option<Attached> {
+    async fn resume(&mut self, from: &str, why: &'static str) -> Option<Attached> {
         let route = &self.request.route;
         self.used.runs += 1;
         self.used.arrived = true;
         if !route.resumable || self.used.runs >= route.attempts || self.last.is_none() {
             return None;
         }
-        log::info!(request = self.request.ask.attempt.as_str(), last = self.last, cause = why;
-            "a stream goes on elsewhere");
+        log::info!(request = self.request.ask.attempt.as_str(), upstream = from, last = self.last,
+            cause = why, digest:% = self.request.digest(); "a stream goes on elsewhere");
         let streams = Arc::clone(&self.streams);
         let next = streams.attach(&self.request, &self.service, &mut self.used, self.last);
         let next = tokio::select! {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod plan;
 
 mod current;
+mod digest;
 mod driver;
 mod folder;
 mod follow;
@@ -24,6 +25,7 @@
 mod texts;
 
 pub use current::CurrentView;
+pub use digest::RequestDigest;
 pub use follow::{Follower, FollowerConfig, News};
 pub use hub::loads_period;
 pub use member::{Codec, Member, MemberConfig, PutOutcome, ReadOutcome};
