Hold requests under which upstreams end

What callers saw: a request that ends the upstream that runs it came back again and again, each time under another attempt and at another entry; 11 to 16 upstreams ended in a wave, and others' answers were cut or refused with them. Cause: nothing counted by request. Budgets count by service, attempts by their id, and an upstream's end was taken as that upstream's failure alone. Class: a fault that travels with the work and is counted where it strikes. Change: where a call loses its connection, the entry looks whether the upstream's port refuses, and tells the leader which requests were under way there and how long. The leader (registry::quarantine, without I/O, time passed in) holds a request once three upstreams ended under it, each run begun after the end before, and no other request explains the same ends; all entries are told and refuse it with 503 and the time until it may be tried, before its stages and before each send. It is tried once, by leave of the leader, after 300 s; twice as long after each trial that ends an upstream, an hour at most. One that runs to its end is free. A new leader learns the list from the entries. Messages of level 2; releases before are told nothing. Why this holds: the count is the fleet's, by what the request asks, and a run that follows an end is what tells a cause from a bystander: a rack, a power loss, resets (the port answers) and streams that go on elsewhere. Ruled out: one attempt that ends several (the attempts of the cases reached one upstream each); ends for another reason (ends follow the begin of such a run by 40 to 200 ms).

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -140,6 +140,11 @@
 ) -> Result<Reply, Refusal> {
     let plan = shared.first_plan().await.ok_or(Refusal::NoPlan)?;
     let request = CallerRequest::read::<D>(plan, request, arrived, shared.bodies.hold()).await?;
+    if let Err(it) = shared.suspects.admit(&request).await {
+        log::info!(request = request.ask.attempt.as_str(), digest:% = request.digest(),
+            after_ms = it.after.as_millis() as u64; "refused a request under which upstreams end");
+        return Err(Refusal::Held(it.after));
+    }
     let service = request.route.service(rand::random()).cloned().ok_or(Refusal::NoUpstream)?;
     shared.budget.request(&service, arrived);
     let engine = request.plan.services.get(&service).is_some_and(|it| it.engine.is_some());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crate::section::LinkRate;
 use crate::shared::Shared;
 use crate::stream::Streams;
+use crate::suspects::Suspects;
 
 /// How long an entry that ends stays for the balancer to take it out: it asks once a second, and
 /// two misses count.
@@ -80,8 +81,6 @@
         let budget = Budget::new(config.budget, Instant::now());
         let metrics = Metrics::open(metrics)?;
         let domain: Arc<str> = config.domain.as_str().into();
-        let shared =
-            Arc::new(Shared::<D>::new(config.address, domain, config.link, budget, metrics));
         let entry = EntrySeen {
             name: config.vm.to_string(),
             address: config.address,
@@ -91,10 +90,14 @@
         let listener = Listener::bind(config.address, &secret, me.clone()).await?;
         let callers = front::bind(config.front).await?;
         let balancer = front::bind(config.ready).await?;
-        let owner = Owner::spawn(OwnerConfig { shared: Arc::clone(&shared) });
         let seeds = config.seeds.clone();
         let follower = FollowerConfig { entry, vm: config.vm, seeds };
         let follower = Follower::spawn(follower, secret.clone());
+        let suspects = Suspects::new(follower.quarantine(), follower.evidence(), config.address);
+        let shared =
+            Shared::<D>::new(config.address, domain, config.link, (budget, metrics), suspects);
+        let shared = Arc::new(shared);
+        let owner = Owner::spawn(OwnerConfig { shared: Arc::clone(&shared) });
         tokio::spawn(accept(listener, owner.clone(), follower.news()));
         let (relays, own) = (follower.relays(), config.address);
         let batches = Batches::new(Arc::clone(&shared), owner, secret, me, own, relays);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod shared;
 mod stages;
 mod stream;
+mod suspects;
 mod unwritten;
 pub mod upstream;
 
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -17,6 +17,7 @@
 use crate::reply::{Broken, Refusal, Reply, ReplyBody, strip_hop};
 use crate::request::CallerRequest;
 use crate::shared::Shared;
+use crate::suspects::RunTimes;
 use crate::upstream::{Lease, Upstream};
 
 /// The largest answer that is read whole before it is passed on, in bytes. Up to here a broken
@@ -49,12 +50,15 @@
     let mut runs = 0;
     let mut arrived = false;
     let mut kept: Option<Answer> = None;
-    let repeats = request.route.kind == RouteKind::Idempotent;
+    let repeats = request.route.kind == RouteKind::Idempotent && !request.is_trial();
     loop {
         let now = Instant::now();
         let directory = shared.directory();
         let upstream = choose(shared, directory.service(service), &tried, now).cloned();
         let Some(upstream) = upstream else { break };
+        if let Err(it) = shared.suspects.check(request) {
+            return if runs > 0 { Err(Refusal::Failed) } else { Err(Refusal::Held(it.after)) };
+        }
         if arrived && !shared.budget.take(service, 1, shared.entries(), now) {
             shared.metrics.calls.with_label_values(&["no budget"]).inc();
             break;
@@ -77,11 +81,16 @@
                 if !answer.status.is_server_error() {
                     upstream.succeeded();
                 }
+                shared.suspects.completed(request);
                 shared.metrics.calls.with_label_values(&["answered"]).inc();
                 return Ok(reply(answer));
             }
             Err(fault) => {
                 note(shared, request, &upstream, &fault);
+                if fault.cause == Cause::Lost {
+                    let times = RunTimes { sent: now, first: None };
+                    shared.suspects.lost(request, &upstream, times);
+                }
                 if fault.not_run {
                     arrived = arrived_before || !fault.is_unsent();
                     if tried.len() >= OFFERS {
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -123,7 +123,7 @@
     }
 }
 
-/// Why a request gets the entry's own answer. All but the last two promise that it has not run.
+/// Why a request gets the entry's own answer. All but `LateRun` and `Failed` promise that it has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Refusal {
     /// No plan is known yet.
@@ -152,6 +152,8 @@
     Late,
     /// The time is over, and it may have run.
     LateRun,
+    /// Upstreams end under it; it may be tried after this time.
+    Held(Duration),
     /// An upstream failed, and it may have run.
     Failed,
 }
@@ -171,6 +173,7 @@
             | Refusal::NoUpstream
             | Refusal::Overloaded(_)
             | Refusal::NoStage
+            | Refusal::Held(_)
             | Refusal::Late => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::LateRun => StatusCode::GATEWAY_TIMEOUT,
             Refusal::Failed => StatusCode::BAD_GATEWAY,
@@ -191,6 +194,7 @@
             Refusal::NoUpstream => "no upstream",
             Refusal::Overloaded(_) => "overloaded",
             Refusal::NoStage => "no stage",
+            Refusal::Held(_) => "ends upstreams",
             Refusal::Late => "late",
             Refusal::LateRun => "late, may have run",
             Refusal::Failed => "failed, may have run",
@@ -203,7 +207,7 @@
         *reply.status_mut() = self.status();
         if self.status() == StatusCode::SERVICE_UNAVAILABLE {
             let after = match self {
-                Refusal::Overloaded(after) => after,
+                Refusal::Overloaded(after) | Refusal::Held(after) => after,
                 _ => Duration::ZERO,
             };
             reply.headers_mut().insert(header::RETRY_AFTER, retry_after(after));
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -62,6 +62,7 @@
     /// Whether an upstream may have run it.
     pub(crate) sent: Arc<AtomicBool>,
     digest: OnceLock<RequestDigest>,
+    trial: AtomicBool,
 }
 
 impl CallerRequest {
@@ -107,6 +108,7 @@
             first_by,
             sent,
             digest: OnceLock::new(),
+            trial: AtomicBool::new(false),
         })
     }
 
@@ -129,6 +131,21 @@
         })
     }
 
+    /// Whether it is sent to see if it still ends upstreams.
+    pub(crate) fn is_trial(&self) -> bool {
+        self.trial.load(Ordering::Relaxed)
+    }
+
+    /// Notes that it is.
+    pub(crate) fn set_trial(&self) {
+        self.trial.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it may run again after it may have run.
+    pub(crate) fn repeats(&self) -> bool {
+        self.route.repeats() && !self.is_trial()
+    }
+
     /// When an answer is worth most.
     pub(crate) fn target(&self) -> Instant {
         self.arrived + self.route.target
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::plan::Plan;
 use crate::room::{BODY_ROOM, Room};
 use crate::section::{self, LinkRate, Section};
+use crate::suspects::Suspects;
 
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
@@ -50,6 +51,7 @@
     pub(crate) backlogs: Arc<Backlogs>,
     pub(crate) paces: Paces,
     pub(crate) bodies: Room,
+    pub(crate) suspects: Suspects,
     dialect: PhantomData<D>,
 }
 
@@ -58,8 +60,8 @@
         own: SocketAddr,
         domain: Arc<str>,
         link: LinkRate,
-        budget: Budget,
-        metrics: Metrics,
+        (budget, metrics): (Budget, Metrics),
+        suspects: Suspects,
     ) -> Self {
         Self {
             plan: ArcSwapOption::empty(),
@@ -77,6 +79,7 @@
             backlogs: Arc::default(),
             paces: Paces::default(),
             bodies: Room::new(BODY_ROOM),
+            suspects,
             dialect: PhantomData,
         }
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -29,6 +29,7 @@
 use crate::request::CallerRequest;
 use crate::shared::Shared;
 use crate::stages::{self, Inputs, StageFailure, StageRun};
+use crate::suspects::RunTimes;
 use crate::upstream::{Lease, Running, Upstream};
 
 use self::pump::Pump;
@@ -61,6 +62,7 @@
     splitter: Splitter,
     first: Option<Event>,
     running: Running,
+    times: RunTimes,
 }
 
 /// How a try to attach ended.
@@ -141,6 +143,8 @@
                 domain: self.batches.domain_of(handles),
             };
             let upstream = self.choose(request, service, &choice);
+            // It may have been held while its stages ran.
+            self.may_send(request, used)?;
             let Some(upstream) = upstream else {
                 return Err(if used.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
             };
@@ -163,11 +167,18 @@
                     }
                     self.shared.metrics.engine(service, now.elapsed());
                     self.shared.metrics.calls.with_label_values(&["answered"]).inc();
+                    if matches!(tried, Tried::Answer(_)) {
+                        self.shared.suspects.completed(request);
+                    }
                     return Ok(tried);
                 }
                 Err(fault) => fault,
             };
             note(&self.shared, request, &upstream, &fault);
+            if fault.cause == Cause::Lost {
+                let times = RunTimes { sent: now, first: None };
+                self.shared.suspects.lost(request, &upstream, times);
+            }
             used.arrived |= !fault.is_unsent();
             if fault.not_run {
                 request.sent.store(used.runs > 0, Ordering::Relaxed);
@@ -182,13 +193,19 @@
                 continue;
             }
             used.runs += 1;
-            if !request.route.repeats() || used.runs >= request.route.attempts {
+            if !request.repeats() || used.runs >= request.route.attempts {
                 let late = fault.cause == Cause::Timeout;
                 return Err(if late { Refusal::LateRun } else { Refusal::Failed });
             }
         }
     }
 
+    /// Whether a request may go on to an upstream, and what it is answered where it may not.
+    fn may_send(&self, request: &CallerRequest, used: &Used) -> Result<(), Refusal> {
+        let held = |after| if used.runs > 0 { Refusal::Failed } else { Refusal::Held(after) };
+        self.shared.suspects.check(request).map_err(|it| held(it.after))
+    }
+
     /// Refuses a request whose stages would take too long, before anything is done for it.
     ///
     /// What goes wrong without it: in a burst every request waits, all come late, and the work for
@@ -367,6 +384,7 @@
 ) -> Result<Tried, Fault> {
     let tokens = request.ask.generation.as_ref().map_or(0, |it| u64::from(it.prompt));
     let mut running = upstream.begin(tokens);
+    let sent = Instant::now();
     let by = request.first_by;
     let opened = exchange::request::<D>(upstream, forward, &request.ask.attempt, by).await?;
     let Opened { mut response, lease, marks } = opened;
@@ -407,5 +425,6 @@
         splitter,
         first,
         running,
+        times: RunTimes { sent, first: Some(Instant::now()) },
     })))
 }
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -45,16 +45,19 @@
     pub(super) async fn run(mut self, attached: Attached) {
         let mut attached = attached;
         loop {
-            let upstream = Arc::clone(&attached.upstream);
+            let (upstream, times) = (Arc::clone(&attached.upstream), attached.times);
+            let shared = Arc::clone(&self.streams.shared);
             let why = match self.pass(attached).await {
                 PartEnd::Whole => {
                     upstream.succeeded();
+                    shared.suspects.completed(&self.request);
                     return;
                 }
                 PartEnd::CallerLeft => return,
                 PartEnd::Late => "its time is over",
                 PartEnd::Lost(why) => {
                     upstream.failed(false);
+                    shared.suspects.lost(&self.request, &upstream, times);
                     match self.resume(&upstream.id, why).await {
                         Some(next) => {
                             attached = next;
@@ -133,7 +136,11 @@
         let route = &self.request.route;
         self.used.runs += 1;
         self.used.arrived = true;
-        if !route.resumable || self.used.runs >= route.attempts || self.last.is_none() {
+        if !route.resumable
+            || self.request.is_trial()
+            || self.used.runs >= route.attempts
+            || self.last.is_none()
+        {
             return None;
         }
         log::info!(request = self.request.ask.attempt.as_str(), upstream = from, last = self.last,
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -20,10 +20,14 @@
 use self::state::Loop;
 use crate::fetch::Fetch;
 use crate::message::{EntrySeen, LoadReport, Relay, Stamp, Upstream, UpstreamList};
+use crate::quarantine::{Evidence, Known};
 
 /// How often waiting plans and missing members are looked at.
 const PERIOD: Duration = Duration::from_millis(100);
 
+/// Evidence that waits for the loop.
+const EVIDENCE: usize = 256;
+
 /// Who the entry is.
 #[derive(Clone, Debug)]
 pub struct FollowerConfig {
@@ -68,6 +72,8 @@
     digest: watch::Receiver<Arc<LoadReport>>,
     reports: mpsc::Sender<LoadReport>,
     relays: mpsc::Sender<Relay>,
+    quarantine: watch::Receiver<Arc<Known>>,
+    evidence: mpsc::Sender<Evidence>,
     _task: JoinHandle<()>,
 }
 
@@ -80,9 +86,11 @@
         let (loads, digest) = watch::channel(Arc::default());
         let (reports, reported) = mpsc::channel(2);
         let (relays, relayed) = mpsc::channel(2);
-        let channels = Channels { news: sender, loads, left, reported, relayed };
+        let (known, quarantine) = watch::channel(Arc::default());
+        let (evidence, collected) = mpsc::channel(EVIDENCE);
+        let channels = Channels { news: sender, loads, known, left, reported, relayed, collected };
         let task = tokio::spawn(run(config, secret, channels, Arc::clone(&seeds)));
-        Self { news, seeds, leaving, digest, reports, relays, _task: task }
+        Self { news, seeds, leaving, digest, reports, relays, quarantine, evidence, _task: task }
     }
 
     /// Returns where the news are seen.
@@ -105,6 +113,16 @@
         self.relays.clone()
     }
 
+    /// Returns where the requests that are not sent are seen.
+    pub fn quarantine(&self) -> watch::Receiver<Arc<Known>> {
+        self.quarantine.clone()
+    }
+
+    /// Returns where evidence of requests under which upstreams end is taken.
+    pub fn evidence(&self) -> mpsc::Sender<Evidence> {
+        self.evidence.clone()
+    }
+
     /// Has other entries told that this one ends.
     pub fn leave(&self) {
         self.leaving.send_replace(true);
@@ -120,9 +138,11 @@
 struct Channels {
     news: watch::Sender<News>,
     loads: watch::Sender<Arc<LoadReport>>,
+    known: watch::Sender<Arc<Known>>,
     left: watch::Receiver<bool>,
     reported: mpsc::Receiver<LoadReport>,
     relayed: mpsc::Receiver<Relay>,
+    collected: mpsc::Receiver<Evidence>,
 }
 
 async fn run(
@@ -131,7 +151,8 @@
     channels: Channels,
     seeds: Arc<Mutex<Vec<SocketAddr>>>,
 ) {
-    let Channels { news, loads, mut left, mut reported, mut relayed } = channels;
+    let Channels { news, loads, known, mut left, mut reported, mut relayed, mut collected } =
+        channels;
     let (events, mut incoming) = mpsc::channel(256);
     let me = Hello { kind: Kind::Entry, vm: config.vm.clone(), node: rand::random() };
     let fetch = Fetch::new(me.node as usize);
@@ -142,6 +163,7 @@
         events,
         news,
         loads,
+        known,
         seeds,
         links: HashMap::new(),
         members: Vec::new(),
@@ -161,6 +183,7 @@
             Ok(()) = left.changed() => state.leave(),
             Some(report) = reported.recv() => state.report(report),
             Some(relay) = relayed.recv() => state.take_relay(relay),
+            Some(evidence) = collected.recv() => state.tell_evidence(evidence),
         }
         state.fetch();
     }
--- a/crates/registry/src/follow/state.rs
+++ b/crates/registry/src/follow/state.rs
@@ -14,9 +14,10 @@
 use crate::difference::Numbered;
 use crate::fetch::Fetch;
 use crate::message::{
-    EntrySeen, LoadReport, Relay, Stamp, ToEntry, ToMember, Upstream, UpstreamList,
+    EntrySeen, LoadReport, QUARANTINE, Relay, Stamp, ToEntry, ToMember, Upstream, UpstreamList,
 };
 use crate::parcel::Part;
+use crate::quarantine::{Evidence, Known, QuarantineList};
 
 /// The most members that are followed at once.
 const MEMBERS: usize = 7;
@@ -29,6 +30,7 @@
     pub(super) events: mpsc::Sender<Event>,
     pub(super) news: watch::Sender<News>,
     pub(super) loads: watch::Sender<Arc<LoadReport>>,
+    pub(super) known: watch::Sender<Arc<Known>>,
     pub(super) seeds: Arc<Mutex<Vec<SocketAddr>>>,
     pub(super) links: HashMap<SocketAddr, Option<Sender<ToMember>>>,
     pub(super) members: Vec<SocketAddr>,
@@ -100,6 +102,29 @@
         }
     }
 
+    /// Tells the leader of requests under which upstreams end.
+    pub(super) fn tell_evidence(&self, evidence: Evidence) {
+        let sender = self.leader.and_then(|it| self.links.get(&it)).and_then(Option::as_ref);
+        // A leader of the release before counts nothing.
+        let Some(sender) = sender.filter(|it| it.level() >= QUARANTINE) else {
+            log::info!(evidence:? = evidence; "no leader to tell; the evidence is lost");
+            return;
+        };
+        if let Err(error) = sender.try_send(&ToMember::Evidence(evidence)) {
+            log::warn!(cause:% = error; "the leader can't be told; the evidence is lost");
+        }
+    }
+
+    fn take_quarantine(&self, from: SocketAddr, list: &QuarantineList) {
+        let mut known = Known::clone(&self.known.borrow());
+        if !known.take(list, Instant::now()) {
+            return;
+        }
+        log::info!(peer:% = from, number:% = list.stamp, held = list.held.len(),
+            watched = list.watched.len(); "the requests that are not sent changed");
+        self.known.send_replace(Arc::new(known));
+    }
+
     /// Tells every member that this entry ends.
     pub(super) fn leave(&self) {
         for sender in self.links.values().flatten() {
@@ -155,6 +180,7 @@
                 self.take_entries(next.stamp, next.list);
             }
             ToEntry::Members(members) => self.members = members,
+            ToEntry::Quarantine(list) => self.take_quarantine(from, &list),
         }
     }
 
@@ -215,8 +241,17 @@
     }
 
     fn take_upstreams(&mut self, from: SocketAddr, list: UpstreamList) {
-        if list.stamp >= self.news.borrow().listed {
-            self.leader = Some(from);
+        let listed = self.news.borrow().listed;
+        if list.stamp < listed {
+            return self.take_list(list);
+        }
+        let is_new = list.stamp.term > listed.term;
+        if self.leader.replace(from) != Some(from) || is_new {
+            // One that has just begun to lead knows nothing of what the one before had decided.
+            let held = self.known.borrow().held(Instant::now());
+            if !held.is_empty() {
+                self.tell_evidence(Evidence::Known(held));
+            }
         }
         self.take_list(list);
     }
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
@@ -14,8 +14,10 @@
 use crate::handout::{Digest, Published};
 use crate::member::Confirmer;
 use crate::message::{
-    EntrySeen, LoadReport, Stamp, ToEntry, ToMember, Upstream, UpstreamList, UpstreamLoad,
+    EntrySeen, LoadReport, QUARANTINE, Stamp, ToEntry, ToMember, Upstream, UpstreamList,
+    UpstreamLoad,
 };
+use crate::quarantine::{Decision, Evidence, Quarantine, QuarantineList};
 use crate::texts::Texts;
 
 /// How often entries tell their loads, and their sum is handed out, at most. What is not known yet of
@@ -48,6 +50,9 @@
 struct Handout {
     upstreams: Published<Upstream>,
     entries: Published<EntrySeen>,
+    /// The number of the list of requests that are not sent, which is made for each telling: the times in
+    /// it run on.
+    quarantine: Stamp,
 }
 
 /// The entries that are connected to this member.
@@ -59,6 +64,7 @@
     loads: Mutex<HashMap<u64, LoadReport>>,
     digest: watch::Sender<Option<Arc<Digest>>>,
     texts: Mutex<Texts>,
+    quarantine: Mutex<Quarantine>,
 }
 
 impl Hub {
@@ -70,6 +76,7 @@
             loads: Mutex::default(),
             digest: watch::Sender::default(),
             texts: Mutex::default(),
+            quarantine: Mutex::default(),
         }
     }
 
@@ -155,6 +162,51 @@
         }
     }
 
+    /// Takes what an entry tells of requests under which upstreams end, and tells all entries what follows.
+    fn take_evidence(&self, life: u64, evidence: Evidence, view: &View) {
+        if !view.leads() {
+            return;
+        }
+        let now = Instant::now();
+        let term = view.term;
+        let mut quarantine = self.quarantine.lock().unwrap_or_else(PoisonError::into_inner);
+        let last = self.handout.borrow().quarantine;
+        if last.term != term {
+            quarantine.reset();
+        }
+        let before = quarantine.list(last, now);
+        let decisions = match evidence {
+            Evidence::Ended(seen) => quarantine.take_end(&seen, now),
+            Evidence::Completed(digest) => quarantine.completed(digest),
+            Evidence::Try(digest) => match self.address_of(life) {
+                Some(entry) => quarantine.ask(digest, entry, now),
+                None => Vec::new(),
+            },
+            Evidence::Known(known) => {
+                if quarantine.take_known(&known, now) {
+                    log::info!(held = known.len(); "took held requests that an entry knows");
+                }
+                Vec::new()
+            }
+        };
+        decisions.iter().for_each(log_decision);
+        let after = quarantine.list(last, now);
+        if last.term != term || before != after {
+            let count = if last.term == term { last.count + 1 } else { 1 };
+            self.handout.send_modify(|it| it.quarantine = Stamp { term, count });
+        }
+    }
+
+    fn address_of(&self, life: u64) -> Option<std::net::SocketAddr> {
+        let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.get(&life).map(|it| it.address)
+    }
+
+    fn quarantine_list(&self, stamp: Stamp) -> QuarantineList {
+        let quarantine = self.quarantine.lock().unwrap_or_else(PoisonError::into_inner);
+        quarantine.list(stamp, Instant::now())
+    }
+
     /// Serves one entry until its connection ends.
     pub(crate) async fn serve(&self, life: u64, connection: Connection, confirmer: Confirmer) {
         let (sender, receiver) = connection.split::<ToEntry, ToMember>();
@@ -164,6 +216,21 @@
         self.leave(life);
     }
 
+    async fn tell_quarantine(
+        &self,
+        sender: &Sender<ToEntry>,
+        told: &mut Told,
+        term: u64,
+        handout: &Handout,
+    ) -> types::StepResult<()> {
+        let stamp = handout.quarantine;
+        if stamp.term != term || told.quarantine >= stamp || sender.level() < QUARANTINE {
+            return Ok(());
+        }
+        told.quarantine = stamp;
+        sender.send(&ToEntry::Quarantine(self.quarantine_list(stamp))).await
+    }
+
     async fn talk(
         &self,
         life: u64,
@@ -193,6 +260,8 @@
                     told.tell_view(sender, &seen, confirmed).await?;
                     let current = handout.borrow_and_update().clone();
                     if seen.leads() {
+                        // Before the upstreams: an entry without them sends nothing.
+                        self.tell_quarantine(sender, &mut told, seen.term, &current).await?;
                         told.tell_handout(sender, seen.term, &current).await?;
                         let loads = digest.borrow_and_update().clone();
                         told.tell_loads(sender, loads).await?;
@@ -224,6 +293,10 @@
                         let mut loads = self.loads.lock().unwrap_or_else(PoisonError::into_inner);
                         loads.insert(life, report);
                     }
+                    Some(ToMember::Evidence(evidence)) => {
+                        let seen = view.borrow().clone();
+                        self.take_evidence(life, evidence, &seen);
+                    }
                     Some(ToMember::Fetch(version)) => {
                         let held = view.borrow().held.clone();
                         if held.version >= version {
@@ -244,6 +317,24 @@
     }
 }
 
+/// Logs what was decided of a request.
+fn log_decision(decision: &Decision) {
+    match decision {
+        Decision::Held(digest, ends) => {
+            log::warn!(digest:% = digest, ends; "upstreams end under a request; it is not sent any more");
+        }
+        Decision::Relapsed(digest, ends) => {
+            log::warn!(digest:% = digest, ends; "an upstream ended under the trial of a request");
+        }
+        Decision::Tried(digest, entry) => {
+            log::info!(digest:% = digest, entry:% = entry; "an entry may try a held request");
+        }
+        Decision::Released(digest) => {
+            log::info!(digest:% = digest; "a held request ran to its end; it is sent again");
+        }
+    }
+}
+
 /// Logs what can't be handed out.
 fn report(published: types::StepResult<()>) {
     if let Err(error) = published {
@@ -259,6 +350,7 @@
     upstreams: Stamp,
     entries: Stamp,
     loads: Option<Arc<Digest>>,
+    quarantine: Stamp,
 }
 
 impl Told {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod message;
 pub mod parcel;
 pub mod plan;
+pub mod quarantine;
 
 mod current;
 mod digest;
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -9,6 +9,7 @@
 
 use crate::difference::Difference;
 use crate::parcel::{Label, Part};
+use crate::quarantine::{Evidence, QuarantineList};
 
 /// What one member sends another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -55,6 +56,8 @@
     Fetch(Version),
     /// Asks for the next part of a plan.
     Ask(Question),
+    /// Tells the leader of requests under which upstreams end.
+    Evidence(Evidence),
 }
 
 /// A question for the next part of a plan.
@@ -109,11 +112,16 @@
     EntriesChanged(Difference<EntrySeen, SocketAddr>),
     /// How the upstreams differ from those that the leader told last.
     UpstreamsChanged(Difference<Upstream, String>),
+    /// The requests that are not sent, from the leader.
+    Quarantine(QuarantineList),
 }
 
 /// The level of an entry that takes differences of lists.
 pub const DIFFERENCES: u8 = 1;
 
+/// The level of an entry, or a member, that knows of requests that are not sent.
+pub const QUARANTINE: u8 = 2;
+
 /// Orders what successive leaders hand out.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Stamp {
