Wait for all reports of an end before a request is held for it

What callers would see: a sound, popular request refused for 26 ms. Change: what an end is owed to is decided 300 ms after it is first heard of, and only if no other request was under way at more than all but two of the same ends (or after five), since one report may be lost.

--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -42,6 +42,9 @@
 /// come at once cost a few messages to each and not one for each of them.
 const GATHER: Duration = Duration::from_millis(60);
 
+/// How often it is looked whether enough is known of upstreams' ends.
+const SETTLE: Duration = Duration::from_millis(100);
+
 /// How long an entry may take to tell its level; one of the release before tells none.
 const LEVEL_PATIENCE: Duration = Duration::from_millis(60);
 
@@ -175,7 +178,7 @@
             quarantine.reset();
         }
         let before = quarantine.list(last, now);
-        let decisions = match evidence {
+        let mut decisions = match evidence {
             Evidence::Ended(seen) => quarantine.take_end(&seen, now),
             Evidence::Completed(digest) => quarantine.completed(digest),
             Evidence::Try(digest) => match self.address_of(life) {
@@ -189,11 +192,43 @@
                 Vec::new()
             }
         };
+        decisions.append(&mut quarantine.settle(now));
         decisions.iter().for_each(log_decision);
-        let after = quarantine.list(last, now);
-        if last.term != term || before != after {
+        let is_new = last.term != term || before != quarantine.list(last, now);
+        drop(quarantine);
+        if is_new {
+            self.tell_next(term);
+        }
+    }
+
+    /// Has all entries told the requests that are not sent, as they are now.
+    fn tell_next(&self, term: u64) {
+        self.handout.send_modify(|it| {
+            let last = it.quarantine;
             let count = if last.term == term { last.count + 1 } else { 1 };
-            self.handout.send_modify(|it| it.quarantine = Stamp { term, count });
+            it.quarantine = Stamp { term, count };
+        });
+    }
+
+    /// Decides to which requests ends are owed, for as long as the member runs.
+    pub(crate) async fn settle_ends(self: Arc<Self>, view: watch::Receiver<View>) {
+        loop {
+            sleep(SETTLE).await;
+            let term = match &*view.borrow() {
+                it if it.leads() => it.term,
+                _ => continue,
+            };
+            let decisions = {
+                let mut quarantine = self.quarantine.lock().unwrap_or_else(PoisonError::into_inner);
+                if quarantine.is_settled() {
+                    continue;
+                }
+                quarantine.settle(Instant::now())
+            };
+            decisions.iter().for_each(log_decision);
+            if !decisions.is_empty() {
+                self.tell_next(term);
+            }
         }
     }
 
--- a/crates/registry/src/member.rs
+++ b/crates/registry/src/member.rs
@@ -123,6 +123,7 @@
         tokio::spawn(accept(listener, inputs.clone(), Arc::clone(&hub), confirmer));
         tokio::spawn(Arc::clone(&hub).add_loads());
         tokio::spawn(Arc::clone(&hub).tell_entries(view.clone()));
+        tokio::spawn(Arc::clone(&hub).settle_ends(view.clone()));
         tokio::spawn(reader::run(list, hub, view.clone()));
         Ok(Self { codec, inputs, view, peers, address })
     }
--- a/crates/registry/src/quarantine/table.rs
+++ b/crates/registry/src/quarantine/table.rs
@@ -17,6 +17,9 @@
 /// After so many ends, each of a run that began after the end before, a request is held.
 const ENDS: usize = 3;
 
+/// At so many fewer of them any other request may have been under way: a report may be lost.
+const MARGIN: usize = 2;
+
 /// After so many also where another request was under way at the same ends.
 const ENDS_TOGETHER: usize = 5;
 
@@ -26,6 +29,10 @@
 /// Reports of the same upstream within this time are of one end; its next life takes longer to begin.
 const SAME_END: Duration = Duration::from_millis(1_500);
 
+/// How long after an end is first heard of it is decided to what it is owed: other entries tell what they
+/// had there, and of suspects that ran to their end.
+const GATHER: Duration = Duration::from_millis(300);
+
 /// For how long an end counts.
 const HORIZON: Duration = Duration::from_secs(600);
 
@@ -74,6 +81,8 @@
     upstream: String,
     at: Instant,
     runs: HashSet<RequestDigest>,
+    /// When it is decided to what it is owed, until it is.
+    due: Option<Instant>,
     /// The request to which the end is owed, once that is decided.
     cause: Option<RequestDigest>,
 }
@@ -105,7 +114,7 @@
     pub fn take_end(&mut self, seen: &EndSeen, now: Instant) -> Vec<Decision> {
         let ended = before(now, seen.ago_ms);
         self.forget(now);
-        let at = self.end_of(&seen.upstream, ended);
+        let at = self.end_of(&seen.upstream, ended, now);
         let (number, ended) = (self.ends[at].number, self.ends[at].at);
         for run in &seen.runs {
             if self.count >= MOST_RUNS {
@@ -125,13 +134,30 @@
             self.clear_others(digest);
             return if is_new { self.ended_again(digest, now) } else { Vec::new() };
         }
-        match self.ends[at].cause {
-            Some(digest) => {
-                self.clear_others(digest);
-                Vec::new()
+        if let Some(digest) = self.ends[at].cause {
+            self.clear_others(digest);
+        }
+        Vec::new()
+    }
+
+    /// Decides about the ends of which enough was heard. To be called now and then.
+    pub fn settle(&mut self, now: Instant) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        for at in 0..self.ends.len() {
+            if self.ends[at].due.is_none_or(|it| now < it) {
+                continue;
+            }
+            self.ends[at].due = None;
+            if self.ends[at].cause.is_none() {
+                decisions.append(&mut self.judge(at, now));
             }
-            None => self.judge(at, now),
         }
+        decisions
+    }
+
+    /// Whether there are ends to decide about.
+    pub fn is_settled(&self) -> bool {
+        self.ends.iter().all(|it| it.due.is_none())
     }
 
     /// Takes that a request has run to its end: the ends that it met are not owed to it.
@@ -208,7 +234,7 @@
     }
 
     /// The end to which a report belongs.
-    fn end_of(&mut self, upstream: &str, ended: Instant) -> usize {
+    fn end_of(&mut self, upstream: &str, ended: Instant, now: Instant) -> usize {
         let same = |it: &End| {
             let apart = ended.saturating_duration_since(it.at);
             it.upstream == upstream && apart.max(it.at.saturating_duration_since(ended)) < SAME_END
@@ -222,6 +248,7 @@
             upstream: upstream.to_owned(),
             at: ended,
             runs: HashSet::new(),
+            due: Some(now + GATHER),
             cause: None,
         });
         self.ends.len() - 1
@@ -234,8 +261,7 @@
             runs.map(|it| (self.runs.get(it).map_or(0, |it| chain(it)), *it)).collect();
         suspects.sort_unstable_by(|a, b| b.cmp(a));
         let Some(&(most, digest)) = suspects.first() else { return Vec::new() };
-        let next = suspects.get(1).map_or(0, |it| it.0);
-        if most < ENDS || (next == most && most < ENDS_TOGETHER) {
+        if most < ENDS || (most < self.beside(digest) + MARGIN && most < ENDS_TOGETHER) {
             return Vec::new();
         }
         if self.held.len() >= MOST_LISTED {
@@ -251,6 +277,16 @@
         vec![Decision::Held(digest, ends)]
     }
 
+    /// At how many of the ends of a request another one was under way, the same each time.
+    fn beside(&self, digest: RequestDigest) -> usize {
+        let mut beside: HashMap<RequestDigest, usize> = HashMap::new();
+        let ends = self.ends.iter().filter(|it| it.runs.contains(&digest));
+        for other in ends.flat_map(|it| &it.runs).filter(|it| **it != digest) {
+            *beside.entry(*other).or_default() += 1;
+        }
+        beside.into_values().max().unwrap_or(0)
+    }
+
     /// Takes an end that is owed to a request on the list.
     fn ended_again(&mut self, digest: RequestDigest, now: Instant) -> Vec<Decision> {
         let Some(held) = self.held.get_mut(&digest) else { return Vec::new() };
