Let operators list held requests and release them

What an operator saw: entries that refuse a request with 503, a line in the leader's log, and no way to end it before its time once the upstreams are mended. Found by its test: a release within two seconds of an entry's first list stayed without effect there, for what the leader before had told and what this one told were kept in one table; two now, the first of which runs out. Open: a release just before the leadership moves may be taken back by an entry that has not heard of it.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -23,6 +23,8 @@
     pub(crate) phases: HistogramVec,
     /// The version of the plan in force.
     pub(crate) version: IntGauge,
+    /// Requests that are not sent, for upstreams end under them.
+    pub(crate) held: IntGauge,
 }
 
 impl Metrics {
@@ -45,12 +47,15 @@
             first: Histogram::with_opts(first).map_err(fault)?,
             version: IntGauge::new("mothplank_gateway_plan_version", "Version in force")
                 .map_err(fault)?,
+            held: IntGauge::new("mothplank_gateway_held_requests", "Requests that are not sent")
+                .map_err(fault)?,
         };
         registry.register(Box::new(it.requests.clone())).map_err(fault)?;
         registry.register(Box::new(it.calls.clone())).map_err(fault)?;
         registry.register(Box::new(it.first.clone())).map_err(fault)?;
         registry.register(Box::new(it.phases.clone())).map_err(fault)?;
         registry.register(Box::new(it.version.clone())).map_err(fault)?;
+        registry.register(Box::new(it.held.clone())).map_err(fault)?;
         Ok(it)
     }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -160,7 +160,10 @@
                     let news = news.borrow_and_update().clone();
                     self.take(&news);
                 }
-                _ = sweep.tick() => self.directory().all().for_each(|it| it.sweep(false)),
+                _ = sweep.tick() => {
+                    self.directory().all().for_each(|it| it.sweep(false));
+                    self.metrics.held.set(self.suspects.held() as i64);
+                }
             }
         }
     }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -71,6 +71,11 @@
         Self { known, evidence, own, lost: Arc::default(), trials: Mutex::default() }
     }
 
+    /// How many requests are not sent.
+    pub(crate) fn held(&self) -> usize {
+        self.known.borrow().count()
+    }
+
     /// Whether a request may go on to an upstream now. One that is tried has its leave already.
     pub(crate) fn check(&self, request: &CallerRequest) -> Result<(), NotSent> {
         let known = self.known.borrow();
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -10,6 +10,7 @@
 use wire::{Connection, Receiver, Sender};
 
 use crate::difference::Numbered;
+use crate::digest::RequestDigest;
 use crate::driver::View;
 use crate::handout::{Digest, Published};
 use crate::member::Confirmer;
@@ -17,7 +18,7 @@
     EntrySeen, LoadReport, QUARANTINE, Stamp, ToEntry, ToMember, Upstream, UpstreamList,
     UpstreamLoad,
 };
-use crate::quarantine::{Decision, Evidence, Quarantine, QuarantineList};
+use crate::quarantine::{Decision, Evidence, Held, Quarantine, QuarantineList};
 use crate::texts::Texts;
 
 /// How often entries tell their loads, and their sum is handed out, at most. What is not known yet of
@@ -210,6 +211,29 @@
         });
     }
 
+    /// The requests that are not sent, as the leader of a term knows them.
+    pub(crate) fn held(&self, term: u64) -> Vec<Held> {
+        let stamp = self.handout.borrow().quarantine;
+        if stamp.term != term {
+            return Vec::new();
+        }
+        self.quarantine_list(stamp).held
+    }
+
+    /// Has a held request sent again, by an operator's order; returns whether it was held.
+    pub(crate) fn release(&self, digest: RequestDigest, term: u64) -> bool {
+        let decisions = {
+            let mut quarantine = self.quarantine.lock().unwrap_or_else(PoisonError::into_inner);
+            quarantine.completed(digest)
+        };
+        if decisions.is_empty() {
+            return false;
+        }
+        log::warn!(digest:% = digest; "an operator had a held request sent again");
+        self.tell_next(term);
+        true
+    }
+
     /// Decides to which requests ends are owed, for as long as the member runs.
     pub(crate) async fn settle_ends(self: Arc<Self>, view: watch::Receiver<View>) {
         loop {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -29,7 +29,7 @@
 pub use digest::RequestDigest;
 pub use follow::{Follower, FollowerConfig, News};
 pub use hub::loads_period;
-pub use member::{Codec, Member, MemberConfig, PutOutcome, ReadOutcome};
+pub use member::{Codec, Member, MemberConfig, PutOutcome, QuarantineOutcome, ReadOutcome};
 pub use message::{
     EntrySeen, Health, LoadReport, Relay, Stamp, Upstream, UpstreamList, UpstreamLoad,
 };
--- a/crates/registry/src/member.rs
+++ b/crates/registry/src/member.rs
@@ -11,11 +11,13 @@
 use types::{StepError, StepResult, Version, VmName};
 use wire::{Connection, Hello, Kind, Listener, Secret};
 
+use crate::digest::RequestDigest;
 use crate::driver::{self, Answer, DriverConfig, Input, View};
 use crate::hub::Hub;
 use crate::message::PeerMessage;
 use crate::peers::Peers;
 use crate::plan::{Held, Put};
+use crate::quarantine;
 use crate::reader::{self, ListSource};
 
 /// Inputs that wait for the driver; a stalled disk must not fill the memory.
@@ -84,12 +86,24 @@
     Unavailable,
 }
 
+/// The answer to an operator's question about held requests; the leader alone knows them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum QuarantineOutcome<T> {
+    /// The leader's answer.
+    Known(T),
+    /// Another member leads.
+    Elsewhere(SocketAddr),
+    /// No leader is known.
+    Unavailable,
+}
+
 /// A running member.
 pub struct Member<C> {
     codec: C,
     inputs: mpsc::SyncSender<Input>,
     view: watch::Receiver<View>,
     peers: Arc<Peers>,
+    hub: Arc<Hub>,
     address: SocketAddr,
 }
 
@@ -124,8 +138,8 @@
         tokio::spawn(Arc::clone(&hub).add_loads());
         tokio::spawn(Arc::clone(&hub).tell_entries(view.clone()));
         tokio::spawn(Arc::clone(&hub).settle_ends(view.clone()));
-        tokio::spawn(reader::run(list, hub, view.clone()));
-        Ok(Self { codec, inputs, view, peers, address })
+        tokio::spawn(reader::run(list, Arc::clone(&hub), view.clone()));
+        Ok(Self { codec, inputs, view, peers, hub, address })
     }
 
     /// Replaces the seed addresses, after the settings changed.
@@ -159,6 +173,28 @@
         }
     }
 
+    /// Lists the requests that are not sent.
+    pub fn held(&self) -> QuarantineOutcome<Vec<quarantine::Held>> {
+        self.lead(|term| self.hub.held(term))
+    }
+
+    /// Has a held request sent as any other again; tells whether it was held.
+    pub fn release(&self, digest: RequestDigest) -> QuarantineOutcome<bool> {
+        self.lead(|term| self.hub.release(digest, term))
+    }
+
+    fn lead<T>(&self, act: impl FnOnce(u64) -> T) -> QuarantineOutcome<T> {
+        let (leads, term, leader) = {
+            let view = self.view.borrow();
+            (view.leads(), view.term, view.leader)
+        };
+        match leader {
+            _ if leads => QuarantineOutcome::Known(act(term)),
+            Some(leader) if leader != self.address => QuarantineOutcome::Elsewhere(leader),
+            _ => QuarantineOutcome::Unavailable,
+        }
+    }
+
     /// Hands leadership over and waits a moment for another leader.
     pub async fn resign(&self) {
         let mut view = self.view.clone();
--- a/crates/registry/src/quarantine/known.rs
+++ b/crates/registry/src/quarantine/known.rs
@@ -31,6 +31,8 @@
     stamp: Stamp,
     held: HashMap<RequestDigest, (Held, Instant)>,
     watched: HashSet<RequestDigest>,
+    /// What the leader before had told, and until when it counts.
+    before: HashMap<RequestDigest, (Held, Instant)>,
     handover: Option<Instant>,
 }
 
@@ -41,25 +43,31 @@
             return false;
         }
         if list.stamp.term > self.stamp.term {
+            self.before = std::mem::take(&mut self.held);
             self.handover = Some(now + HANDOVER);
         }
-        self.stamp = list.stamp;
         if self.handover.is_none_or(|it| it <= now) {
-            self.held.clear();
+            self.before.clear();
         }
-        self.held.extend(list.held.iter().map(|it| (it.digest, (*it, now))));
+        self.stamp = list.stamp;
+        self.held = list.held.iter().map(|it| (it.digest, (*it, now))).collect();
         self.watched = list.watched.iter().copied().collect();
         true
     }
 
     /// Whether nothing is suspected.
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty() && self.watched.is_empty()
+        self.held.is_empty() && self.before.is_empty() && self.watched.is_empty()
+    }
+
+    /// How many requests are held.
+    pub fn count(&self) -> usize {
+        self.held.len()
     }
 
     /// Tells what becomes of a request.
     pub fn standing(&self, digest: &RequestDigest, now: Instant) -> Standing {
-        match self.held.get(digest) {
+        match self.find(digest, now) {
             Some((held, heard)) => match held.left(now.saturating_duration_since(*heard)) {
                 Duration::ZERO => Standing::Due,
                 left => Standing::Held(left),
@@ -69,6 +77,12 @@
         }
     }
 
+    fn find(&self, digest: &RequestDigest, now: Instant) -> Option<&(Held, Instant)> {
+        let counts = self.handover.is_some_and(|it| now < it);
+        let before = || self.before.get(digest).filter(|_| counts);
+        self.held.get(digest).or_else(before)
+    }
+
     /// The number of the trial that an entry may make.
     pub fn trial(&self, digest: &RequestDigest, entry: SocketAddr) -> Option<u32> {
         let trial = self.held.get(digest)?.0.trial?;
@@ -80,6 +94,9 @@
         let left = |held: &Held, heard: Instant| {
             held.left(now.saturating_duration_since(heard)).as_millis() as u64
         };
-        self.held.values().map(|(it, heard)| Held { left_ms: left(it, *heard), ..*it }).collect()
+        let counts = self.handover.is_some_and(|it| now < it);
+        let before = self.before.iter().filter(|it| counts && !self.held.contains_key(it.0));
+        let all = self.held.values().chain(before.map(|it| it.1));
+        all.map(|(it, heard)| Held { left_ms: left(it, *heard), ..*it }).collect()
     }
 }
