Split the streams' file by choice, call and course

What a newcomer met: stream.rs with 440 lines and three jobs. The choice of an engine and the call up to its first event stand in files of their own; nothing else changes.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,45 +1,37 @@
 //! Streams of an engine: placed by their prompt, passed on event by event, gone on with elsewhere
 //! where the route allows it.
 
+mod choice;
+mod open;
 mod pump;
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use http::{Response, StatusCode};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::admission::{self, Forecast, Terms, Verdict};
 use crate::batch::Batches;
-use crate::dialect::{Dialect, PieceFailure, PromptPart, Segments};
-use crate::directory::Directory;
-use crate::events::{Event, Splitter};
-use crate::exchange::{self, Cause, Fault, Opened, Read};
+use crate::dialect::{Dialect, PieceFailure, Segments};
+use crate::exchange::Cause;
 use crate::phases::Phases;
-use crate::place::{Load, Placing, place};
 use crate::plain::note;
-use crate::queue::LARGE;
-use crate::reply::{Refusal, Reply, ReplyBody, strip_hop};
+use crate::reply::{Refusal, Reply, ReplyBody};
 use crate::request::CallerRequest;
 use crate::shared::Shared;
 use crate::stages::{self, Inputs, StageFailure, StageRun};
 use crate::suspects::RunTimes;
-use crate::upstream::{Lease, Running, Upstream};
 
+use self::choice::Choice;
+use self::open::{Attached, Tried, open};
 use self::pump::Pump;
 
 /// Events that wait for a slow caller before the engine's connection is read no further.
 const EVENTS: usize = 32;
 
-/// The largest answer of an engine that is no stream, in bytes.
-const FAILURE_LIMIT: usize = 64 << 10;
-
 /// To how many engines that did not run it a request is offered at most.
 const OFFERS: usize = 4;
 
@@ -52,36 +44,6 @@
     pub(crate) batches: Arc<Batches<D>>,
 }
 
-/// A stream with its first event.
-struct Attached {
-    upstream: Arc<Upstream>,
-    headers: HeaderMap,
-    body: Incoming,
-    lease: Lease,
-    keep_alive: Option<Duration>,
-    splitter: Splitter,
-    first: Option<Event>,
-    running: Running,
-    times: RunTimes,
-}
-
-/// How a try to attach ended.
-enum Tried {
-    Stream(Box<Attached>),
-    /// An answer that is no stream, to be passed on.
-    Answer(Reply),
-}
-
-/// What the choice of an engine goes by.
-struct Choice<'a> {
-    /// Engines that the request was offered to before.
-    tried: &'a [Arc<str>],
-    /// The time until the first event should be there.
-    left: Duration,
-    /// The failure domain in which most inputs are.
-    domain: Option<Arc<str>>,
-}
-
 /// What a request has used up so far.
 #[derive(Default)]
 struct Used {
@@ -315,116 +277,4 @@
             }
         }
     }
-
-    fn choose(
-        &self,
-        request: &CallerRequest,
-        service: &Arc<str>,
-        choice: &Choice<'_>,
-    ) -> Option<Arc<Upstream>> {
-        let now = Instant::now();
-        let directory = self.shared.directory();
-        let open = directory.service(service).iter();
-        let open = open.filter(|it| it.is_open() && !choice.tried.contains(&it.id)).cloned();
-        let mut candidates: Vec<Arc<Upstream>> = open.collect();
-        if candidates.iter().any(|it| !it.is_paused(now)) {
-            candidates.retain(|it| !it.is_paused(now));
-        }
-        let load = |it: &Upstream| Load {
-            running: f64::from(it.running_all()),
-            tokens: it.tokens_all() as f64,
-        };
-        let parts = request.ask.generation.as_ref().map_or(&[][..], |it| &it.parts);
-        let spread = [PromptPart { id: rand::random(), tokens: 0 }];
-        let parts = if parts.is_empty() { &spread } else { parts };
-        let weights = maker_weights(request, &directory, &candidates);
-        let weight = |it: &Upstream| weights.get(&it.domain).copied().unwrap_or(1.0);
-        let placing = Placing {
-            parts,
-            left: choice.left,
-            domain: choice.domain.as_deref(),
-            token_ms: self.shared.paces.token_ms(service),
-        };
-        place(&placing, &candidates, weight, load).cloned()
-    }
-}
-
-/// Weighs the engines of each failure domain by the makers of large results there, so that neither
-/// results cross domains nor makers of one domain wait while those of another have nothing to do.
-fn maker_weights(
-    request: &CallerRequest,
-    directory: &Directory,
-    engines: &[Arc<Upstream>],
-) -> HashMap<Arc<str>, f64> {
-    let mut weights: HashMap<Arc<str>, f64> = HashMap::new();
-    let stages = &request.route.stages;
-    let large = stages
-        .iter()
-        .enumerate()
-        .find(|(at, it)| it.size >= LARGE && !stages.iter().any(|other| other.after.contains(at)));
-    let Some((_, stage)) = large else { return weights };
-    for engine in engines {
-        weights.entry(Arc::clone(&engine.domain)).or_default();
-    }
-    let makers: Vec<_> =
-        directory.service(&stage.service).iter().filter(|it| it.is_open()).collect();
-    for (domain, weight) in &mut weights {
-        let made = makers.iter().filter(|it| it.domain == *domain).count() as f64;
-        let used = engines.iter().filter(|it| it.domain == *domain).count() as f64;
-        *weight = made / makers.len().max(1) as f64 * engines.len() as f64 / used;
-    }
-    weights
-}
-
-/// Makes one call and waits for the first event.
-async fn open<D: Dialect>(
-    request: &CallerRequest,
-    upstream: &Arc<Upstream>,
-    forward: http::Request<http_body_util::Full<Bytes>>,
-) -> Result<Tried, Fault> {
-    let tokens = request.ask.generation.as_ref().map_or(0, |it| u64::from(it.prompt));
-    let mut running = upstream.begin(tokens);
-    let sent = Instant::now();
-    let by = request.first_by;
-    let opened = exchange::request::<D>(upstream, forward, &request.ask.attempt, by).await?;
-    let Opened { mut response, lease, marks } = opened;
-    let mut headers = std::mem::take(response.headers_mut());
-    strip_hop(&mut headers);
-    if !response.status().is_success() {
-        let read = exchange::read_body(response.body_mut(), FAILURE_LIMIT, by).await;
-        let Read::Whole(body) = read.map_err(Fault::unknown)? else {
-            return Err(Fault::unknown(Cause::Garbled("a large failure")));
-        };
-        lease.keep(marks.keep_alive);
-        let mut reply = Response::new(ReplyBody::whole(body));
-        *reply.status_mut() = response.status();
-        *reply.headers_mut() = headers;
-        return Ok(Tried::Answer(reply));
-    }
-    let mut body = response.into_body();
-    let mut splitter = Splitter::default();
-    let first = loop {
-        if let Some(event) = splitter.next_event() {
-            break Some(event);
-        }
-        match timeout_at(by, body.frame()).await {
-            Ok(Some(Ok(frame))) => splitter.push(&frame.into_data().unwrap_or_default()),
-            Ok(Some(Err(_))) => return Err(Fault::unknown(Cause::Lost)),
-            Ok(None) if splitter.has_rest() => return Err(Fault::unknown(Cause::Lost)),
-            Ok(None) => break None,
-            Err(_) => return Err(Fault::unknown(Cause::Timeout)),
-        }
-    };
-    running.started();
-    Ok(Tried::Stream(Box::new(Attached {
-        upstream: Arc::clone(upstream),
-        headers,
-        body,
-        lease,
-        keep_alive: marks.keep_alive,
-        splitter,
-        first,
-        running,
-        times: RunTimes { sent, first: Some(Instant::now()) },
-    })))
 }
