Number a list of held requests under the lock of its table

What could go wrong, on a leader with several threads: two entries' first news of a term, at one moment, would each find the table as one of the term before, and the second would drop what the first told. Found by reading; the programs run on one thread, where it can't come, so nothing is measured. Change: the number is raised under the lock. The decision stands in a function of its own, and the table's record of a held request no longer has the name of an entry.

--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -179,7 +179,23 @@
             quarantine.reset();
         }
         let before = quarantine.list(last, now);
-        let mut decisions = match evidence {
+        let mut decisions = self.decide(&mut quarantine, life, evidence, now);
+        decisions.append(&mut quarantine.settle(now));
+        decisions.iter().for_each(log_decision);
+        if last.term != term || before != quarantine.list(last, now) {
+            // Under the lock: what comes next must find the table as one of this term.
+            self.tell_next(term);
+        }
+    }
+
+    fn decide(
+        &self,
+        quarantine: &mut Quarantine,
+        life: u64,
+        evidence: Evidence,
+        now: Instant,
+    ) -> Vec<Decision> {
+        match evidence {
             Evidence::Ended(seen) => quarantine.take_end(&seen, now),
             Evidence::Completed(digest) => quarantine.completed(digest),
             Evidence::Try(digest) => match self.address_of(life) {
@@ -192,13 +208,6 @@
                 }
                 Vec::new()
             }
-        };
-        decisions.append(&mut quarantine.settle(now));
-        decisions.iter().for_each(log_decision);
-        let is_new = last.term != term || before != quarantine.list(last, now);
-        drop(quarantine);
-        if is_new {
-            self.tell_next(term);
         }
     }
 
--- a/crates/registry/src/quarantine/table.rs
+++ b/crates/registry/src/quarantine/table.rs
@@ -87,9 +87,9 @@
     cause: Option<RequestDigest>,
 }
 
-/// A request on the list.
+/// What is known of a held request.
 #[derive(Clone, Copy, Debug)]
-struct Entry {
+struct Record {
     ends: u32,
     until: Instant,
     relapses: u32,
@@ -102,7 +102,7 @@
 pub struct Quarantine {
     ends: VecDeque<End>,
     runs: HashMap<RequestDigest, Vec<Run>>,
-    held: HashMap<RequestDigest, Entry>,
+    held: HashMap<RequestDigest, Record>,
     /// Those with as many ends that other entries look whether they run to their end.
     watched: HashSet<RequestDigest>,
     numbers: u64,
@@ -191,8 +191,9 @@
             is_new = true;
             let until = now + Duration::from_millis(it.left_ms).min(LONGEST_TERM);
             let trials = it.trial.map_or(0, |it| it.number);
-            let entry = Entry { ends: it.ends, until, relapses: it.relapses, trial: None, trials };
-            self.held.insert(it.digest, entry);
+            let record =
+                Record { ends: it.ends, until, relapses: it.relapses, trial: None, trials };
+            self.held.insert(it.digest, record);
         }
         is_new
     }
@@ -269,7 +270,7 @@
         }
         let ends = self.runs.get(&digest).map_or(0, Vec::len) as u32;
         let until = now + FIRST_TERM;
-        self.held.insert(digest, Entry { ends, until, relapses: 0, trial: None, trials: 0 });
+        self.held.insert(digest, Record { ends, until, relapses: 0, trial: None, trials: 0 });
         for end in self.ends.iter_mut().filter(|it| it.runs.contains(&digest)) {
             end.cause = Some(digest);
         }
