Wait for slow commits instead of asking for them again

Callers saw, on disks that take 1 s a sync: keyed requests that ran, and at their deadline of 20 s "409 running", again and again.

Cause: a member gave a proposal up after 1.5 s, an entry after 2 s, and each put the same command into the log anew. A commit that takes longer (one write under way, then its own, at two members) was never acknowledged by any of the tries, though the first had long been applied.

Change: an attempt waits as long as the leader that it asked leads, and looks every 100 ms; a command that may not be asked twice waits 1.5 s at least, as before. Commands have 8 s at a member and 6 s for one try of an entry.

--- a/crates/control/src/asker/mod.rs
+++ b/crates/control/src/asker/mod.rs
@@ -1,19 +1,25 @@
 //! Brings a question to whichever member leads, and tells certain failures from uncertain ones.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use state::{Command, Reply};
 use tokio::time::{Instant, sleep, timeout_at};
-use types::{LogIndex, VmName};
+use types::{LogIndex, NodeId, Term, VmName};
 
 use crate::ask::{Answer, Ask, Denied, Told};
 use crate::handle::CoreHandle;
 use crate::peers::Peers;
+use crate::view::View;
 
-/// How long one attempt may take before the leader is looked up again.
+/// How long an attempt waits at least where another one could take effect besides it, or where no leader
+/// is known any more.
 const ATTEMPT: Duration = Duration::from_millis(1_500);
 
+/// How often an attempt looks whether the leader that it asked still leads.
+const LOOK: Duration = Duration::from_millis(100);
+
 /// The pause before another attempt.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -103,20 +109,57 @@
     }
 
     async fn attempt(&self, ask: Ask, by: Instant) -> Answer {
-        let by = by.min(Instant::now() + ATTEMPT);
         let view = self.core.view();
+        let led = Led::of(&view);
+        let again = ask.is_idempotent();
         if view.leads() {
-            return match timeout_at(by, self.core.ask(ask)).await {
-                Ok(answer) => answer,
-                Err(_) => Err(Denied::Uncertain("no quorum committed it in time".to_owned())),
-            };
+            return self.wait(self.core.ask(ask), led, again, by).await;
         }
         let known = view.leader.and_then(|it| view.vm(it));
         match known.or_else(|| self.peers.leader()) {
-            Some(vm) if vm != self.vm => self.peers.ask(&vm, ask, by).await,
+            Some(vm) if vm != self.vm => {
+                self.wait(self.peers.ask(&vm, ask, by), led, again, by).await
+            }
             _ => Err(Denied::NotRun("no leader is known".to_owned())),
         }
     }
+
+    /// Waits for the answer of the leader that was asked, for as long as that leads: its disk or the
+    /// others' may be slow, and to ask again would only give them more to write.
+    async fn wait(
+        &self,
+        answer: impl Future<Output = Answer>,
+        led: Led,
+        again: bool,
+        by: Instant,
+    ) -> Answer {
+        let least = Instant::now() + ATTEMPT;
+        let mut answer = pin!(answer);
+        loop {
+            let look = by.min(Instant::now() + LOOK);
+            if let Ok(answer) = timeout_at(look, answer.as_mut()).await {
+                return answer;
+            }
+            let now = Led::of(&self.core.view());
+            let moved = now != led && (now.leader.is_some() && again || Instant::now() >= least);
+            if moved || Instant::now() >= by {
+                return Err(Denied::Uncertain("no quorum committed it in time".to_owned()));
+            }
+        }
+    }
+}
+
+/// Who leads, as far as this member knows.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Led {
+    term: Term,
+    leader: Option<NodeId>,
+}
+
+impl Led {
+    fn of(view: &View) -> Self {
+        Self { term: view.term, leader: view.leader }
+    }
 }
 
 #[cfg(test)]
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -13,8 +13,11 @@
 use crate::push::Push;
 use crate::sessions::Sessions;
 
-/// How long a request of an entry may take before it is answered as uncertain.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a confirmation may take before it is answered as rejected.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How long a command may take before it is answered as uncertain: slow disks may need several syncs.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// How many requests of one entry run at once; more wait on its connection.
 const REQUEST_LIMIT: usize = 1024;
@@ -129,7 +132,7 @@
 
 impl Requests {
     async fn confirm(self, ticket: Ticket) {
-        let by = Instant::now() + REQUEST_TIMEOUT;
+        let by = Instant::now() + CONFIRM_TIMEOUT;
         let answer = match self.sessions.asker.read(by).await {
             Ok(()) => {
                 let version = self.sessions.asker.core.published().borrow().version;
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -22,14 +22,15 @@
 use crate::session::Session;
 use crate::sink::{DetachedSink, Item};
 
-/// How long a claim may take to be committed.
-const CLAIM: Duration = Duration::from_secs(2);
+/// How long one try to commit a claim may take. A try that is given up leaves its command in the log, so
+/// it is far longer than slow disks need.
+const CLAIM: Duration = Duration::from_secs(6);
 
 /// How long after the first rejected claim others wait for a new leader.
 const FAILOVER: Duration = Duration::from_millis(1_500);
 
 /// How long one try to commit a claim's end may take.
-const COMMIT: Duration = Duration::from_secs(2);
+const COMMIT: Duration = Duration::from_secs(6);
 
 /// The pause between such tries.
 const PAUSE: Duration = Duration::from_millis(200);
