--- a/crates/replica/tests/journal.rs
+++ b/crates/replica/tests/journal.rs
@@ -55,7 +55,10 @@
             restored = Restored { snapshot: Some(beginning()), ..Restored::default() };
         }
         let (wake, woken) = channel();
-        let journal = Journal::spawn(store, move || drop(wake.send(()))).expect("it starts");
+        let journal = Journal::spawn(store, move || {
+            let _ = wake.send(());
+        });
+        let journal = journal.expect("it starts");
         Self { node: Node::new(config(), restored), journal, woken }
     }
 
