Keep evidence against a request for the next leader

Callers whose requests share upstreams with one that ends them would see more ends than three of one request: an end that an entry saw while no member led counted for nothing ("no leader to tell; the evidence is lost"), and so did one told to a member that had just lost its place.

Cause: evidence was sent once, to the member that had sent the newest list.

Change: an entry keeps its last 64 pieces of evidence for 10 s. What could not be sent goes out once a leader is connected, all of it to a leader that is new, as old as it is by then. Not kept for longer: a new leader doesn't hear which requests have run to their end since, and sound requests would be held.

Test: quarantine_recent.rs; of three ends, one without a leader, the third holds the request with the evidence kept, and not without. What was counted more than 10 s before a change of leaders is still forgotten.

--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -20,7 +20,7 @@
 use self::state::Loop;
 use crate::fetch::Fetch;
 use crate::message::{EntrySeen, LoadReport, Relay, Stamp, Upstream, UpstreamList};
-use crate::quarantine::{Evidence, Known};
+use crate::quarantine::{Evidence, Known, Recent};
 
 /// How often waiting plans and missing members are looked at.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -172,13 +172,17 @@
         text: None,
         fetch,
         leader: None,
+        recent: Recent::default(),
         lists: HashMap::new(),
     };
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            _ = ticks.tick() => state.dial(),
+            _ = ticks.tick() => {
+                state.dial();
+                state.tell_untold();
+            }
             Some(event) = incoming.recv() => state.take(event),
             Ok(()) = left.changed() => state.leave(),
             Some(report) = reported.recv() => state.report(report),
--- a/crates/registry/src/follow/state.rs
+++ b/crates/registry/src/follow/state.rs
@@ -17,7 +17,7 @@
     EntrySeen, LoadReport, QUARANTINE, Relay, Stamp, ToEntry, ToMember, Upstream, UpstreamList,
 };
 use crate::parcel::Part;
-use crate::quarantine::{Evidence, Known, QuarantineList};
+use crate::quarantine::{Evidence, Known, QuarantineList, Recent};
 
 /// The most members that are followed at once.
 const MEMBERS: usize = 7;
@@ -43,6 +43,8 @@
     pub(super) fetch: Fetch,
     /// The member that sent the newest list: the leader.
     pub(super) leader: Option<SocketAddr>,
+    /// Evidence that the next leader is told.
+    pub(super) recent: Recent,
     /// The lists as each member told them last; its next difference is to these.
     pub(super) lists: HashMap<SocketAddr, Lists>,
 }
@@ -102,17 +104,39 @@
         }
     }
 
-    /// Tells the leader of requests under which upstreams end.
-    pub(super) fn tell_evidence(&self, evidence: Evidence) {
-        let sender = self.leader.and_then(|it| self.links.get(&it)).and_then(Option::as_ref);
-        // A leader of the release before counts nothing.
-        let Some(sender) = sender.filter(|it| it.level() >= QUARANTINE) else {
-            log::info!(evidence:? = evidence; "no leader to tell; the evidence is lost");
+    /// Tells the leader of requests under which upstreams end, and keeps it for a leader to come.
+    pub(super) fn tell_evidence(&mut self, evidence: Evidence) {
+        let told = self.send_evidence(evidence.clone());
+        self.recent.add(evidence, told, Instant::now());
+    }
+
+    /// Tells the leader what could not be told before.
+    pub(super) fn tell_untold(&mut self) {
+        if self.counting_leader().is_none() {
             return;
+        }
+        for evidence in self.recent.untold(Instant::now()) {
+            self.send_evidence(evidence);
+        }
+    }
+
+    /// The leader's connection; one of the release before counts nothing.
+    fn counting_leader(&self) -> Option<&Sender<ToMember>> {
+        let sender = self.leader.and_then(|it| self.links.get(&it)).and_then(Option::as_ref);
+        sender.filter(|it| it.level() >= QUARANTINE)
+    }
+
+    /// Returns whether the leader's connection took it.
+    fn send_evidence(&self, evidence: Evidence) -> bool {
+        let Some(sender) = self.counting_leader() else {
+            log::info!(evidence:? = evidence; "no leader to tell of a request; the next one is");
+            return false;
         };
-        if let Err(error) = sender.try_send(&ToMember::Evidence(evidence)) {
-            log::warn!(cause:% = error; "the leader can't be told; the evidence is lost");
+        let sent = sender.try_send(&ToMember::Evidence(evidence));
+        if let Err(error) = &sent {
+            log::warn!(cause:% = error; "the leader can't be told of a request");
         }
+        sent.is_ok()
     }
 
     fn take_quarantine(&self, from: SocketAddr, list: &QuarantineList) {
@@ -252,6 +276,9 @@
             if !held.is_empty() {
                 self.tell_evidence(Evidence::Known(held));
             }
+            for evidence in self.recent.all(Instant::now()) {
+                self.send_evidence(evidence);
+            }
         }
         self.take_list(list);
     }
--- a/crates/registry/src/quarantine.rs
+++ b/crates/registry/src/quarantine.rs
@@ -4,6 +4,7 @@
 //! which of them is the cause, and the leader tells all entries the list of those.
 
 mod known;
+mod recent;
 mod table;
 
 use std::net::SocketAddr;
@@ -12,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::known::{Known, Standing};
+pub use self::recent::Recent;
 pub use self::table::{Decision, Quarantine};
 use crate::digest::RequestDigest;
 use crate::message::Stamp;
