Look past upstreams that are gone

What callers saw: a sound request was refused with 503 "no upstream" while 14 of 20 upstreams were there.

Cause: a request was offered to three upstreams (four engines) at most, and one that refuses the connection counted like one that had read the request and turned it away. Where several upstreams are gone and the list doesn't say so yet, an entry that has not met them draws three in a row. Pieces of stages had the same fault: each connection that was refused used one of a piece's three sends and one repeat of the retry budget, though nothing had arrived anywhere, and the request ended as "no stage".

Change: what is not reached counts as an offer only where it was known to be gone; the search ends after 750 ms, as long as three silent upstreams took before. Pieces that reached nobody go back into their queue, as long as an upstream is left that isn't passed over.

Ruled out: the entry that started without a list (readiness needs one), the retry budget (see above), a port that another process took (it would have answered with something else). The product's own entry goes through its whole pool already.

--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -85,7 +85,22 @@
                 if !fault.not_run || fault.unreachable {
                     end.upstream.failed(fault.unreachable);
                 }
-                self.requeue_all(end.pieces, requeued, now);
+                if fault.unreachable && !requeued && self.lanes(&end.section, now) > 0 {
+                    self.put_back(end.pieces);
+                } else {
+                    self.requeue_all(end.pieces, requeued, now);
+                }
+            }
+        }
+    }
+
+    /// Puts pieces back that reached no upstream. This counts as no repeat.
+    fn put_back(&mut self, pieces: Vec<Piece>) {
+        for mut piece in pieces {
+            piece.sent = piece.sent.saturating_sub(1);
+            let Some(section) = self.section_of(&piece) else { continue };
+            if let Some(queue) = self.queues.get_mut(&section) {
+                queue.push(piece);
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod head_time;
 pub mod life;
 mod metrics;
+mod offers;
 pub mod pace;
 mod phases;
 pub mod place;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -13,6 +13,7 @@
 
 use crate::dialect::{AnswerMarks, Dialect};
 use crate::exchange::{self, Cause, Fault, Opened, Read};
+use crate::offers::Offers;
 use crate::plan::RouteKind;
 use crate::reply::{Broken, Refusal, Reply, ReplyBody, strip_hop};
 use crate::request::CallerRequest;
@@ -30,7 +31,7 @@
 /// A first try that takes this many times the target is given up for another where it may be.
 const PATIENCE: u32 = 2;
 
-/// How many upstreams that did not run it a request is offered to at most.
+/// How many upstreams may turn a request away.
 const OFFERS: usize = 3;
 
 /// An answer as the upstream gave it.
@@ -46,7 +47,7 @@
     request: &CallerRequest,
     service: &Arc<str>,
 ) -> Result<Reply, Refusal> {
-    let mut tried: Vec<Arc<str>> = Vec::new();
+    let mut offers = Offers::new(OFFERS);
     let mut runs = 0;
     let mut arrived = false;
     let mut kept: Option<Answer> = None;
@@ -54,7 +55,7 @@
     loop {
         let now = Instant::now();
         let directory = shared.directory();
-        let upstream = choose(shared, directory.service(service), &tried, now).cloned();
+        let upstream = choose(shared, directory.service(service), offers.tried(), now).cloned();
         let Some(upstream) = upstream else { break };
         if let Err(it) = shared.suspects.check(request) {
             return if runs > 0 { Err(Refusal::Failed) } else { Err(Refusal::Held(it.after)) };
@@ -63,11 +64,11 @@
             shared.metrics.calls.with_label_values(&["no budget"]).inc();
             break;
         }
-        tried.push(Arc::clone(&upstream.id));
+        offers.add(&upstream, now);
         let arrived_before = arrived;
         arrived = true;
         log::info!(request = request.ask.attempt.as_str(), upstream:% = upstream.id,
-            running = upstream.running_all(), listed:% = directory.listed(), tried = tried.len();
+            running = upstream.running_all(), listed:% = directory.listed(), tried = offers.tried().len();
             "chose an upstream");
         let last = !repeats || runs + 1 >= request.route.attempts;
         let by = if last { request.deadline } else { first_limit(request, now) };
@@ -93,10 +94,10 @@
                 }
                 if fault.not_run {
                     arrived = arrived_before || !fault.is_unsent();
-                    if tried.len() >= OFFERS {
-                        break;
+                    if offers.turned_away(&fault, Instant::now()) {
+                        continue;
                     }
-                    continue;
+                    break;
                 }
                 runs += 1;
                 if last {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::batch::Batches;
 use crate::dialect::{Dialect, PieceFailure, Segments};
 use crate::exchange::Cause;
+use crate::offers::Offers;
 use crate::phases::Phases;
 use crate::plain::note;
 use crate::reply::{Refusal, Reply, ReplyBody};
@@ -32,7 +33,7 @@
 /// Events that wait for a slow caller before the engine's connection is read no further.
 const EVENTS: usize = 32;
 
-/// To how many engines that did not run it a request is offered at most.
+/// How many engines may turn a request away.
 const OFFERS: usize = 4;
 
 /// How often the stages of a request run.
@@ -45,14 +46,19 @@
 }
 
 /// What a request has used up so far.
-#[derive(Default)]
 struct Used {
-    tried: Vec<Arc<str>>,
+    offers: Offers,
     runs: u32,
     stage_runs: u32,
     arrived: bool,
 }
 
+impl Used {
+    fn new() -> Self {
+        Self { offers: Offers::new(OFFERS), runs: 0, stage_runs: 0, arrived: false }
+    }
+}
+
 impl<D: Dialect> Streams<D> {
     /// Serves a request.
     pub(crate) async fn run(
@@ -61,7 +67,7 @@
         service: &Arc<str>,
     ) -> Result<Reply, Refusal> {
         self.admit(&request, service)?;
-        let mut used = Used::default();
+        let mut used = Used::new();
         let attached = match self.attach(&request, service, &mut used, None).await? {
             Tried::Stream(attached) => attached,
             Tried::Answer(reply) => return Ok(reply),
@@ -100,7 +106,7 @@
                 None => (&[][..], Phases::default()),
             };
             let choice = Choice {
-                tried: &used.tried,
+                tried: used.offers.tried(),
                 left: request.target().saturating_duration_since(Instant::now()),
                 domain: self.batches.domain_of(handles),
             };
@@ -116,7 +122,7 @@
                 self.shared.metrics.calls.with_label_values(&["no budget"]).inc();
                 return Err(if used.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
             }
-            used.tried.push(Arc::clone(&upstream.id));
+            used.offers.add(&upstream, now);
             log::info!(request = request.ask.attempt.as_str(), upstream:% = upstream.id,
                 running = upstream.running_all(), tokens = upstream.tokens_all(),
                 listed:% = self.shared.directory().listed(), inputs = handles.len(), last = last_event,
@@ -146,10 +152,12 @@
                 request.sent.store(used.runs > 0, Ordering::Relaxed);
                 if fault.cause == Cause::Refused(StatusCode::CONFLICT) {
                     // Its inputs are gone; the engine itself is fine.
-                    used.tried.pop();
+                    used.offers.take_back();
                     inputs = None;
+                } else if !used.offers.turned_away(&fault, Instant::now()) {
+                    return Err(Refusal::NoUpstream);
                 }
-                if used.tried.len() >= OFFERS || used.stage_runs > STAGE_RUNS {
+                if used.stage_runs > STAGE_RUNS {
                     return Err(Refusal::NoUpstream);
                 }
                 continue;
