Say when a digest calls an upstream leaving, and test marks where work is

What was seen: a_marked_upstream_gets_no_new_work_until_it_is_back, on the list of known failures: 20 calls avoided a marked upstream, the next 20 did not.

Cause: the test, which could not see a mark. It took 20 calls in a row that avoid one of two equal upstreams for a sign that the mark had reached the entry. They avoid it always: an entry keeps to the upstream that it has measured while the other one is believed to be no faster.

So the test counted before the entry knew of the mark.

Change: the entry counts and lists it as a decision when a digest calls an upstream leaving, as it did for the upstream's own word and for the way back; operators see from when on a mark holds. The test waits for that, marks the upstream that has all the work, and makes the other one 20 times slower, so that each call would go to the marked one.

It looks at 40 calls instead of 20.

Ruled out: that a marked upstream is chosen as a last resort, by a hedge, or for its prompt's prefix: each asks for its standing first.

--- a/crates/mothplank/tests/operator.rs
+++ b/crates/mothplank/tests/operator.rs
@@ -2,7 +2,7 @@
 
 mod env;
 
-use env::{Plan, TestEnv, wait_for, wait_until};
+use env::{Plan, TestEnv, wait_until};
 use serde_json::{Value, json};
 
 #[test]
@@ -71,33 +71,50 @@
     assert!(svg.starts_with("<svg") && svg.contains("generate"), "{svg}");
 }
 
+/// An upstream that an operator marks as leaving gets new work.
 #[test]
 fn a_marked_upstream_gets_no_new_work_until_it_is_back() {
     let env = TestEnv::start(Plan { entries: 1, ..Plan::default() });
-    env.run_ok(&["mark", "encoders-1", "--leaving"]);
+    let count = |name: &str| env.http.counts(env.standin_address(name))["calls"].as_u64();
+    let encode = |times: usize| {
+        for _ in 0..times {
+            let reply = env.call(1, "encode", json!({"marker": "lot"}), &[]);
+            assert_eq!(reply.outcome(), "complete", "{}", reply.text());
+        }
+    };
+    // An entry keeps to one of two equal upstreams while nothing else speaks for the other: only
+    // the one that has the work shows what a mark does.
+    encode(20);
+    let (marked, other) = match count("encoders-1") > count("encoders-2") {
+        true => ("encoders-1", "encoders-2"),
+        false => ("encoders-2", "encoders-1"),
+    };
+    assert!(count(marked) >= Some(10), "it has no work to lose");
+    env.run_ok(&["mark", marked, "--leaving"]);
     let standing = || {
         let status = env.run_ok(&["status"]);
         let rows = status["upstreams"].as_array().unwrap().clone();
-        let row = rows.into_iter().find(|it| it["upstream"] == "encoders-1");
+        let row = rows.into_iter().find(|it| it["upstream"] == marked);
         row.map(|it| it["standing"].clone())
     };
     wait_until("the mark", || standing() == Some(json!("leaving")));
-    let count = |name: &str| env.http.counts(env.standin_address(name))["calls"].as_u64();
-    // The mark reaches the entry with a digest. That 20 calls in a row avoid one of two equal
-    // upstreams by chance does not happen.
-    let avoided = || {
-        let before = count("encoders-1");
-        for _ in 0..20 {
-            let reply = env.call(1, "encode", json!({"marker": "lot"}), &[]);
-            assert_eq!(reply.outcome(), "complete", "{}", reply.text());
-        }
-        (count("encoders-1") == before).then_some(before)
+    let passed_over = || {
+        let status = env.http.get(env.entry_address(1), "/status").unwrap().json();
+        let decisions = status["decisions"].as_array().unwrap().clone();
+        decisions.iter().any(|it| it["what"] == "eject" && it["subject"] == marked)
     };
-    let before = wait_for("the entry to learn of the mark", avoided);
-    assert_eq!(avoided(), Some(before), "it got work again");
-    env.run_ok(&["mark", "encoders-1", "--back"]);
+    wait_until("the entry to learn of the mark", passed_over);
+    let before = count(marked);
+    encode(20);
+    // Were it not marked, it would be the faster one by far.
+    env.http.faults(env.standin_address(other), &json!({"slow": 20.0}));
+    encode(20);
+    env.http.faults(env.standin_address(other), &json!({}));
+    assert_eq!(count(marked), before, "it got work");
+
+    env.run_ok(&["mark", marked, "--back"]);
     wait_until("it gets work again", || {
-        env.call(1, "encode", json!({"marker": "lot"}), &[]);
-        count("encoders-1") > before
+        encode(1);
+        count(marked) > before
     });
 }
--- a/crates/routing/src/eject.rs
+++ b/crates/routing/src/eject.rs
@@ -54,6 +54,15 @@
     marked: AtomicU32,
 }
 
+/// What a digest changed about an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Told {
+    /// It leaves.
+    Left,
+    /// It is back.
+    Back,
+}
+
 impl Health {
     /// Takes the operator's mark.
     pub(crate) fn mark(&self, leaving: bool) {
@@ -147,27 +156,25 @@
     /// Takes what a digest says. The upstream's own report is newer than what a digest's sources know
     /// for a few seconds, so a digest that calls it live counts only if it was made after, which
     /// is sure once digests have called it leaving in between, or once the hold is over; returns
-    /// whether it is back.
-    pub(crate) fn told(&self, leaving: bool, sequence: u64, now: Us) -> bool {
+    /// what changed.
+    pub(crate) fn told(&self, leaving: bool, sequence: u64, now: Us) -> Option<Told> {
+        let left = self.left.load(Ordering::Relaxed);
         if leaving {
-            if self.left.load(Ordering::Relaxed) == 0 {
-                self.leave(sequence, now);
-            }
+            let news = left == 0 && self.leave(sequence, now);
             self.told.store(1, Ordering::Relaxed);
-            return false;
+            return news.then_some(Told::Left);
         }
-        let left = self.left.load(Ordering::Relaxed);
         if left == 0 {
-            return false;
+            return None;
         }
         let newer = sequence > self.left_seen.load(Ordering::Relaxed);
         let known = self.told.load(Ordering::Relaxed) != 0;
         if !newer || (!known && now < left + LEAVING_HOLD) {
-            return false;
+            return None;
         }
         self.told.store(0, Ordering::Relaxed);
         self.left.store(0, Ordering::Relaxed);
-        true
+        Some(Told::Back)
     }
 
     fn pause(&self) -> Us {
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -15,6 +15,7 @@
 use crate::choice::{CallEnd, Choice, Pick, PickAsk};
 use crate::clock::{Clock, Us};
 use crate::decisions::{Counter, Decision, Log, Why};
+use crate::eject::Told;
 use crate::ending::Ending;
 use crate::limits::{Account, Over};
 use crate::policy::{ASSUMED_ENTRIES, MARGIN, REFRESH_PERIOD, RETRY_FLOOR, Rules};
@@ -113,10 +114,13 @@
             };
             view.known.loaded(load.in_flight, load.reported, load.report_age.0 * 1_000, now);
             let leaving = load.standing == UpstreamStanding::Leaving;
-            if view.known.health.told(leaving, digest.sequence, now) {
-                let note = || format!("digest {} says so", digest.sequence);
-                shared.log.note(Why::Rejoined, view.name.as_str(), now, note);
-            }
+            let why = match view.known.health.told(leaving, digest.sequence, now) {
+                Some(Told::Left) => Why::Left,
+                Some(Told::Back) => Why::Rejoined,
+                None => continue,
+            };
+            let note = || format!("digest {} says so", digest.sequence);
+            shared.log.note(why, view.name.as_str(), now, note);
         }
         self.refresh(&table, now);
     }
--- a/crates/routing/tests/health.rs
+++ b/crates/routing/tests/health.rs
@@ -142,6 +142,7 @@
         UpstreamLoad { standing, ..load(who, 0) }
     };
     bench.digest(1, &[leaving("write-000")]);
+    assert_eq!(bench.counted("eject", "leaving"), 1, "an operator sees when it is passed over");
     let tried: [UpstreamName; 1] = [name("write-001")];
     let refusal = bench.pick(&tried).expect_err("the other one is leaving");
     assert_eq!(refusal.reason, RefusalReason::NoUpstream);
