Let keys begin while the service refuses, in the test of keyed requests

What was seen: a_key_runs_at_most_once_whatever_fails, on the list of known failures: no key ran twice, but none of 300 was told that it did not run, so that "it can still run" was not tried.

Cause: chance in the test's schedule. Such answers come from the step in which the service refuses connections and from faults after which too little time is left. The first lets 33 keys begin at once, waits until eight have run, and only then refuses: whatever was claimed in the same commit has been called by then.

Change: half of the step's keys begin while the service refuses.

--- a/crates/mothplank/tests/request_once.rs
+++ b/crates/mothplank/tests/request_once.rs
@@ -180,12 +180,16 @@
         for round in 0..rounds {
             let share = keys * (round + 1) / rounds;
             let before = ran();
-            open.store(share, Ordering::SeqCst);
+            let step = STEPS[round % STEPS.len()];
+            // Half of its keys begin only while the service refuses, so that some are sure to be told
+            // that they did not run.
+            let held = if matches!(step, Step::RefuseStock) { keys / rounds / 2 } else { 0 };
+            open.store(share - held, Ordering::SeqCst);
             // The fault finds claims granted and calls under way.
             wait_until("calls of these keys", || ran() >= before + keys / rounds / 4);
             let victim = victims.next().unwrap_or(1) % ENTRIES + 1;
-            let step = STEPS[round % STEPS.len()];
-            fail(&mut env, step, victim, &set);
+            let begin = || open.store(share, Ordering::SeqCst);
+            fail(&mut env, step, victim, &set, begin);
             // The next fault finds the last keys of this one still under way.
             let behind = CALLERS / 2;
             wait_until("the keys of this fault", || done.load(Ordering::SeqCst) + behind >= share);
@@ -210,8 +214,8 @@
     refuse: false,
 };
 
-/// Lets one fault happen and ends it.
-fn fail(env: &mut TestEnv, step: Step, victim: usize, set: &impl Fn(Mood)) {
+/// Lets one fault happen and ends it; `begin` lets the rest of its keys begin.
+fn fail(env: &mut TestEnv, step: Step, victim: usize, set: &impl Fn(Mood), begin: impl FnOnce()) {
     let entry = format!("entry-{victim}");
     let members = [1, 2, 3];
     match step {
@@ -255,6 +259,7 @@
         }
         Step::RefuseStock => {
             set(Mood { refuse: true, ..FAULTY });
+            begin();
             thread::sleep(SHORT);
             set(FAULTY);
         }
