Count the upstreams that end under pieces of stages

What callers saw: a request whose piece ends the upstream that makes it came back under new attempts and ended one after the other, each time with the pieces of up to a whole batch of other requests.

Cause: only calls of whole requests were counted. An owner of a batch did not know of which request a piece is, so neither could it tell, nor could anybody hold the request.

Change: a job says of which request it is, by the digest that the leader counts by (a new message, for owners of level 3; owners and entries of the release before get and send what they know). An owner tells of a lost call's requests as an entry does. What was lost twice, or is suspected by the leader when it is submitted, is called with pieces of its own job alone: its neighbours are neither lost again nor taken for the cause. What is held is not sent again. On the first loss pieces go back as before: an upstream that ends for another reason must not cost as many calls as it had requests.

Ruled out: telling the submitter of each loss, which would make 56 looks at one upstream and as many messages to the leader.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 use rand::seq::IteratorRandom;
-use registry::{News, Relay};
+use registry::{News, Relay, RequestDigest};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 use wire::{Hello, Secret};
 
 use crate::batch::link::{Inlets, Link, PULSE};
-use crate::batch::message::ToOwner;
+use crate::batch::message::{Submission, ToOwner};
 use crate::batch::owner::{OWN, Owner, OwnerEvent};
 use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput};
 use crate::place::score;
@@ -50,6 +50,8 @@
 /// The pieces of one stage of one request.
 pub(crate) struct JobSpec {
     pub(crate) service: Arc<str>,
+    /// The request.
+    pub(crate) digest: RequestDigest,
     pub(crate) attempt: Arc<str>,
     pub(crate) stage: u32,
     pub(crate) pieces: u32,
@@ -279,10 +281,8 @@
     ) -> Ended {
         let id = self.next.fetch_add(1, Ordering::Relaxed) + 1;
         let job = job(id, spec, again, &progress.left);
-        let message = match section.domain {
-            Some(domain) => ToOwner::SubmitIn(domain.to_string(), job),
-            None => ToOwner::Submit(job),
-        };
+        let domain = section.domain.as_ref().map(ToString::to_string);
+        let message = ToOwner::SubmitOf(Submission { domain, digest: spec.digest, job });
         let (replies, mut answers) = mpsc::unbounded_channel();
         if address == self.own {
             let _guard = LocalJob { owner: &self.owner, id };
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -11,7 +11,7 @@
 use wire::{Connection, Hello, Kind, Listener, Secret};
 
 use crate::backlog::{Backlog, Backlogs};
-use crate::batch::message::{FromOwner, ToOwner};
+use crate::batch::message::{FromOwner, Submission, ToOwner};
 use crate::batch::owner::{Owner, OwnerEvent};
 use crate::section::Section;
 
@@ -201,7 +201,9 @@
             message = receiver.recv() => match message {
                 Ok(Some(message)) => {
                     match &message {
-                        ToOwner::Submit(job) | ToOwner::SubmitIn(_, job) => {
+                        ToOwner::Submit(job)
+                        | ToOwner::SubmitIn(_, job)
+                        | ToOwner::SubmitOf(Submission { job, .. }) => {
                             left.insert(job.id, job.segments.len());
                         }
                         ToOwner::Cancel(id) => {
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -1,6 +1,6 @@
 //! What entries tell the owner of a service, and what it answers.
 
-use registry::Relay;
+use registry::{Relay, RequestDigest};
 use serde::{Deserialize, Serialize};
 
 use crate::backlog::Backlog;
@@ -58,15 +58,34 @@
     Follow,
     /// Asks for the pieces of a job, to be made in the section of this failure domain.
     SubmitIn(String, Job),
+    /// Asks for the pieces of a job of a request that is told apart from others.
+    SubmitOf(Submission),
+}
+
+/// A job with what it is for.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Submission {
+    /// The failure domain of the section in which it is to be made, where the service is split.
+    pub(crate) domain: Option<String>,
+    /// The request.
+    pub(crate) digest: RequestDigest,
+    pub(crate) job: Job,
 }
 
 /// The level of an owner that knows sections.
 pub(crate) const SECTIONS: u8 = 1;
 
+/// The level of an owner that counts the upstreams that end under a request.
+pub(crate) const REQUESTS: u8 = 3;
+
 impl ToOwner {
     /// What an owner of this level can read: one that knows no sections makes the pieces anywhere.
     pub(crate) fn at_level(self, level: u8) -> Self {
         match self {
+            Self::SubmitOf(it) if level < REQUESTS => match it.domain {
+                Some(domain) => Self::SubmitIn(domain, it.job).at_level(level),
+                None => Self::Submit(it.job),
+            },
             Self::SubmitIn(_, job) if level < SECTIONS => Self::Submit(job),
             message => message,
         }
--- a/crates/gateway/src/batch/message/tests.rs
+++ b/crates/gateway/src/batch/message/tests.rs
@@ -28,12 +28,39 @@
     })
 }
 
+/// A job as an owner of some level gets it.
+struct JobCase {
+    name: &'static str,
+    domain: Option<&'static str>,
+    level: u8,
+    told: &'static str,
+}
+
+const JOBS: &[JobCase] = &[
+    JobCase { name: "split, first release", domain: Some("d"), level: 0, told: "job" },
+    JobCase { name: "split, sections", domain: Some("d"), level: SECTIONS, told: "job in d" },
+    JobCase { name: "whole, sections", domain: None, level: SECTIONS, told: "job" },
+    JobCase { name: "split", domain: Some("d"), level: REQUESTS, told: "job of a request in d" },
+    JobCase { name: "whole", domain: None, level: REQUESTS, told: "job of a request" },
+];
+
+/// An owner of an earlier release can't read a job, and ends the connection.
 #[test]
-fn jobs_for_sections_become_plain_ones() {
-    let plain = ToOwner::SubmitIn("d".to_owned(), job()).at_level(0);
-    assert!(matches!(plain, ToOwner::Submit(it) if it.id == 7));
-    let whole = ToOwner::SubmitIn("d".to_owned(), job()).at_level(SECTIONS);
-    assert!(matches!(whole, ToOwner::SubmitIn(domain, it) if domain == "d" && it.id == 7));
+fn jobs_are_told_as_their_owner_can_read_them() {
+    for JobCase { name, domain, level, told } in JOBS {
+        let domain = domain.map(str::to_owned);
+        let submission = Submission { domain, digest: RequestDigest::default(), job: job() };
+        let (text, job) = match ToOwner::SubmitOf(submission).at_level(*level) {
+            ToOwner::Submit(job) => ("job".to_owned(), job),
+            ToOwner::SubmitIn(domain, job) => (format!("job in {domain}"), job),
+            ToOwner::SubmitOf(it) => {
+                let place = it.domain.map(|it| format!(" in {it}")).unwrap_or_default();
+                (format!("job of a request{place}"), it.job)
+            }
+            other => panic!("{name}: {other:?}"),
+        };
+        assert_eq!((text.as_str(), job.id), (*told, 7), "{name}");
+    }
 }
 
 struct Case {
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use registry::RequestDigest;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
@@ -95,6 +96,14 @@
     left: HashSet<u32>,
 }
 
+/// What else a job was submitted with; an entry of an earlier release tells less.
+struct Asked {
+    /// The failure domain of its section, where the service is split.
+    domain: Option<Arc<str>>,
+    /// The request that it is for.
+    digest: Option<RequestDigest>,
+}
+
 /// A call under way.
 struct Flying {
     call: u64,
@@ -181,10 +190,16 @@
     fn take(&mut self, event: OwnerEvent) {
         match event {
             OwnerEvent::Told(origin, ToOwner::Submit(job), replies) => {
-                self.submit(origin, None, job, replies);
+                self.submit(origin, Asked { domain: None, digest: None }, job, replies);
             }
             OwnerEvent::Told(origin, ToOwner::SubmitIn(domain, job), replies) => {
-                self.submit(origin, Some(domain.into()), job, replies);
+                let asked = Asked { domain: Some(domain.into()), digest: None };
+                self.submit(origin, asked, job, replies);
+            }
+            OwnerEvent::Told(origin, ToOwner::SubmitOf(it), replies) => {
+                let domain = it.domain.map(Arc::from);
+                let asked = Asked { domain, digest: Some(it.digest) };
+                self.submit(origin, asked, it.job, replies);
             }
             OwnerEvent::Told(origin, ToOwner::Cancel(id), _) => {
                 let key = JobKey { origin, id };
@@ -212,7 +227,7 @@
         }
     }
 
-    fn submit(&mut self, origin: u64, domain: Option<Arc<str>>, job: Job, replies: Replies) {
+    fn submit(&mut self, origin: u64, asked: Asked, job: Job, replies: Replies) {
         if origin != OWN {
             self.peers.entry(origin).or_insert_with(|| replies.clone());
         }
@@ -244,7 +259,7 @@
             Ok(ms) => now + Duration::from_millis(ms),
             Err(_) => now,
         };
-        let section = match domain {
+        let section = match asked.domain {
             Some(domain) => Section { service, domain: Some(domain) },
             // Of an entry that knows no sections. Another owner works with the rest of the upstreams.
             None => self.own_section(&service),
@@ -253,6 +268,8 @@
         queue.set_spec(spec);
         let attempt: Arc<str> = job.attempt.into();
         let domain: Option<Arc<str>> = job.domain.map(Arc::from);
+        let request = asked.digest;
+        let alone = request.is_some_and(|it| self.shared.suspects.is_suspected(&it));
         for segment in &job.segments {
             queue.push(Piece {
                 job: key,
@@ -268,6 +285,9 @@
                 deadline: now + Duration::from_millis(job.left_ms),
                 since: now,
                 sent: u32::from(job.again),
+                request,
+                alone,
+                lost: 0,
             });
         }
         let left = job.segments.into_iter().collect();
--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -1,20 +1,28 @@
 //! What comes of calls: results are delivered once, lost pieces go back into their queue.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
+use registry::RequestDigest;
 use tokio::time::Instant;
 
 use super::{CallEnd, State};
 use crate::batch::message::{FromOwner, PiecesDone};
 use crate::batch::queue::Piece;
 use crate::dialect::{Dialect, PieceFailure, PieceResult};
+use crate::exchange::Cause;
 use crate::life::Life;
 use crate::section::Section;
+use crate::suspects::RunTimes;
 
 /// How often one piece may be sent.
 const SENDS: u32 = 3;
 
+/// After so many lost calls a piece is called with pieces of its own job only. One call is lost with its
+/// upstream now and then, and calls of few pieces cost nearly as much as full ones.
+const LOST_ALONE: u32 = 2;
+
 impl<D: Dialect> State<D> {
     /// Puts the pieces of calls that are overdue back, where the budget allows it.
     pub(super) fn requeue_overdue(&mut self, now: Instant) {
@@ -38,7 +46,11 @@
     fn requeue(&mut self, piece: Piece, now: Instant) {
         let Some(section) = self.section_of(&piece) else { return };
         let entries = self.shared.entries();
-        if piece.sent >= SENDS || !self.shared.budget.take(&section.service, 1, entries, now) {
+        let held = piece.request.is_some_and(|it| self.shared.suspects.is_held(&it));
+        if held
+            || piece.sent >= SENDS
+            || !self.shared.budget.take(&section.service, 1, entries, now)
+        {
             self.deliver(&piece, Err(PieceFailure::Failed), now, Duration::ZERO);
             return;
         }
@@ -51,7 +63,7 @@
         self.jobs.get(&piece.job).map(|it| it.section.clone())
     }
 
-    pub(super) fn ended(&mut self, end: CallEnd) {
+    pub(super) fn ended(&mut self, mut end: CallEnd) {
         let now = Instant::now();
         let flying = self.flying.remove(&end.upstream.id);
         let requeued = flying.as_ref().is_some_and(|it| it.call == end.call && it.requeued);
@@ -85,6 +97,9 @@
                 if !fault.not_run || fault.unreachable {
                     end.upstream.failed(fault.unreachable);
                 }
+                if fault.cause == Cause::Lost {
+                    self.note_lost(&mut end, now);
+                }
                 if fault.unreachable && !requeued && self.lanes(&end.section, now) > 0 {
                     self.put_back(end.pieces);
                 } else {
@@ -94,6 +109,21 @@
         }
     }
 
+    /// Notes that a call lost its connection: one of its requests may have ended the upstream.
+    fn note_lost(&self, end: &mut CallEnd, now: Instant) {
+        let sent = now.checked_sub(end.took).unwrap_or(now);
+        let requests: BTreeSet<RequestDigest> =
+            end.pieces.iter().filter_map(|it| it.request).collect();
+        for request in requests {
+            let times = RunTimes { sent, first: None };
+            self.shared.suspects.lost(request, &end.upstream, times);
+        }
+        for piece in &mut end.pieces {
+            piece.lost += 1;
+            piece.alone |= piece.lost >= LOST_ALONE;
+        }
+    }
+
     /// Puts pieces back that reached no upstream. This counts as no repeat.
     fn put_back(&mut self, pieces: Vec<Piece>) {
         for mut piece in pieces {
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -300,6 +300,10 @@
             if chosen.len() >= self.spec.batch {
                 break;
             }
+            let first = chosen.first().map(|it: &usize| &self.waiting[*it]);
+            if first.is_some_and(|it| !it.goes_with(piece)) {
+                continue;
+            }
             if piece.size > room || self.waits_for_domain(piece, lane, open, &mut ahead, now) {
                 continue;
             }
--- a/crates/gateway/src/batch/queue/piece.rs
+++ b/crates/gateway/src/batch/queue/piece.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use registry::RequestDigest;
 use tokio::time::Instant;
 
 use crate::dialect::{PieceCall, PieceInput};
@@ -48,6 +49,13 @@
     pub since: Instant,
     /// How often it was sent to an upstream.
     pub sent: u32,
+    /// The request, where the submitter tells it.
+    pub request: Option<RequestDigest>,
+    /// Whether it is called with pieces of its own job only: calls with it were lost, and their other
+    /// pieces must not be lost again, nor be taken for the cause.
+    pub alone: bool,
+    /// How many calls with it lost their connection.
+    pub lost: u32,
 }
 
 impl Piece {
@@ -62,6 +70,11 @@
         }
     }
 
+    /// Whether it may go into the same call as another piece.
+    pub(super) fn goes_with(&self, other: &Piece) -> bool {
+        self.alone == other.alone && (!self.alone || self.job == other.job)
+    }
+
     /// The order of pieces whose results will be there at `ready` at the soonest: those that can still
     /// be in time, by when they are due; then those that can't. Under overload the late ones must not
     /// make the others late, too. Among them the later stages go first, for their requests cost the most
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -90,7 +90,7 @@
                 note(shared, request, &upstream, &fault);
                 if fault.cause == Cause::Lost {
                     let times = RunTimes { sent: now, first: None };
-                    shared.suspects.lost(request, &upstream, times);
+                    shared.suspects.lost(request.digest(), &upstream, times);
                 }
                 if fault.not_run {
                     arrived = arrived_before || !fault.is_unsent();
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -5,6 +5,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use registry::RequestDigest;
 use tokio::time::Instant;
 
 use crate::batch::{Batches, JobSpec};
@@ -21,6 +22,8 @@
     pub(crate) route: &'a Route,
     pub(crate) segments: &'a Segments,
     pub(crate) attempt: Arc<str>,
+    /// What the request asks.
+    pub(crate) digest: RequestDigest,
     /// The failure domain of the engine that is likely to run the request.
     pub(crate) domain: Option<Arc<str>>,
     /// What the engine is likely to take from its inputs to its first event.
@@ -175,6 +178,7 @@
     let due = run.target.checked_sub(rest).unwrap_or(run.target);
     JobSpec {
         service: Arc::clone(&it.service),
+        digest: run.digest,
         attempt: Arc::clone(&run.attempt),
         stage: stage as u32,
         pieces,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -145,7 +145,7 @@
             note(&self.shared, request, &upstream, &fault);
             if fault.cause == Cause::Lost {
                 let times = RunTimes { sent: now, first: None };
-                self.shared.suspects.lost(request, &upstream, times);
+                self.shared.suspects.lost(request.digest(), &upstream, times);
             }
             used.arrived |= !fault.is_unsent();
             if fault.not_run {
@@ -230,6 +230,7 @@
             route: &request.route,
             segments,
             attempt: request.ask.attempt.as_str().into(),
+            digest: request.digest(),
             domain: None,
             engine: match &request.ask.generation {
                 Some(generation) => self.shared.paces.first_event(service, generation),
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -57,7 +57,7 @@
                 PartEnd::Late => "its time is over",
                 PartEnd::Lost(why) => {
                     upstream.failed(false);
-                    shared.suspects.lost(&self.request, &upstream, times);
+                    shared.suspects.lost(self.request.digest(), &upstream, times);
                     match self.resume(&upstream.id, why).await {
                         Some(next) => {
                             attached = next;
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -89,6 +89,25 @@
         }
     }
 
+    /// Whether a request is not sent to upstreams now.
+    pub(crate) fn is_held(&self, digest: &RequestDigest) -> bool {
+        let known = self.known.borrow();
+        matches!(self.standing(&known, digest), Standing::Held(_))
+    }
+
+    /// Whether upstreams ended under a request, so that what is sent with it may be lost.
+    pub(crate) fn is_suspected(&self, digest: &RequestDigest) -> bool {
+        let known = self.known.borrow();
+        self.standing(&known, digest) != Standing::Free
+    }
+
+    fn standing(&self, known: &Known, digest: &RequestDigest) -> Standing {
+        if known.is_empty() {
+            return Standing::Free;
+        }
+        known.standing(digest, Instant::now().into_std())
+    }
+
     /// Decides about a request that has come; one whose time on the list is over may become a trial.
     pub(crate) async fn admit(&self, request: &CallerRequest) -> Result<(), NotSent> {
         let standing = {
@@ -149,13 +168,13 @@
     }
 
     /// Notes that a run lost its connection, and looks whether its upstream has ended.
-    pub(crate) fn lost(&self, request: &CallerRequest, upstream: &Upstream, times: RunTimes) {
+    pub(crate) fn lost(&self, digest: RequestDigest, upstream: &Upstream, times: RunTimes) {
         let now = Instant::now();
         if times.first.is_some_and(|it| now.duration_since(it) > BEGINS) {
             return;
         }
         let age = now.duration_since(times.sent);
-        let run = RunSeen { digest: request.digest(), age_ms: age.as_millis() as u32 };
+        let run = RunSeen { digest, age_ms: age.as_millis() as u32 };
         let mut lost = lock(&self.lost);
         let is_first = !lost.contains_key(&upstream.id);
         let runs = lost.entry(Arc::clone(&upstream.id)).or_default();
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -71,6 +71,9 @@
         deadline: now + PATIENCE,
         since: now,
         sent: 0,
+        request: None,
+        alone: false,
+        lost: 0,
     }
 }
 
--- a/crates/gateway/tests/queue.rs
+++ b/crates/gateway/tests/queue.rs
@@ -20,7 +20,7 @@
     Lane { id: id.into(), domain: domain.into(), open: true }
 }
 
-/// A piece as a case gives it: job, how many, due in ms, bytes, domain, rank, waited so far in ms.
+/// A piece as a case gives it: job, how many, due in ms, bytes, domain, rank, waited so far in ms, alone.
 #[derive(Clone, Copy)]
 struct Given {
     job: u64,
@@ -30,11 +30,20 @@
     domain: Option<&'static str>,
     rank: u8,
     waited: u64,
+    alone: bool,
 }
 
 /// Has waited longer than a call is held back for more pieces.
-const PLAIN: Given =
-    Given { job: 1, pieces: 1, due: 900, bytes: 1_000, domain: None, rank: 0, waited: 60 };
+const PLAIN: Given = Given {
+    job: 1,
+    pieces: 1,
+    due: 900,
+    bytes: 1_000,
+    domain: None,
+    rank: 0,
+    waited: 60,
+    alone: false,
+};
 
 fn push(queue: &mut Queue, given: Given, now: Instant) {
     for segment in 0..given.pieces {
@@ -56,6 +65,9 @@
             deadline: now + Duration::from_secs(4),
             since: now - Duration::from_millis(given.waited),
             sent: 0,
+            request: None,
+            alone: given.alone,
+            lost: 0,
         });
     }
 }
@@ -121,6 +133,27 @@
         lanes: &[("u", "d")],
         next: Some(("u", &[2, 1])),
     },
+    Case {
+        name: "what may end its upstream takes nothing else along",
+        given: &[
+            Given { job: 1, pieces: 2, due: 900, alone: true, ..PLAIN },
+            Given { job: 2, pieces: 2, due: 950, alone: true, ..PLAIN },
+            Given { job: 3, pieces: 2, due: 950, ..PLAIN },
+        ],
+        lanes: &[("u", "d")],
+        next: Some(("u", &[1, 1])),
+    },
+    Case {
+        name: "and goes along with nothing else",
+        given: &[
+            Given { job: 1, due: 900, ..PLAIN },
+            Given { job: 1, due: 910, alone: true, ..PLAIN },
+            Given { job: 2, due: 950, alone: true, ..PLAIN },
+            Given { job: 3, due: 990, ..PLAIN },
+        ],
+        lanes: &[("u", "d")],
+        next: Some(("u", &[1, 3])),
+    },
     Case {
         name: "a higher rank goes first",
         given: &[
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -35,7 +35,7 @@
 /// The level of this release's messages, which each side tells the other with its heartbeats. A message
 /// that an earlier release can't read goes only to those of a level that can, so that two releases serve
 /// together in any order of an upgrade.
-pub const LEVEL: u8 = 2;
+pub const LEVEL: u8 = 3;
 
 /// After how long without a frame a side sends a heartbeat.
 pub const HEARTBEAT: Duration = Duration::from_millis(500);
