Look past owners of stages that are gone

What callers saw: where many entries are gone and still listed, a request with stages was refused with 503 "no stage", though its entry could have made the pieces itself.

Change: an owner to which no connection came up is told apart from one that fell silent. It does not count for 750 ms, and its pieces are not repeats. After that time the entry may own the section itself, as at the last try before.

Ruled out: a shorter list, for the members take gone entries off it as soon as their connections end; the time until then is what this is about.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -41,6 +41,9 @@
 /// To how many owners a job is handed at most.
 const OWNERS: usize = 3;
 
+/// How long a job looks past owners that can't be reached.
+const SEARCH: Duration = Duration::from_millis(750);
+
 /// How often an entry without a member asks others for their news.
 const ASK: Duration = Duration::from_millis(500);
 
@@ -131,9 +134,13 @@
             times: StageTimes::default(),
         };
         let mut again = false;
-        for turn in 1..=OWNERS {
+        let mut owners = 0;
+        let began = Instant::now();
+        while owners < OWNERS {
+            let late = began.elapsed() >= SEARCH;
+            let last = late || owners + 1 == OWNERS;
             let section = self.shared.section(&spec.service, spec.domain.as_deref(), spec.rank);
-            let Some(address) = self.owner_of(&section, turn == OWNERS) else { break };
+            let Some(address) = self.owner_of(&section, last) else { break };
             if again {
                 let entries = self.shared.entries();
                 let count = progress.left.len() as u32;
@@ -152,8 +159,16 @@
                 Ended::Silent => {
                     self.suspect(address, &spec.service, "silent");
                     again = true;
+                    owners += 1;
+                }
+                Ended::Unreached => {
+                    self.suspect(address, &spec.service, "unreachable");
+                    owners += usize::from(late);
+                }
+                Ended::Refused => {
+                    self.suspect(address, &spec.service, "ending");
+                    owners += 1;
                 }
-                Ended::Refused => self.suspect(address, &spec.service, "ending"),
             }
         }
         Err(PieceFailure::Failed)
@@ -296,8 +311,9 @@
         }
         let link = self.link(address);
         let _guard = RemoteJob { link: &link, id };
+        let lost = || if link.is_unreached() { Ended::Unreached } else { Ended::Silent };
         if !link.wait(id, replies) {
-            return Ended::Silent;
+            return lost();
         }
         link.tell(message);
         let mut by = Instant::now() + ACCEPT;
@@ -311,7 +327,7 @@
                     }
                     by = Instant::now() + SILENT;
                 }
-                Ok(None) => return Ended::Silent,
+                Ok(None) => return lost(),
                 Err(_) => {
                     let heard = link.heard().filter(|_| accepted);
                     match heard.map(|it| it + SILENT).filter(|it| *it > Instant::now()) {
--- a/crates/gateway/src/batch/client/job.rs
+++ b/crates/gateway/src/batch/client/job.rs
@@ -17,6 +17,8 @@
     Done,
     Failed(PieceFailure),
     Silent,
+    /// The owner can't be reached, and took nothing.
+    Unreached,
     /// The owner took nothing.
     Refused,
 }
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -47,6 +47,7 @@
 struct Waiting {
     jobs: HashMap<u64, mpsc::UnboundedSender<FromOwner>>,
     heard: Option<Instant>,
+    connected: bool,
     ended: bool,
 }
 
@@ -69,6 +70,12 @@
         self.lock().ended
     }
 
+    /// Whether the connection ended before it came up: nothing told has reached the owner.
+    pub(crate) fn is_unreached(&self) -> bool {
+        let waiting = self.lock();
+        waiting.ended && !waiting.connected
+    }
+
     /// When the owner was heard last.
     pub(crate) fn heard(&self) -> Option<Instant> {
         self.lock().heard
@@ -147,6 +154,7 @@
 ) {
     let dialled = timeout(DIAL_TIMEOUT, wire::connect(address, &secret, me, Kind::Entry)).await;
     if let Ok(Ok(connection)) = dialled {
+        link.lock().connected = true;
         let (sender, mut receiver) = connection.split::<ToOwner, FromOwner>();
         sender.wait_level(LEVEL_PATIENCE).await;
         loop {
