Wait for the list of entries before an entry counts as ready

What callers saw: after all VMs had lost power, a large deployment refused requests with 503 "no stage" for some seconds, the more the larger it is.

Cause: an entry was ready once it knew the plan and the upstreams. One that has not heard of the other entries owns every section itself, unsplit, and calls all upstreams of a stage, whose queues are then full for the owners that all others have chosen.

The number of such entries grows with the entries, and the upstreams that each fills with the upstreams: a square.

Change: readiness, and the wait of a first request, ask for the list of entries too. The test, on the code before: ready without it.

Ruled out: forming the cluster (plan in force 0.32 s after the start).

--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use registry::{EntrySeen, LoadReport, News, loads_period};
+use registry::{EntrySeen, LoadReport, News, Stamp, loads_period};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
 
@@ -23,13 +23,16 @@
 use crate::section::{self, LinkRate, Section};
 use crate::suspects::Suspects;
 
+#[cfg(test)]
+mod tests;
+
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
 
 /// How long the loads of other entries count without a new report. Older ones mislead more than none.
 const DIGEST_AGE: Duration = Duration::from_millis(1_200);
 
-/// How long a request waits for the first plan and the first list of upstreams. After a loss of all
+/// How long a request waits for the first plan and the first lists of upstreams and entries. After a loss of all
 /// power they come within about a second of the entry's start; callers give an entry a second to read.
 const FIRST_NEWS: Duration = Duration::from_millis(700);
 
@@ -39,6 +42,8 @@
     directory: ArcSwap<Directory>,
     peers: ArcSwap<Vec<EntrySeen>>,
     entries: AtomicUsize,
+    /// Whether it was told which other entries there are.
+    seated: AtomicBool,
     listed: AtomicBool,
     /// Told at each news.
     known: Notify,
@@ -68,6 +73,7 @@
             directory: ArcSwap::default(),
             peers: ArcSwap::default(),
             entries: AtomicUsize::new(1),
+            seated: AtomicBool::new(false),
             listed: AtomicBool::new(false),
             known: Notify::new(),
             own,
@@ -109,8 +115,12 @@
         self.plan()
     }
 
+    /// Whether it knows the plan, upstreams, and the other entries: one that knows none of them owns all
+    /// sections, and sends calls to upstreams beside the owners that the others have chosen.
     fn knows_enough(&self) -> bool {
-        self.plan.load().is_some() && self.directory().all().next().is_some()
+        self.plan.load().is_some()
+            && self.directory().all().next().is_some()
+            && self.seated.load(Ordering::Relaxed)
     }
 
     /// The upstreams.
@@ -212,6 +222,9 @@
         }
         self.entries.fetch_max(others.len() + 1, Ordering::Relaxed);
         self.peers.store(Arc::new(others));
+        if news.seated > Stamp::default() {
+            self.seated.store(true, Ordering::Relaxed);
+        }
         if let Some((version, text)) = &news.plan {
             let held = self.plan.load().as_ref().map(|it| it.version);
             if held.is_none_or(|it| it < *version) {
