Leave upstreams that are full alone for the time of a call

Cause: an upstream that turned a call away as full was idle to its owner, and got the next one at once. Its pieces went from one full upstream to another: three sends and three repeats of the retry budget within milliseconds, then the request was refused, though the queues are empty again after one call.

The test, with the pause taken out, fails.

Change: such an upstream gets no call for the announced time of one. The pieces wait in their queue, where they are in order and end in time or late like all others.

--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -97,8 +97,10 @@
                 if !fault.not_run || fault.unreachable {
                     end.upstream.failed(fault.unreachable);
                 }
-                if fault.cause == Cause::Lost {
-                    self.note_lost(&mut end, now);
+                match fault.cause {
+                    Cause::Lost => self.note_lost(&mut end, now),
+                    Cause::Refused(_) => self.note_full(&end, now),
+                    _ => {}
                 }
                 if fault.unreachable && !requeued && self.lanes(&end.section, now) > 0 {
                     self.put_back(end.pieces);
@@ -109,6 +111,12 @@
         }
     }
 
+    fn note_full(&mut self, end: &CallEnd, now: Instant) {
+        if let Some(queue) = self.queues.get_mut(&end.section) {
+            queue.full(&end.upstream.id, now);
+        }
+    }
+
     /// Notes that a call lost its connection: one of its requests may have ended the upstream.
     fn note_lost(&self, end: &mut CallEnd, now: Instant) {
         let sent = now.checked_sub(end.took).unwrap_or(now);
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -187,7 +187,7 @@
         for lane in &open {
             let record = self.records.entry(Arc::clone(&lane.id)).or_default();
             record.expire(now);
-            if record.busy.is_none() {
+            if record.is_idle(now) {
                 idle.push((lane, record.speed(now)));
             }
         }
@@ -259,6 +259,13 @@
         }
     }
 
+    /// Notes that an upstream turned a call away because calls of others wait there.
+    pub fn full(&mut self, upstream: &str, now: Instant) {
+        if let Some(record) = self.records.get_mut(upstream) {
+            record.full = Some(now + self.spec.call);
+        }
+    }
+
     /// Notes that an upstream had no room for a result: it keeps some that this queue doesn't know
     /// of, from an owner before or with another size.
     pub fn crowded(&mut self, upstream: &str, size: u64, now: Instant) {
--- a/crates/gateway/tests/queue.rs
+++ b/crates/gateway/tests/queue.rs
@@ -282,6 +282,23 @@
     assert_eq!(next.expected, first.expected, "it is as fast as announced again");
 }
 
+/// Pieces use up their sends on upstreams that are full, one after the other within milliseconds.
+#[test]
+fn an_upstream_that_is_full_gets_no_call_for_the_time_of_one() {
+    let now = Instant::now();
+    let lanes = [lane("u", "d")];
+    let mut queue = Queue::new(SPEC);
+    push(&mut queue, PLAIN, now);
+    let first = queue.next(&lanes, now).expect("a call");
+    queue.ended("u", first.pieces.len(), None, now);
+    queue.full("u", now);
+    push(&mut queue, PLAIN, now);
+    assert!(queue.next(&lanes, now).is_none(), "it is full");
+    let almost = now + SPEC.call - Duration::from_millis(1);
+    assert!(queue.next(&lanes, almost).is_none(), "its present call takes longer");
+    assert!(queue.next(&lanes, now + SPEC.call).is_some(), "it is left out for good");
+}
+
 struct ForeignCase {
     name: &'static str,
     /// What the upstream has free before the first call, in results.
