Split the jobs that come in from what an owner does with them

The first are in jobs.rs now, and what a job's message says of each piece is one function without state. No change of behaviour.

--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -1,5 +1,6 @@
 //! The owner's side: queues the pieces of its services and drives the calls.
 
+mod jobs;
 mod results;
 mod room;
 mod tell;
@@ -8,18 +9,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use registry::RequestDigest;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::batch::message::{FromOwner, Job, JobInput, PiecesDone, ToOwner};
+use crate::batch::message::{FromOwner, PiecesDone, ToOwner};
 use crate::batch::queue::{JobKey, Lane, NextCall, Piece, Queue};
-use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, PieceInput, RoomReport};
+use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, RoomReport};
 use crate::exchange::{self, Fault};
 use crate::section::Section;
 use crate::shared::Shared;
 use crate::upstream::Upstream;
 
+use self::jobs::Asked;
 use self::room::Survey;
 
 /// How often waiting pieces are looked at besides events.
@@ -96,14 +97,6 @@
     left: HashSet<u32>,
 }
 
-/// What else a job was submitted with; an entry of an earlier release tells less.
-struct Asked {
-    /// The failure domain of its section, where the service is split.
-    domain: Option<Arc<str>>,
-    /// The request that it is for.
-    digest: Option<RequestDigest>,
-}
-
 /// A call under way.
 struct Flying {
     call: u64,
@@ -190,15 +183,13 @@
     fn take(&mut self, event: OwnerEvent) {
         match event {
             OwnerEvent::Told(origin, ToOwner::Submit(job), replies) => {
-                self.submit(origin, Asked { domain: None, digest: None }, job, replies);
+                self.submit(origin, Asked::default(), job, replies);
             }
             OwnerEvent::Told(origin, ToOwner::SubmitIn(domain, job), replies) => {
-                let asked = Asked { domain: Some(domain.into()), digest: None };
-                self.submit(origin, asked, job, replies);
+                self.submit(origin, Asked { domain: Some(domain), digest: None }, job, replies);
             }
             OwnerEvent::Told(origin, ToOwner::SubmitOf(it), replies) => {
-                let domain = it.domain.map(Arc::from);
-                let asked = Asked { domain, digest: Some(it.digest) };
+                let asked = Asked { domain: it.domain, digest: Some(it.digest) };
                 self.submit(origin, asked, it.job, replies);
             }
             OwnerEvent::Told(origin, ToOwner::Cancel(id), _) => {
@@ -227,80 +218,6 @@
         }
     }
 
-    fn submit(&mut self, origin: u64, asked: Asked, job: Job, replies: Replies) {
-        if origin != OWN {
-            self.peers.entry(origin).or_insert_with(|| replies.clone());
-        }
-        let now = Instant::now();
-        let plan = self.shared.plan();
-        let service: Arc<str> = job.service.as_str().into();
-        let spec = plan.as_ref().and_then(|it| it.services.get(&service)).and_then(|it| it.batch);
-        // The submitter may have ended meanwhile, here and below.
-        if self.shared.drain.is_ending() && origin != OWN {
-            let _ = replies.send(FromOwner::Refused(job.id));
-            return;
-        }
-        let _ = replies.send(FromOwner::Accepted(job.id));
-        let Some(spec) = spec else {
-            let results = job.segments.iter().map(|it| (*it, Err(PieceFailure::Failed))).collect();
-            let done = PiecesDone { id: job.id, results, ..PiecesDone::default() };
-            let _ = replies.send(FromOwner::Results(done));
-            return;
-        };
-        self.shared.budget.request(&service, now);
-        let key = JobKey { origin, id: job.id };
-        let input = match job.input {
-            JobInput::Key(key) => PieceInput::Key(key.into()),
-            JobInput::Results(handles) => {
-                PieceInput::Results(Arc::new(handles.into_iter().map(Handle::from).collect()))
-            }
-        };
-        let due = match u64::try_from(job.due_ms) {
-            Ok(ms) => now + Duration::from_millis(ms),
-            Err(_) => now,
-        };
-        let section = match asked.domain {
-            Some(domain) => Section { service, domain: Some(domain) },
-            // Of an entry that knows no sections. Another owner works with the rest of the upstreams.
-            None => self.own_section(&service),
-        };
-        let queue = self.queues.entry(section.clone()).or_insert_with(|| Queue::new(spec));
-        queue.set_spec(spec);
-        let attempt: Arc<str> = job.attempt.into();
-        let domain: Option<Arc<str>> = job.domain.map(Arc::from);
-        let request = asked.digest;
-        let alone = request.is_some_and(|it| self.shared.suspects.is_suspected(&it));
-        for segment in &job.segments {
-            queue.push(Piece {
-                job: key,
-                attempt: Arc::clone(&attempt),
-                stage: job.stage,
-                segment: *segment,
-                input: input.clone(),
-                rank: job.rank,
-                size: job.size,
-                domain: domain.clone(),
-                weight: job.weight,
-                due,
-                deadline: now + Duration::from_millis(job.left_ms),
-                since: now,
-                sent: u32::from(job.again),
-                request,
-                alone,
-                lost: 0,
-            });
-        }
-        let left = job.segments.into_iter().collect();
-        self.jobs.insert(key, Open { section, replies, left });
-    }
-
-    /// The section of this entry's failure domain, where a service is split.
-    fn own_section(&self, service: &Arc<str>) -> Section {
-        let sections = self.shared.directory().sections(service).into_iter();
-        let mut own = sections.filter(|it| it.domain.as_ref() == Some(&self.shared.domain));
-        own.next().unwrap_or_else(|| Section::whole(service))
-    }
-
     fn give_up(&mut self, handles: Vec<String>) {
         for handle in handles.into_iter().map(Handle::from) {
             if let Some(address) = D::keeper(&handle) {
@@ -309,25 +226,6 @@
         }
     }
 
-    /// Hands the jobs of which nothing was sent yet back to other entries, once this one ends.
-    fn hand_back(&mut self) {
-        self.handed_back = true;
-        let flying: HashSet<JobKey> =
-            self.flying.values().flat_map(|it| &it.pieces).map(|it| it.job).collect();
-        let mut back = HashSet::new();
-        self.jobs.retain(|key, open| {
-            if key.origin == OWN || flying.contains(key) {
-                return true;
-            }
-            back.insert(*key);
-            // The submitter may have ended meanwhile.
-            let _ = open.replies.send(FromOwner::Refused(key.id));
-            false
-        });
-        log::info!(jobs = back.len(); "handed waiting jobs back");
-        self.queues.values_mut().for_each(|it| it.drop_jobs(|key| back.contains(&key)));
-    }
-
     /// Sends what should go out now.
     fn turn(&mut self) {
         let now = Instant::now();
