Tell upstreams that refuse a connection from those that are silent

An idempotent request whose first call timed out was then refused at the first upstream that was gone, where it had tried two more before.

Change: a connection that is refused and one that is not answered in time are told apart, and only the first is free. No time limit is needed: what is refused costs next to nothing, what is silent counts as it always did. The same for owners of stages. The log says which it was.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -41,9 +41,6 @@
 /// To how many owners a job is handed at most.
 const OWNERS: usize = 3;
 
-/// How long a job looks past owners that can't be reached.
-const SEARCH: Duration = Duration::from_millis(750);
-
 /// How often an entry without a member asks others for their news.
 const ASK: Duration = Duration::from_millis(500);
 
@@ -135,10 +132,8 @@
         };
         let mut again = false;
         let mut owners = 0;
-        let began = Instant::now();
         while owners < OWNERS {
-            let late = began.elapsed() >= SEARCH;
-            let last = late || owners + 1 == OWNERS;
+            let last = owners + 1 == OWNERS;
             let section = self.shared.section(&spec.service, spec.domain.as_deref(), spec.rank);
             let Some(address) = self.owner_of(&section, last) else { break };
             if again {
@@ -161,10 +156,8 @@
                     again = true;
                     owners += 1;
                 }
-                Ended::Unreached => {
-                    self.suspect(address, &spec.service, "unreachable");
-                    owners += usize::from(late);
-                }
+                // It says nothing of the others, and cost next to no time.
+                Ended::Unreached => self.suspect(address, &spec.service, "unreachable"),
                 Ended::Refused => {
                     self.suspect(address, &spec.service, "ending");
                     owners += 1;
@@ -311,7 +304,7 @@
         }
         let link = self.link(address);
         let _guard = RemoteJob { link: &link, id };
-        let lost = || if link.is_unreached() { Ended::Unreached } else { Ended::Silent };
+        let lost = || if link.is_refused() { Ended::Unreached } else { Ended::Silent };
         if !link.wait(id, replies) {
             return lost();
         }
--- a/crates/gateway/src/batch/client/job.rs
+++ b/crates/gateway/src/batch/client/job.rs
@@ -17,7 +17,7 @@
     Done,
     Failed(PieceFailure),
     Silent,
-    /// The owner can't be reached, and took nothing.
+    /// The owner refused the connection, and took nothing.
     Unreached,
     /// The owner took nothing.
     Refused,
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -47,7 +47,7 @@
 struct Waiting {
     jobs: HashMap<u64, mpsc::UnboundedSender<FromOwner>>,
     heard: Option<Instant>,
-    connected: bool,
+    refused: bool,
     ended: bool,
 }
 
@@ -70,10 +70,9 @@
         self.lock().ended
     }
 
-    /// Whether the connection ended before it came up: nothing told has reached the owner.
-    pub(crate) fn is_unreached(&self) -> bool {
-        let waiting = self.lock();
-        waiting.ended && !waiting.connected
+    /// Whether the owner refused the connection: nothing told has reached it.
+    pub(crate) fn is_refused(&self) -> bool {
+        self.lock().refused
     }
 
     /// When the owner was heard last.
@@ -153,8 +152,8 @@
     mut outgoing: mpsc::UnboundedReceiver<ToOwner>,
 ) {
     let dialled = timeout(DIAL_TIMEOUT, wire::connect(address, &secret, me, Kind::Entry)).await;
+    link.lock().refused = matches!(dialled, Ok(Err(_)));
     if let Ok(Ok(connection)) = dialled {
-        link.lock().connected = true;
         let (sender, mut receiver) = connection.split::<ToOwner, FromOwner>();
         sender.wait_level(LEVEL_PATIENCE).await;
         loop {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -37,7 +37,8 @@
 impl fmt::Display for Cause {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Cause::NoConnection(NoConnection::Unreachable) => f.write_str("unreachable"),
+            Cause::NoConnection(NoConnection::Refused) => f.write_str("connection refused"),
+            Cause::NoConnection(NoConnection::Silent) => f.write_str("no connection in time"),
             Cause::NoConnection(NoConnection::Full) => f.write_str("no free connection"),
             Cause::Refused(status) => write!(f, "refused with {status}"),
             Cause::Lost => f.write_str("connection lost"),
@@ -68,7 +69,7 @@
 
 impl Fault {
     fn unsent(why: NoConnection) -> Self {
-        let unreachable = why == NoConnection::Unreachable;
+        let unreachable = why != NoConnection::Full;
         Self { cause: Cause::NoConnection(why), not_run: true, unreachable }
     }
 
@@ -104,7 +105,7 @@
     loop {
         let mut lease = upstream.connect(by).await.map_err(Fault::unsent)?;
         let Some(sender) = lease.sender() else {
-            return Err(Fault::unsent(NoConnection::Unreachable));
+            return Err(Fault::unsent(NoConnection::Refused));
         };
         let response = match timeout_at(by, sender.try_send_request(request)).await {
             Ok(Ok(response)) => response,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -94,7 +94,7 @@
                 }
                 if fault.not_run {
                     arrived = arrived_before || !fault.is_unsent();
-                    if offers.turned_away(&fault, Instant::now()) {
+                    if offers.turned_away(&fault) {
                         continue;
                     }
                     break;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -154,7 +154,7 @@
                     // Its inputs are gone; the engine itself is fine.
                     used.offers.take_back();
                     inputs = None;
-                } else if !used.offers.turned_away(&fault, Instant::now()) {
+                } else if !used.offers.turned_away(&fault) {
                     return Err(Refusal::NoUpstream);
                 }
                 if used.stage_runs > STAGE_RUNS {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -97,8 +97,10 @@
 /// Why no connection could be had. Nothing was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NoConnection {
-    /// The upstream refused, or did not answer in time.
-    Unreachable,
+    /// The upstream refused.
+    Refused,
+    /// The upstream did not answer in time.
+    Silent,
     /// This entry's share of its connections is in use.
     Full,
 }
@@ -233,7 +235,10 @@
             return Ok(lease);
         }
         let opened = timeout_at(by, open(self.address)).await;
-        let Ok(Ok((sender, task))) = opened else { return Err(NoConnection::Unreachable) };
+        let (sender, task) = match opened {
+            Ok(opened) => opened?,
+            Err(_) => return Err(NoConnection::Silent),
+        };
         Ok(Lease { upstream: Arc::clone(self), parts: Some((sender, task, permit)) })
     }
 
@@ -265,20 +270,20 @@
 }
 
 async fn open(address: SocketAddr) -> Result<(ConnectionSender, AbortHandle), NoConnection> {
-    let unreachable = |_| NoConnection::Unreachable;
-    let stream = TcpStream::connect(address).await.map_err(unreachable)?;
+    let refused = |_| NoConnection::Refused;
+    let stream = TcpStream::connect(address).await.map_err(refused)?;
     let keepalive = TcpKeepalive::new().with_time(SILENT).with_interval(PROBE);
     let socket = SockRef::from(&stream);
     let tuned = stream
         .set_nodelay(true)
         .and_then(|()| socket.set_tcp_user_timeout(Some(SILENT)))
         .and_then(|()| socket.set_tcp_keepalive(&keepalive.with_retries(2)));
-    tuned.map_err(unreachable)?;
+    tuned.map_err(refused)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(64 << 10)
         .handshake(TokioIo::new(stream))
         .await
-        .map_err(|_| NoConnection::Unreachable)?;
+        .map_err(|_| NoConnection::Refused)?;
     let task = tokio::spawn(async move {
         // The sender's side sees the cause.
         let _ = connection.await;
