--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -68,7 +68,7 @@
 }
 
 impl Fault {
-    fn unsent(why: NoConnection) -> Self {
+    pub(crate) fn unsent(why: NoConnection) -> Self {
         let unreachable = why != NoConnection::Full;
         Self { cause: Cause::NoConnection(why), not_run: true, unreachable }
     }
--- a/crates/gateway/src/offers.rs
+++ b/crates/gateway/src/offers.rs
@@ -7,6 +7,9 @@
 use crate::exchange::{Cause, Fault};
 use crate::upstream::{NoConnection, Upstream};
 
+#[cfg(test)]
+mod tests;
+
 /// The upstreams that one request was offered to.
 #[derive(Debug)]
 pub(crate) struct Offers {
