Leave overdue pieces with their call where they may not be sent again

What callers saw: 503 "no stage" while the result of the piece was on its way.

Cause: a call that takes longer than expected has its pieces sent elsewhere while it goes on. A piece that may not be sent again, for it was sent three times or the retry budget is spent, was failed in that moment, and its request with it, as if the call had ended.

Change: such pieces stay with their call; if it answers, they are done, and if it is lost or given up, they are decided upon then. Which pieces were sent elsewhere is noted by piece, not by call.

--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -103,7 +103,9 @@
     section: Section,
     overdue: Instant,
     pieces: Vec<Piece>,
-    requeued: bool,
+    /// Whether its overdue pieces were looked at, and those that were sent elsewhere.
+    overtaken: bool,
+    again: HashSet<(JobKey, u32)>,
     /// When its upstream has fetched the inputs, and whether the submitters were told.
     fetched: Instant,
     told_fetched: bool,
@@ -307,7 +309,8 @@
             section: section.clone(),
             overdue: now + next.expected.mul_f64(OVERDUE_FACTOR) + OVERDUE,
             pieces: next.pieces.clone(),
-            requeued: false,
+            overtaken: false,
+            again: HashSet::new(),
             fetched: now + FETCH,
             told_fetched: false,
         };
--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -1,15 +1,15 @@
 //! What comes of calls: results are delivered once, lost pieces go back into their queue.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use registry::RequestDigest;
 use tokio::time::Instant;
 
-use super::{CallEnd, State};
+use super::{CallEnd, Flying, State};
 use crate::batch::message::{FromOwner, PiecesDone};
-use crate::batch::queue::Piece;
+use crate::batch::queue::{JobKey, Piece};
 use crate::dialect::{Dialect, PieceFailure, PieceResult};
 use crate::exchange::Cause;
 use crate::life::Life;
@@ -24,39 +24,47 @@
 const LOST_ALONE: u32 = 2;
 
 impl<D: Dialect> State<D> {
-    /// Puts the pieces of calls that are overdue back, where the budget allows it.
+    /// Puts the pieces of calls that are overdue back, where they may be sent again; the others stay with
+    /// their call, which may still answer.
     pub(super) fn requeue_overdue(&mut self, now: Instant) {
-        let mut again: Vec<Piece> = Vec::new();
-        for flying in self.flying.values_mut() {
-            if flying.requeued || now < flying.overdue {
-                continue;
+        let is_late = |it: &Flying| !it.overtaken && now >= it.overdue;
+        let late: Vec<Arc<str>> =
+            self.flying.iter().filter(|it| is_late(it.1)).map(|it| Arc::clone(it.0)).collect();
+        for upstream in late {
+            let Some(mut flying) = self.flying.remove(&upstream) else { continue };
+            flying.overtaken = true;
+            for piece in &flying.pieces {
+                if self.put_again(piece, now) {
+                    flying.again.insert((piece.job, piece.segment));
+                }
             }
-            flying.requeued = true;
-            let jobs = &self.jobs;
-            let open =
-                |it: &&Piece| jobs.get(&it.job).is_some_and(|job| job.left.contains(&it.segment));
-            again.extend(flying.pieces.iter().filter(open).cloned());
+            self.flying.insert(upstream, flying);
         }
-        for piece in again {
-            self.requeue(piece, now);
+    }
+
+    /// Puts a piece back, or fails it where it may not be sent again.
+    fn requeue(&mut self, piece: &Piece, now: Instant) {
+        if !self.put_again(piece, now) {
+            self.deliver(piece, Err(PieceFailure::Failed), now, Duration::ZERO);
         }
     }
 
-    /// Puts a piece back, or fails it where it was sent too often.
-    fn requeue(&mut self, piece: Piece, now: Instant) {
-        let Some(section) = self.section_of(&piece) else { return };
-        let entries = self.shared.entries();
+    /// Puts a piece that is still wanted back, if it may be sent again.
+    fn put_again(&mut self, piece: &Piece, now: Instant) -> bool {
+        let Some(open) = self.jobs.get(&piece.job) else { return false };
         let held = piece.request.is_some_and(|it| self.shared.suspects.is_held(&it));
-        if held
-            || piece.sent >= SENDS
-            || !self.shared.budget.take(&section.service, 1, entries, now)
-        {
-            self.deliver(&piece, Err(PieceFailure::Failed), now, Duration::ZERO);
-            return;
+        if held || piece.sent >= SENDS || !open.left.contains(&piece.segment) {
+            return false;
+        }
+        let section = open.section.clone();
+        let entries = self.shared.entries();
+        if !self.shared.budget.take(&section.service, 1, entries, now) {
+            return false;
         }
         if let Some(queue) = self.queues.get_mut(&section) {
-            queue.push(piece);
+            queue.push(piece.clone());
         }
+        true
     }
 
     fn section_of(&self, piece: &Piece) -> Option<Section> {
@@ -66,7 +74,7 @@
     pub(super) fn ended(&mut self, mut end: CallEnd) {
         let now = Instant::now();
         let flying = self.flying.remove(&end.upstream.id);
-        let requeued = flying.as_ref().is_some_and(|it| it.call == end.call && it.requeued);
+        let again = flying.filter(|it| it.call == end.call).map(|it| it.again).unwrap_or_default();
         let whole = end.outcome.is_ok();
         if let Some(queue) = self.queues.get_mut(&end.section) {
             queue.ended(&end.upstream.id, end.pieces.len(), whole.then_some(end.took), now);
@@ -77,7 +85,7 @@
                 if life == Life::Past {
                     log::warn!(upstream:% = end.upstream.id, pieces = end.pieces.len();
                         "results of a life that has ended");
-                    self.requeue_all(end.pieces, requeued, now);
+                    self.requeue_all(&end.pieces, &again, now);
                     return;
                 }
                 if life == Life::New
@@ -87,7 +95,8 @@
                 }
                 end.upstream.succeeded();
                 for (piece, result) in end.pieces.iter().zip(&answer.results) {
-                    self.take_result(&end, piece, result.clone(), requeued, now);
+                    let elsewhere = again.contains(&(piece.job, piece.segment));
+                    self.take_result(&end, piece, result.clone(), elsewhere, now);
                 }
             }
             Err(fault) => {
@@ -102,10 +111,10 @@
                     Cause::Refused(_) => self.note_full(&end, now),
                     _ => {}
                 }
-                if fault.unreachable && !requeued && self.lanes(&end.section, now) > 0 {
+                if fault.unreachable && again.is_empty() && self.lanes(&end.section, now) > 0 {
                     self.put_back(end.pieces);
                 } else {
-                    self.requeue_all(end.pieces, requeued, now);
+                    self.requeue_all(&end.pieces, &again, now);
                 }
             }
         }
@@ -143,13 +152,12 @@
         }
     }
 
-    /// Puts the pieces of a call without results back, unless they were put back when it was overdue.
-    fn requeue_all(&mut self, pieces: Vec<Piece>, requeued: bool, now: Instant) {
-        if requeued {
-            return;
-        }
+    /// Puts the pieces of a call without results back, but those that were sent elsewhere when it was overdue.
+    fn requeue_all(&mut self, pieces: &[Piece], again: &HashSet<(JobKey, u32)>, now: Instant) {
         for piece in pieces {
-            self.requeue(piece, now);
+            if !again.contains(&(piece.job, piece.segment)) {
+                self.requeue(piece, now);
+            }
         }
     }
 
@@ -158,7 +166,7 @@
         end: &CallEnd,
         piece: &Piece,
         result: PieceResult,
-        requeued: bool,
+        elsewhere: bool,
         now: Instant,
     ) {
         match result {
@@ -171,13 +179,13 @@
                     self.give_up(vec![handle.to_string()]);
                 }
             }
-            Err(PieceFailure::NoRoom) if !requeued => {
+            Err(PieceFailure::NoRoom) if !elsewhere => {
                 if let Some(queue) = self.queues.get_mut(&end.section) {
                     queue.crowded(&end.upstream.id, piece.size, now);
                 }
-                self.requeue(piece.clone(), now);
+                self.requeue(piece, now);
             }
-            Err(PieceFailure::Failed) if !requeued => self.requeue(piece.clone(), now),
+            Err(PieceFailure::Failed) if !elsewhere => self.requeue(piece, now),
             Err(PieceFailure::NoRoom | PieceFailure::Failed) => {}
             Err(failure) => {
                 self.deliver(piece, Err(failure), now, end.took);
--- a/crates/gateway/src/batch/owner/tell.rs
+++ b/crates/gateway/src/batch/owner/tell.rs
@@ -45,7 +45,7 @@
     /// Tells the submitters of calls under way once their inputs are fetched.
     pub(super) fn tell_fetched(&mut self, now: Instant) {
         for flying in self.flying.values_mut() {
-            if flying.told_fetched || now < flying.fetched || flying.requeued {
+            if flying.told_fetched || now < flying.fetched || flying.overtaken {
                 continue;
             }
             flying.told_fetched = true;
