--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -103,8 +103,9 @@
     section: Section,
     overdue: Instant,
     pieces: Vec<Piece>,
-    /// Whether its overdue pieces were looked at, and those that were sent elsewhere.
+    /// Whether it was found to be overdue.
     overtaken: bool,
+    /// The pieces that were put back then, by job and number; others may make them.
     again: HashSet<(JobKey, u32)>,
     /// When its upstream has fetched the inputs, and whether the submitters were told.
     fetched: Instant,
--- a/crates/gateway/src/batch/owner/jobs.rs
+++ b/crates/gateway/src/batch/owner/jobs.rs
@@ -88,7 +88,7 @@
     }
 }
 
-/// The pieces of a job that waits since now.
+/// Makes the pieces of a job that has come now.
 fn pieces(key: JobKey, job: Job, now: Instant) -> impl Iterator<Item = Piece> {
     let attempt: Arc<str> = job.attempt.into();
     let input = match job.input {
--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Puts a piece that is still wanted back, if it may be sent again.
+    /// Puts a piece that is still wanted back, if it may be sent again; returns whether it was.
     fn put_again(&mut self, piece: &Piece, now: Instant) -> bool {
         let Some(open) = self.jobs.get(&piece.job) else { return false };
         let held = piece.request.is_some_and(|it| self.shared.suspects.is_held(&it));
--- a/crates/registry/src/quarantine/table.rs
+++ b/crates/registry/src/quarantine/table.rs
@@ -81,7 +81,9 @@
     end: u64,
     began: Instant,
     ended: Instant,
+    /// How long before the end it was sent, in ms.
     age: u64,
+    /// The end by the clock of the entry that saw it.
     clock: Option<EntryClock>,
 }
 
