--- a/crates/mothplank/tests/env/mod.rs
+++ b/crates/mothplank/tests/env/mod.rs
@@ -165,7 +165,7 @@
 
     /// Starts a cluster with the voters.
     pub fn init(&self) {
-        self.run_ok(&["init"]);
+        self.run_ok(&["init", "--within-ms", "60000"]);
     }
 
     /// Starts one stand-in as a process and returns its address.
