Evacuate failure domains by an operator's order

Cause: an operator's order to send nothing more to a failure domain, and its withdrawal, were answered 404.

With the orders alone, requests with stages waited for seconds in queues that no upstream served while every domain was evacuated; they are refused at once now, with all of the request's services checked.

Every committed order gets the next number; entries take the state with the highest one, from any member, and know it before they have a plan. An order whose sender has gone is not proposed: a late copy must not undo what was acknowledged since. Sections are made of open upstreams only; a section without any uses those of the whole service, so its jobs end elsewhere.

An entry that is out of touch and gets its lists from another entry does not get evacuations that way.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -41,6 +41,7 @@
                 _ => Arc::new(Upstream::new(it, connection_share)),
             };
             upstream.set_draining(it.health == registry::Health::Draining);
+            upstream.set_evacuated(registry_state.evacuated.contains(&it.domain));
             upstream.raise_connection_limit(connection_share);
             let service = next.services.entry(Arc::clone(&upstream.service)).or_default();
             service.push(Arc::clone(&upstream));
@@ -61,7 +62,10 @@
         for (service, upstreams) in &self.services {
             let spec = plan.services.get(service).and_then(|it| it.batch);
             let Some(spec) = spec else { continue };
-            let sections = section::split(service, &spec, upstreams, entries, link);
+            // An evacuated domain without a section gets no jobs that its owner would have to move.
+            let open: Vec<_> = upstreams.iter().filter(|it| it.is_open()).cloned().collect();
+            let split_over = if open.is_empty() { upstreams } else { &open };
+            let sections = section::split(service, &spec, split_over, entries, link);
             self.sections.insert(Arc::clone(service), sections);
         }
     }
@@ -80,13 +84,13 @@
         own.unwrap_or_else(|| Section::whole(&upstream.service))
     }
 
-    /// Returns the upstreams of a section. If no listed upstream belongs to it any more, returns
-    /// all upstreams of its service, so that its jobs can still finish.
+    /// Returns the upstreams of a section. If none of them is open any more, returns all upstreams of
+    /// its service, so that its jobs can still finish.
     pub(crate) fn members(&self, section: &Section) -> Vec<Arc<Upstream>> {
         let all = self.service(&section.service);
         let near = |it: &&Arc<Upstream>| section.domain.as_ref().is_none_or(|d| *d == it.domain);
         let members: Vec<Arc<Upstream>> = all.iter().filter(near).cloned().collect();
-        if members.is_empty() { all.to_vec() } else { members }
+        if members.iter().any(|it| it.is_open()) { members } else { all.to_vec() }
     }
 
     /// Returns the upstreams of a service, including those that are draining.
@@ -94,6 +98,11 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns whether a service has an upstream that may get new requests.
+    pub(crate) fn has_open(&self, service: &str) -> bool {
+        self.service(service).iter().any(|it| it.is_open())
+    }
+
     /// Returns the number of all upstreams.
     pub(crate) fn len(&self) -> usize {
         self.positions.len()
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -16,6 +16,7 @@
 use types::{StepError, StepResult};
 
 use crate::dialect::Dialect;
+use crate::directory::Directory;
 use crate::guard::{GuardedStream, LengthConflict};
 use crate::head_timeout::{HeadTimer, ReadCounter};
 use crate::plain;
@@ -150,6 +151,9 @@
     }
     let service = request.route.service(rand::random()).cloned().ok_or(Refusal::NoUpstream)?;
     shared.budget.record_request(&service, arrived);
+    if !can_be_served(&shared.directory(), &request, &service) {
+        return Err(Refusal::NoUpstream);
+    }
     let engine = request.plan.services.get(&service).is_some_and(|it| it.engine.is_some());
     let (attempt, deadline) = (request.head.attempt.clone(), request.first_event_by);
     let (kind, late) = (request.route.kind, request.timeout_watch());
@@ -185,6 +189,15 @@
     result
 }
 
+/// Returns whether all services that a request needs have an upstream that may get new requests. If
+/// not, its pieces would wait in a queue until it is late.
+fn can_be_served(directory: &Directory, request: &CallerRequest, service: &str) -> bool {
+    let pieces = request.head.segments.as_ref().map_or(&[][..], |it| &it.counts);
+    let stages = request.route.stages.iter().zip(pieces).filter(|(_, count)| **count > 0);
+    let mut needed = stages.map(|(stage, _)| &*stage.service).chain([service]);
+    needed.all(|it| directory.has_open(it))
+}
+
 /// Answers the readiness checks of the balancer.
 pub(crate) async fn serve_ready<D: Dialect>(listener: TcpListener, shared: Arc<Shared<D>>) {
     loop {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,8 @@
     pub(crate) version: IntGauge,
     /// The number of requests in quarantine.
     pub(crate) quarantined: IntGauge,
+    /// The number of evacuated failure domains.
+    pub(crate) evacuated: IntGauge,
 }
 
 impl Metrics {
@@ -53,6 +55,11 @@
                 "Requests that are not sent",
             )
             .map_err(fault)?,
+            evacuated: IntGauge::new(
+                "mothplank_gateway_evacuated_domains",
+                "Failure domains whose upstreams get nothing new",
+            )
+            .map_err(fault)?,
         };
         registry.register(Box::new(it.requests.clone())).map_err(fault)?;
         registry.register(Box::new(it.calls.clone())).map_err(fault)?;
@@ -60,6 +67,7 @@
         registry.register(Box::new(it.phases.clone())).map_err(fault)?;
         registry.register(Box::new(it.version.clone())).map_err(fault)?;
         registry.register(Box::new(it.quarantined.clone())).map_err(fault)?;
+        registry.register(Box::new(it.evacuated.clone())).map_err(fault)?;
         Ok(it)
     }
 
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -238,12 +238,24 @@
                 self.apply_plan(text);
             }
         }
+        self.report_evacuations(registry_state);
         let plan = self.plan().unwrap_or_default();
         let next = self.directory().next(registry_state, &plan, self.entries(), self.link);
         self.directory.store(Arc::new(next));
         self.updated.notify_waiters();
     }
 
+    fn report_evacuations(&self, registry_state: &RegistryState) {
+        let evacuated = &registry_state.evacuated;
+        self.metrics.evacuated.set(evacuated.domains.len() as i64);
+        let upstreams = &registry_state.upstreams;
+        let left = upstreams.iter().any(|it| !evacuated.contains(&it.domain));
+        if !upstreams.is_empty() && !left {
+            log::warn!(domains:? = evacuated.domains;
+                "all failure domains with upstreams are evacuated: every request is refused");
+        }
+    }
+
     fn apply_plan(&self, text: &[u8]) {
         match D::decode_plan(text) {
             Ok(plan) => {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -69,6 +69,8 @@
     pub slots: u32,
     latest: LatestIncarnation,
     draining: AtomicBool,
+    /// Whether its failure domain is evacuated.
+    evacuated: AtomicBool,
     running: AtomicU32,
     tokens: AtomicU64,
     peer_load: PeerLoad,
@@ -124,6 +126,7 @@
             slots: listed.slots,
             latest: LatestIncarnation::default(),
             draining: AtomicBool::new(listed.health == registry::Health::Draining),
+            evacuated: AtomicBool::new(false),
             running: AtomicU32::new(0),
             tokens: AtomicU64::new(0),
             peer_load: PeerLoad::default(),
@@ -139,6 +142,12 @@
         self.draining.store(draining, Ordering::Relaxed);
     }
 
+    /// Sets whether the failure domain of the upstream is evacuated; such an upstream gets no new
+    /// requests. Returns whether it was evacuated before.
+    pub fn set_evacuated(&self, evacuated: bool) -> bool {
+        self.evacuated.swap(evacuated, Ordering::Relaxed)
+    }
+
     /// Raises the limit of this entry's connections. A lower limit takes effect only with the next
     /// incarnation.
     pub fn raise_connection_limit(&self, connections: u32) {
@@ -150,7 +159,7 @@
 
     /// Returns whether the upstream may get new requests.
     pub fn is_open(&self) -> bool {
-        !self.draining.load(Ordering::Relaxed)
+        !self.draining.load(Ordering::Relaxed) && !self.evacuated.load(Ordering::Relaxed)
     }
 
     /// Returns whether the upstream is ejected because of failures.
--- a/crates/mothplank/src/commands/registry.rs
+++ b/crates/mothplank/src/commands/registry.rs
@@ -26,6 +26,7 @@
         seeds: settings.seeds,
         bootstrap: settings.bootstrap,
         max_losses: settings.max_losses,
+        domains: settings.domains,
     };
     host::run(
         &settings.vm,
@@ -38,7 +39,7 @@
             host::serve_metrics(settings.metrics, telemetry::open_registry()).await;
             Ok(member)
         },
-        |member, settings| member.set_seeds(settings.seeds),
+        |member, settings| member.apply_settings(settings.seeds, settings.domains),
         async |member| {
             member.resign().await;
         },
--- a/crates/registry/src/driver.rs
+++ b/crates/registry/src/driver.rs
@@ -20,11 +20,13 @@
 use tokio::sync::{oneshot, watch};
 use types::{LogIndex, NodeId, StepResult};
 
-use crate::folder::{Folder, MAX_LOG_BYTES, Opened, decode, encode};
+use crate::evacuation::Order;
+use crate::folder::{Folder, MAX_LOG_BYTES, Opened};
 use crate::message::PeerMessage;
 use crate::peers::Peers;
-use crate::plan::{PutPlan, StoredPlan};
+use crate::plan::PutPlan;
 use crate::repair::{address_bytes, address_of};
+use crate::replicated::{Command, Replicated};
 
 use self::answers::Reader;
 use self::confirm::Confirmations;
@@ -74,6 +76,8 @@
     Join { node: NodeId, address: SocketAddr, relayed: bool },
     /// An operator's order to replace the plan; answered once it is committed.
     Put(PutPlan, oneshot::Sender<Answer>),
+    /// An operator's order for a failure domain; answered once it is committed.
+    Evacuate(Order, oneshot::Sender<Answer>),
     /// A linearizable read: the plan that it returns is not older than any acknowledged before.
     Read(oneshot::Sender<Answer>),
     /// Asks whether the plan in the view is the newest acknowledged one; answered once a quorum has
@@ -92,8 +96,8 @@
 /// The driver's answer to an order or a read.
 #[derive(Clone, Debug)]
 pub(crate) enum Answer {
-    /// The stored plan: the order is committed, or a quorum confirmed the read.
-    Plan(Arc<StoredPlan>),
+    /// The replicated state: the order is committed, or a quorum confirmed the read.
+    State(Replicated),
     /// This member does not lead; the leader's address, if known.
     NotLeader(Option<SocketAddr>),
     /// The cluster has too few voters to survive the configured number of losses.
@@ -117,9 +121,9 @@
     id: NodeId,
     node: Node,
     journal: Journal,
-    plan: Arc<StoredPlan>,
+    state: Replicated,
     applied: LogIndex,
-    pending_puts: Vec<(Position, oneshot::Sender<Answer>)>,
+    pending_orders: Vec<(Position, oneshot::Sender<Answer>)>,
     pending_reads: HashMap<u64, Reader>,
     confirmations: Confirmations,
     confirmed_reads: Vec<(u64, LogIndex)>,
@@ -162,8 +166,7 @@
         log::error!(cause:% = error;
             "the data folder failed; the member takes no part until it can be opened again");
         view.send_modify(|it| {
-            *it =
-                View { plan: Arc::clone(&it.plan), members: it.members.clone(), ..View::default() };
+            *it = View { state: it.state.clone(), members: it.members.clone(), ..View::default() };
         });
         std::thread::sleep(REOPEN_PAUSE);
         while let Ok(input) = inputs.try_recv() {
@@ -193,13 +196,13 @@
             };
             log::info!(node:% = id; "started a new cluster");
         }
-        let plan = restored.snapshot.as_ref().map(|it| decode::<StoredPlan>(&it.data));
-        let plan = match plan.transpose() {
-            Ok(plan) => Arc::new(plan.unwrap_or_default()),
+        let state = restored.snapshot.as_ref().map(|it| Replicated::decode(&it.data));
+        let state = match state.transpose() {
+            Ok(state) => state.unwrap_or_default(),
             Err(error) => return Err((Box::new(config), error)),
         };
         let applied = restored.snapshot.as_ref().map_or(LogIndex(0), |it| it.index);
-        log::info!(node:% = id, fresh, version:% = plan.version, applied:% = applied;
+        log::info!(node:% = id, fresh, version:% = state.plan.version, applied:% = applied;
             "opened the data folder");
         // If the queue is full, the driver is awake and checks for completed writes anyway.
         let journal = folder.spawn(move || drop(waker.try_send(Input::Written)));
@@ -216,9 +219,9 @@
             id,
             node,
             journal,
-            plan,
+            state,
             applied,
-            pending_puts: Vec::new(),
+            pending_orders: Vec::new(),
             pending_reads: HashMap::new(),
             confirmations: Confirmations::new(),
             confirmed_reads: Vec::new(),
@@ -273,6 +276,9 @@
             }
             Input::Join { node, address, relayed } => self.handle_join(node, address, relayed),
             Input::Put(put, reply) => self.handle_put(put, reply),
+            Input::Evacuate(order, reply) => {
+                self.propose(&Command::Evacuation(order), reply);
+            }
             Input::Read(reply) => self.handle_read(reply),
             Input::ConfirmView(reply) => self.confirmations.add(reply),
             Input::Confirm { ticket, from } => self.read_for(ticket, from),
@@ -300,22 +306,37 @@
     }
 
     fn handle_put(&mut self, put: PutPlan, reply: oneshot::Sender<Answer>) {
+        if put.version <= self.state.plan.version && self.accepts_orders() {
+            self.handle_read(reply);
+            return;
+        }
+        self.propose(&Command::PutPlan(put), reply);
+    }
+
+    /// Returns whether this node leads enough voters to keep an order. With fewer, the order could be
+    /// acknowledged and then lost together with the disks of all voters that hold it.
+    fn accepts_orders(&self) -> bool {
+        let enough_voters = self.node.membership().quorum() > self.config.max_losses;
+        self.node.status().role == Role::Leader && enough_voters
+    }
+
+    /// Proposes an order to the log, and answers once it is committed.
+    fn propose(&mut self, command: &Command, reply: oneshot::Sender<Answer>) {
+        // The operator has given up and sends the order again. Meanwhile the opposite one may have been
+        // acknowledged, and a late copy must not undo that.
+        if reply.is_closed() {
+            return;
+        }
         if self.node.status().role != Role::Leader {
             self.answer_not_leader(reply);
             return;
         }
-        // Otherwise the order could be acknowledged and then lost together with the disks of all
-        // voters that hold it.
-        if self.node.membership().quorum() <= self.config.max_losses {
+        if !self.accepts_orders() {
             let _ = reply.send(Answer::TooFewVoters);
             return;
         }
-        if put.version <= self.plan.version {
-            self.handle_read(reply);
-            return;
-        }
-        match self.node.propose(encode(&put)) {
-            Ok(position) => self.pending_puts.push((position, reply)),
+        match self.node.propose(command.encode()) {
+            Ok(position) => self.pending_orders.push((position, reply)),
             Err(_) => self.answer_not_leader(reply),
         }
     }
@@ -343,7 +364,7 @@
             let mut ready = self.node.ready();
             let messages = self.journal.write(&mut ready)?;
             if let Some(snapshot) = &ready.snapshot {
-                self.plan = Arc::new(decode(&snapshot.data)?);
+                self.state = Replicated::decode(&snapshot.data)?;
                 self.applied = snapshot.index;
             }
             for message in ready.immediate.into_iter().chain(messages) {
@@ -361,7 +382,7 @@
                 self.publish();
             }
             for position in committed {
-                self.answer_put(position);
+                self.answer_order(position);
             }
             self.handle_reads(ready.reads, ready.failed_reads);
             self.answer_reads();
@@ -382,12 +403,9 @@
         match payload {
             Payload::Empty => {}
             Payload::Command(bytes) => {
-                let put: PutPlan = decode(&bytes)?;
-                let version = put.version;
-                let mut plan = StoredPlan::clone(&self.plan);
-                if plan.apply(put) {
-                    self.plan = Arc::new(plan);
-                    log::info!(version:% = version, index:% = self.applied; "stored a new plan");
+                let command = Command::decode(&bytes)?;
+                if self.state.apply(&command) {
+                    log_applied(&command, self.applied);
                 }
             }
             Payload::Membership(it) => {
@@ -400,11 +418,25 @@
 
     fn compact(&mut self) -> StepResult<()> {
         let Some(head) = self.node.snapshot_head(self.applied) else { return Ok(()) };
-        let snapshot = Snapshot { data: encode(&*self.plan), ..head };
+        let snapshot = Snapshot { data: self.state.encode(), ..head };
         self.journal.snapshot(&self.node, snapshot)
     }
 }
 
+/// Logs a command that changed the state, for the audit trail.
+fn log_applied(command: &Command, index: LogIndex) {
+    match command {
+        Command::PutPlan(put) => {
+            log::info!(version:% = put.version, index:% = index; "stored a new plan");
+        }
+        Command::Evacuation(order) => {
+            log::info!(domain = order.domain.as_str(), action:% = order.action,
+                operator = order.operator.as_str(), ordered_ms = order.at_ms, index:% = index;
+                "stored an order for a failure domain");
+        }
+    }
+}
+
 fn node_config(id: NodeId) -> Config {
     Config {
         id,
--- a/crates/registry/src/driver/answers.rs
+++ b/crates/registry/src/driver/answers.rs
@@ -1,7 +1,6 @@
 //! Answers operators' orders and reads once their outcome is known.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use consensus::Position;
 use tokio::sync::oneshot;
@@ -12,7 +11,7 @@
 /// Who started a read that a quorum must confirm.
 #[derive(Debug)]
 pub(super) enum Reader {
-    /// An operator; answered with the plan.
+    /// An operator; answered with the state.
     Operator(oneshot::Sender<Answer>),
     /// A member, possibly this one, that checks whether its plan is current; answered with the log index.
     Member { ticket: u64, at: SocketAddr },
@@ -21,16 +20,16 @@
 impl Driver {
     /// Answers the orders up to a committed position. An order whose entry another leader's entry
     /// replaced is answered with [`Answer::NotLeader`].
-    pub(super) fn answer_put(&mut self, position: Position) {
-        let plan = &self.plan;
-        self.pending_puts.retain_mut(|(at, reply)| {
+    pub(super) fn answer_order(&mut self, position: Position) {
+        let state = &self.state;
+        self.pending_orders.retain_mut(|(at, reply)| {
             if at.index > position.index {
                 return true;
             }
             let reply = std::mem::replace(reply, oneshot::channel().0);
             let committed = *at == position;
             let answer =
-                if committed { Answer::Plan(Arc::clone(plan)) } else { Answer::NotLeader(None) };
+                if committed { Answer::State(state.clone()) } else { Answer::NotLeader(None) };
             // The caller may have given up.
             let _ = reply.send(answer);
             false
@@ -62,7 +61,7 @@
         let applied = self.applied;
         for (id, _) in self.confirmed_reads.extract_if(.., |(_, index)| *index <= applied) {
             if let Some(Reader::Operator(reply)) = self.pending_reads.remove(&id) {
-                let _ = reply.send(Answer::Plan(Arc::clone(&self.plan)));
+                let _ = reply.send(Answer::State(self.state.clone()));
             }
         }
     }
--- a/crates/registry/src/driver/view.rs
+++ b/crates/registry/src/driver/view.rs
@@ -1,14 +1,13 @@
 //! The view of the driver's state that the other parts of a member read.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use consensus::Role;
 
 use super::Driver;
 use crate::current::CurrentView;
-use crate::plan::StoredPlan;
 use crate::repair::address_of;
+use crate::replicated::Replicated;
 
 /// The driver's state, as the rest of the member reads it.
 #[derive(Clone, Debug, Default)]
@@ -20,7 +19,7 @@
     /// Whether the stored plan is the newest acknowledged one, as far as this member knows; see
     /// [`CurrentView`].
     pub(crate) current: bool,
-    pub(crate) plan: Arc<StoredPlan>,
+    pub(crate) state: Replicated,
     pub(crate) members: Vec<SocketAddr>,
 }
 
@@ -56,7 +55,8 @@
                 && view.settled == settled
                 && view.leader == leader
                 && view.current == current
-                && view.plan.version == self.plan.version
+                && view.state.plan.version == self.state.plan.version
+                && view.state.evacuations.number() == self.state.evacuations.number()
                 && view.members == members;
             if same {
                 return false;
@@ -64,15 +64,8 @@
             if view.role != role || view.leader != leader {
                 log::info!(term, role:? = role, leader:? = leader; "the leadership changed");
             }
-            *view = View {
-                term,
-                role,
-                settled,
-                leader,
-                current,
-                plan: Arc::clone(&self.plan),
-                members,
-            };
+            *view =
+                View { term, role, settled, leader, current, state: self.state.clone(), members };
             true
         });
     }
--- a/crates/registry/src/folder.rs
+++ b/crates/registry/src/folder.rs
@@ -8,7 +8,7 @@
 use serde::de::DeserializeOwned;
 use types::{LogIndex, NodeId, StepError, StepResult, Term};
 
-use crate::plan::StoredPlan;
+use crate::replicated::Replicated;
 
 /// The size of the log at which a snapshot replaces it, in bytes. It holds a few dozen large plans,
 /// which keeps the memory of a member small.
@@ -50,7 +50,7 @@
 
     /// Writes the first snapshot of a new cluster with `membership`.
     pub(crate) fn bootstrap(&mut self, membership: Membership) -> StepResult<Restored> {
-        let data = encode(&StoredPlan::default());
+        let data = Replicated::default().encode();
         let snapshot = Snapshot { index: FIRST_INDEX, term: Term(1), membership, data };
         let installed = self.store.install(snapshot.index, &replica::encode(&snapshot)?);
         installed.map_err(|e| StepError::new("install snapshot", e))?;
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -18,6 +18,7 @@
 use wire::{Hello, Kind, Secret};
 
 use self::state::State;
+use crate::evacuation::EvacuatedDomains;
 use crate::fetch::Fetch;
 use crate::message::{EntryInfo, LoadReport, Relay, Stamp, Upstream, UpstreamList};
 use crate::quarantine::{Evidence, EvidenceBuffer, QuarantineView};
@@ -52,6 +53,8 @@
     pub entries: Arc<Vec<EntryInfo>>,
     /// The number of the list of entries.
     pub entries_stamp: Stamp,
+    /// The newest evacuated failure domains.
+    pub evacuated: Arc<EvacuatedDomains>,
     /// The number of connected members.
     pub members: usize,
 }
--- a/crates/registry/src/follow/state.rs
+++ b/crates/registry/src/follow/state.rs
@@ -12,6 +12,7 @@
 use super::link::{Event, link};
 use super::{FollowerConfig, RegistryState};
 use crate::difference::NumberedList;
+use crate::evacuation::EvacuatedDomains;
 use crate::fetch::Fetch;
 use crate::message::{
     EntryInfo, LoadReport, QUARANTINE_LEVEL, Relay, Stamp, ToEntry, ToMember, Upstream,
@@ -209,9 +210,23 @@
             }
             ToEntry::Members(members) => self.members = members,
             ToEntry::Quarantine(list) => self.handle_quarantine(from, &list),
+            ToEntry::Evacuated(evacuated) => self.set_evacuated(from, evacuated),
         }
     }
 
+    /// Takes a member's evacuated failure domains, unless those of another member are newer.
+    fn set_evacuated(&self, from: SocketAddr, evacuated: EvacuatedDomains) {
+        self.published.send_if_modified(|state| {
+            let newer = evacuated.number > state.evacuated.number;
+            if newer {
+                log::info!(peer:% = from, number = evacuated.number,
+                    domains:? = evacuated.domains; "received the evacuated failure domains");
+                state.evacuated = Arc::new(evacuated);
+            }
+            newer
+        });
+    }
+
     fn lists_of(&mut self, from: SocketAddr) -> &mut MemberLists {
         self.member_lists.entry(from).or_default()
     }
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -16,7 +16,8 @@
 use crate::lists::{EncodedLoads, Published};
 use crate::member::Confirmer;
 use crate::message::{
-    EntryInfo, LoadReport, Stamp, ToEntry, ToMember, Upstream, UpstreamList, UpstreamLoad,
+    EVACUATION_LEVEL, EntryInfo, LoadReport, Stamp, ToEntry, ToMember, Upstream, UpstreamList,
+    UpstreamLoad,
 };
 use crate::package_cache::PackageCache;
 use crate::quarantine::QuarantineTable;
@@ -93,6 +94,11 @@
         self.lists.send_modify(|it| log_failure(it.upstreams.publish(next)));
     }
 
+    /// Returns whether the list of upstreams has one in a failure domain.
+    pub(crate) fn has_upstreams_in(&self, domain: &str) -> bool {
+        self.lists.borrow().upstreams.numbered.list.iter().any(|it| it.domain == domain)
+    }
+
     /// Publishes the list of connected entries whenever it changes, for as long as the member runs. The
     /// lists of a term are numbered within the term.
     pub(crate) async fn publish_entries(self: Arc<Self>, mut view: watch::Receiver<View>) {
@@ -208,8 +214,8 @@
                     drained?;
                     outdated = false;
                     let current_view = view.borrow_and_update().clone();
-                    if sent.plan.is_none_or(|it| it.0 < current_view.plan.version) {
-                        self.packages().add_plan(&current_view.plan);
+                    if sent.plan.is_none_or(|it| it.0 < current_view.state.plan.version) {
+                        self.packages().add_plan(&current_view.state.plan);
                     }
                     sent.send_view(sender, &current_view, confirmed).await?;
                     let current_lists = lists.borrow_and_update().clone();
@@ -253,7 +259,7 @@
                         self.take_evidence(incarnation, evidence, &current_view);
                     }
                     Some(ToMember::FetchPlan(version)) => {
-                        let plan = view.borrow().plan.clone();
+                        let plan = view.borrow().state.plan.clone();
                         if plan.version >= version {
                             let (version, text) = (plan.version, plan.text.clone());
                             sender.send(&ToEntry::Plan { version, text }).await?;
@@ -283,6 +289,8 @@
 #[derive(Default)]
 struct Sent {
     plan: Option<(types::Version, bool)>,
+    /// The number of the last order for a failure domain.
+    evacuations: Option<u64>,
     members: Vec<std::net::SocketAddr>,
     upstreams: Stamp,
     entries: Stamp,
@@ -297,7 +305,14 @@
         view: &View,
         confirmed: bool,
     ) -> types::StepResult<()> {
-        let (version, current) = (view.plan.version, confirmed && view.current);
+        let evacuations = &view.state.evacuations;
+        // Sent before the plan's version: an entry that has just started serves requests once a member
+        // has confirmed that version, and must know the evacuations by then.
+        if sender.level() >= EVACUATION_LEVEL && self.evacuations != Some(evacuations.number()) {
+            self.evacuations = Some(evacuations.number());
+            sender.send(&ToEntry::Evacuated(evacuations.domains())).await?;
+        }
+        let (version, current) = (view.state.plan.version, confirmed && view.current);
         if self.plan != Some((version, current)) {
             self.plan = Some((version, current));
             sender.send(&ToEntry::PlanVersion { version, current }).await?;
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -1,11 +1,14 @@
-//! The replicated registry of a deployment: the plan in force, the upstreams, and the entries.
+//! The replicated registry of a deployment: the plan in force, the evacuated failure domains, the
+//! upstreams, and the entries.
 //!
-//! Members store one plan, a versioned text, in a replicated log; the highest version wins. They
+//! Members store one plan, a versioned text, in a replicated log; the highest version wins. Beside it
+//! they store which failure domains operators have evacuated. They
 //! discover each other through a few seed addresses, form a cluster without an operator, and replace
 //! lost voters. The leader reads the platform's list of upstreams and sends it to the entries. Entries
 //! connect to every member that they can reach and use the newest data that they receive.
 
 pub mod difference;
+pub mod evacuation;
 pub mod fetch;
 pub mod message;
 pub mod package;
@@ -24,12 +27,16 @@
 mod peers;
 mod reader;
 mod repair;
+mod replicated;
 
 pub use current::CurrentView;
 pub use digest::RequestDigest;
 pub use follow::{Follower, FollowerConfig, RegistryState};
 pub use hub::loads_interval;
-pub use member::{Member, MemberConfig, PlanValidator, PutOutcome, QuarantineOutcome, ReadOutcome};
+pub use member::{
+    EvacuationOutcome, Member, MemberConfig, PlanValidator, PutOutcome, QuarantineOutcome,
+    ReadOutcome,
+};
 pub use message::{
     EntryInfo, Health, LoadReport, Relay, Stamp, Upstream, UpstreamList, UpstreamLoad,
 };
--- a/crates/registry/src/member.rs
+++ b/crates/registry/src/member.rs
@@ -1,9 +1,10 @@
 //! A running member of the registry, and its interface for operators' requests.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::mpsc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use consensus::Role;
@@ -14,6 +15,7 @@
 
 use crate::digest::RequestDigest;
 use crate::driver::{self, Answer, DriverConfig, Input, View};
+use crate::evacuation::{Evacuations, Order};
 use crate::hub::Hub;
 use crate::message::PeerMessage;
 use crate::peers::Peers;
@@ -61,6 +63,8 @@
     pub bootstrap: bool,
     /// The number of members that may be lost at once, with their disks.
     pub max_losses: usize,
+    /// The failure domains of the deployment.
+    pub domains: BTreeSet<String>,
 }
 
 /// The answer to an operator's order.
@@ -87,6 +91,19 @@
     Unavailable,
 }
 
+/// The answer to an operator's order for a failure domain, or to a read of the evacuated ones.
+#[derive(Clone, Debug)]
+pub enum EvacuationOutcome {
+    /// A quorum stores the order, or confirmed the read.
+    Stored(Arc<Evacuations>),
+    /// The deployment has no such failure domain.
+    UnknownDomain,
+    /// Another member leads.
+    NotLeader(SocketAddr),
+    /// No quorum answers, or the cluster has too few voters yet.
+    Unavailable,
+}
+
 /// The answer to an operator's request about held requests, which only the leader knows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum QuarantineOutcome<T> {
@@ -106,6 +123,8 @@
     peers: Arc<Peers>,
     hub: Arc<Hub>,
     address: SocketAddr,
+    /// The failure domains that the settings name.
+    domains: Mutex<BTreeSet<String>>,
 }
 
 impl<C: PlanValidator> Member<C> {
@@ -145,12 +164,14 @@
         tokio::spawn(Arc::clone(&hub).publish_entries(view.clone()));
         tokio::spawn(Arc::clone(&hub).decide_ends(view.clone()));
         tokio::spawn(reader::run(list, Arc::clone(&hub), view.clone()));
-        Ok(Self { validator, inputs, view, peers, hub, address })
+        let domains = Mutex::new(config.domains);
+        Ok(Self { validator, inputs, view, peers, hub, address, domains })
     }
 
-    /// Replaces the seed addresses, after the settings changed.
-    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+    /// Replaces the seed addresses and the failure domains, after the settings changed.
+    pub fn apply_settings(&self, seeds: Vec<SocketAddr>, domains: BTreeSet<String>) {
         self.peers.set_seeds(seeds);
+        *self.domains.lock().unwrap_or_else(PoisonError::into_inner) = domains;
     }
 
     /// Stores a plan, if its version is higher than the stored one.
@@ -162,7 +183,7 @@
         };
         let put = PutPlan { version, text };
         match self.ask_driver(|reply| Input::Put(put.clone(), reply)).await {
-            Some(Answer::Plan(held)) => PutOutcome::Accepted(held.version),
+            Some(Answer::State(held)) => PutOutcome::Accepted(held.plan.version),
             Some(Answer::NotLeader(Some(leader))) => PutOutcome::NotLeader(leader),
             Some(Answer::NotLeader(None) | Answer::TooFewVoters) | None => PutOutcome::Unavailable,
         }
@@ -171,14 +192,46 @@
     /// Reads the newest plan, as confirmed by a quorum.
     pub async fn read(&self) -> ReadOutcome {
         match self.ask_driver(Input::Read).await {
-            Some(Answer::Plan(held)) if held.version > Version(0) => {
-                ReadOutcome::Plan(held.version, held)
+            Some(Answer::State(held)) if held.plan.version > Version(0) => {
+                ReadOutcome::Plan(held.plan.version, held.plan)
             }
             Some(Answer::NotLeader(Some(leader))) => ReadOutcome::NotLeader(leader),
             Some(_) | None => ReadOutcome::Unavailable,
         }
     }
 
+    /// Stores an operator's order for a failure domain. The operator may send it again.
+    pub async fn order(&self, order: Order) -> EvacuationOutcome {
+        if !self.knows_domain(&order.domain) {
+            return EvacuationOutcome::UnknownDomain;
+        }
+        self.evacuation_outcome(|reply| Input::Evacuate(order.clone(), reply)).await
+    }
+
+    /// Reads the evacuated failure domains, as confirmed by a quorum.
+    pub async fn evacuations(&self) -> EvacuationOutcome {
+        self.evacuation_outcome(Input::Read).await
+    }
+
+    async fn evacuation_outcome(
+        &self,
+        input: impl Fn(oneshot::Sender<Answer>) -> Input,
+    ) -> EvacuationOutcome {
+        match self.ask_driver(input).await {
+            Some(Answer::State(held)) => EvacuationOutcome::Stored(held.evacuations),
+            Some(Answer::NotLeader(Some(leader))) => EvacuationOutcome::NotLeader(leader),
+            Some(Answer::NotLeader(None) | Answer::TooFewVoters) | None => {
+                EvacuationOutcome::Unavailable
+            }
+        }
+    }
+
+    /// Returns whether the settings or the list of upstreams name a failure domain.
+    fn knows_domain(&self, domain: &str) -> bool {
+        let domains = self.domains.lock().unwrap_or_else(PoisonError::into_inner);
+        domains.contains(domain) || self.hub.has_upstreams_in(domain)
+    }
+
     /// Returns the requests that are held.
     pub fn held_requests(&self) -> QuarantineOutcome<Vec<quarantine::Held>> {
         self.as_leader(|term| self.hub.held(term))
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -8,6 +8,7 @@
 use types::{LogIndex, NodeId, Version};
 
 use crate::difference::Difference;
+use crate::evacuation::EvacuatedDomains;
 use crate::package::{PackageId, Part};
 use crate::quarantine::{Evidence, QuarantineList};
 
@@ -114,6 +115,8 @@
     UpstreamsChanged(Difference<Upstream, String>),
     /// The requests that entries must not send, from the leader.
     Quarantine(QuarantineList),
+    /// The evacuated failure domains that the member has applied.
+    Evacuated(EvacuatedDomains),
 }
 
 /// The protocol level from which an entry accepts differences of lists.
@@ -122,6 +125,9 @@
 /// The protocol level from which entries and members support the quarantine of requests.
 pub const QUARANTINE_LEVEL: u8 = 2;
 
+/// The protocol level from which entries obey evacuations.
+pub const EVACUATION_LEVEL: u8 = 4;
+
 /// The number of a list that a leader publishes. It orders the lists of successive leaders.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Stamp {
--- a/crates/registry/tests/env/mod.rs
+++ b/crates/registry/tests/env/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)] // Each test program uses only some of these functions.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -84,6 +85,7 @@
             seeds: self.seeds(),
             bootstrap,
             max_losses: self.losses,
+            domains: BTreeSet::from(["d".to_owned(), "e".to_owned()]),
         };
         let started = Member::spawn(config, TextValidator, OneUpstream, deployment_secret()).await;
         started.expect("a member")
