Bound what all entries together send to a cold upstream

Cause: what the list says of an upstream's coldness was decoded and thrown away, so nothing kept the bound. A service states how many requests per second its cold upstreams tolerate, and they end well above.

Change: each cold upstream is served by as many entries as half of the bound, chosen by a hash of both, one request in 1.2 s each; with fewer entries they share the quota. Pieces count at the owner. Cold is what the list says, an answer's header, an upstream that was not listed before, and one whose domain returns from an evacuation. A request for which only cold upstreams are left waits for room within its target, else it is refused as not run with the time until then.

Not covered: more than two lists of entries at the same moment, and entries that do not know that an upstream has become cold.

--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -299,6 +299,7 @@
                     && !it.is_ejected(now)
                     && !self.is_used_elsewhere(&it.id, section)
                     && self.is_space_known(it, section, now),
+                limit: it.owner_room(now).map_or(usize::MAX, |it| it as usize),
             })
             .collect();
         let Some(queue) = self.queues.get_mut(section) else { return };
@@ -322,6 +323,7 @@
     ) {
         self.last_call += 1;
         self.record_call(&upstream.id, now);
+        upstream.record_pieces(next.pieces.len() as u32, now);
         let in_flight = InFlightCall {
             call: self.last_call,
             section: section.clone(),
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -59,6 +59,8 @@
     pub domain: Arc<str>,
     /// Whether the upstream may get a call.
     pub available: bool,
+    /// The most pieces that it may get now, below the size of a full call while it is cold.
+    pub limit: usize,
 }
 
 /// A call that should be sent now.
@@ -338,7 +340,7 @@
         let mut chosen = Vec::new();
         let mut ahead: Vec<(&Arc<str>, usize)> = Vec::new();
         for (at, piece) in self.waiting.iter().enumerate() {
-            if chosen.len() >= self.spec.batch {
+            if chosen.len() >= self.spec.batch.min(target.limit) {
                 break;
             }
             let first = chosen.first().map(|it: &usize| &self.waiting[*it]);
--- /dev/null
+++ b/crates/gateway/src/cold.rs
@@ -0,0 +1,146 @@
+//! Bounds what all entries together send to an upstream that has just started.
+//!
+//! A cold upstream ends if it gets far more requests in a second than it tolerates. It has no load
+//! yet, so every entry would prefer it. The load is that of a failure domain that returns while the
+//! traffic goes on, or of a single upstream that is the only one left for all entries.
+//!
+//! The bound holds without messages between entries: each cold upstream is served by a few of them,
+//! which all entries choose alike, and each of these has a fixed share of the quota. The quota is
+//! half of what the upstream may get, so that entries with two different lists of entries still keep
+//! the bound.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::place::{mix, score};
+
+/// The window in which an upstream counts requests, and some time more: two requests that are sent
+/// this far apart may arrive closer together.
+pub const COLD_WINDOW: Duration = Duration::from_millis(1_200);
+
+/// What the upstreams of a service tolerate while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdSpec {
+    /// How long an upstream is cold after its start.
+    pub time: Duration,
+    /// The requests per second that a cold upstream tolerates.
+    pub rate: f64,
+}
+
+/// How far the requests in a second may exceed the rate that a cold upstream tolerates.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdTolerance {
+    /// The factor to the rate.
+    pub overrun: f64,
+    /// The requests beyond that.
+    pub slack: f64,
+}
+
+impl Default for ColdTolerance {
+    fn default() -> Self {
+        Self { overrun: 1.0, slack: 0.0 }
+    }
+}
+
+impl ColdTolerance {
+    /// Returns the most requests that a cold upstream may get in a second.
+    pub fn bound(&self, spec: &ColdSpec) -> f64 {
+        spec.rate * self.overrun + self.slack
+    }
+
+    /// Returns how many requests entries with the same list of entries send to a cold upstream in a
+    /// [`COLD_WINDOW`].
+    pub fn quota(&self, spec: &ColdSpec) -> u32 {
+        ((self.bound(spec) / 2.0) as u32).max(1)
+    }
+}
+
+/// The hash of an entry's address, the same at every entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EntryHash(u64);
+
+impl From<SocketAddr> for EntryHash {
+    fn from(address: SocketAddr) -> Self {
+        Self(score(0, &address.to_string()))
+    }
+}
+
+/// Returns how many of `quota` requests an entry may send to an upstream in a [`COLD_WINDOW`]. The
+/// shares of all `entries` add up to no more than the quota. An entry that is not listed has none.
+pub fn share(entries: &[EntryHash], own: EntryHash, id_hash: u64, quota: u32) -> u32 {
+    if !entries.contains(&own) {
+        return 0;
+    }
+    let count = entries.len() as u32;
+    if count <= quota {
+        return quota / count;
+    }
+    let rank = |it: EntryHash| (mix(id_hash ^ it.0), it);
+    let own_rank = rank(own);
+    let before = entries.iter().filter(|it| rank(**it) < own_rank).count();
+    u32::from((before as u32) < quota)
+}
+
+/// Counts what this entry sends to an upstream while that is cold.
+#[derive(Debug, Default)]
+pub struct ColdGate {
+    until: Option<Instant>,
+    share: u32,
+    quota: u32,
+    sent: VecDeque<Instant>,
+}
+
+impl ColdGate {
+    /// Marks the upstream as cold until `until`, if it isn't already for longer.
+    pub fn extend(&mut self, until: Instant) {
+        self.until = Some(self.until.map_or(until, |it| it.max(until)));
+    }
+
+    /// Sets this entry's share, and the quota of all entries.
+    pub fn set_share(&mut self, share: u32, quota: u32) {
+        (self.share, self.quota) = (share, quota);
+    }
+
+    /// Returns whether the upstream is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.until.is_some_and(|it| now < it)
+    }
+
+    /// Returns how many requests this entry may send now; `None` if the upstream is not cold.
+    pub fn room(&mut self, now: Instant) -> Option<u32> {
+        self.is_cold(now).then(|| self.share.saturating_sub(self.count(now)))
+    }
+
+    /// Returns how many pieces the owner of the upstream's section may send now; `None` if the
+    /// upstream is not cold. Only its owner sends it pieces.
+    pub fn owner_room(&mut self, now: Instant) -> Option<u32> {
+        self.is_cold(now).then(|| self.quota.saturating_sub(self.count(now)))
+    }
+
+    /// Counts `count` requests or pieces that are sent now.
+    pub fn record_sent(&mut self, count: u32, now: Instant) {
+        if self.is_cold(now) {
+            self.sent.extend((0..count).map(|_| now));
+        }
+    }
+
+    /// Returns when this entry may send the next request; `None` if it may now.
+    pub fn next_room(&mut self, now: Instant) -> Option<Instant> {
+        if self.room(now).is_none_or(|it| it > 0) {
+            return None;
+        }
+        let until = self.until?;
+        let freed = self.sent.front().map_or(until, |it| *it + COLD_WINDOW);
+        Some(if self.share == 0 { until } else { freed.min(until) })
+    }
+
+    fn count(&mut self, now: Instant) -> u32 {
+        while self.sent.front().is_some_and(|it| *it + COLD_WINDOW <= now) {
+            self.sent.pop_front();
+        }
+        self.sent.len() as u32
+    }
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -85,6 +85,8 @@
     pub not_run: bool,
     /// How long the upstream keeps the connection idle, if it says so.
     pub keep_alive: Option<Duration>,
+    /// How much longer the upstream is cold, if it says so.
+    pub cold: Option<Duration>,
 }
 
 /// The name of a stage result, which includes the address at which it is kept.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,10 +1,13 @@
 //! The upstreams by service, updated from the registry's lists.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use registry::{LoadReport, RegistryState, Stamp, UpstreamLoad};
+use tokio::time::Instant;
 
+use crate::cold::{self, ColdSpec, ColdTolerance, EntryHash};
 use crate::plan::Plan;
 use crate::section::{self, LinkRate, Section};
 use crate::upstream::Upstream;
@@ -32,8 +35,10 @@
         plan: &Plan,
         entries: usize,
         link: LinkRate,
+        cold: ColdRules,
     ) -> Self {
         let mut next = Self { listed: registry_state.upstreams_stamp, ..Self::default() };
+        let context = ColdContext::new(registry_state, plan, cold);
         for it in registry_state.upstreams.iter() {
             let connection_share = connection_share(plan, &it.service, entries);
             let upstream = match self.by_id.get(it.id.as_str()) {
@@ -41,7 +46,9 @@
                 _ => Arc::new(Upstream::new(it, connection_share)),
             };
             upstream.set_draining(it.health == registry::Health::Draining);
-            upstream.set_evacuated(registry_state.evacuated.contains(&it.domain));
+            let evacuated = registry_state.evacuated.contains(&it.domain);
+            let returns = upstream.set_evacuated(evacuated) && !evacuated;
+            self.spare_if_cold(&upstream, returns, &context);
             upstream.raise_connection_limit(connection_share);
             let service = next.services.entry(Arc::clone(&upstream.service)).or_default();
             service.push(Arc::clone(&upstream));
@@ -58,6 +65,26 @@
         next
     }
 
+    /// Marks an upstream as cold if it is listed so, if it was not listed before, or if its failure
+    /// domain `returns` from an evacuation; sets what this entry may send to it.
+    fn spare_if_cold(&self, upstream: &Upstream, returns: bool, context: &ColdContext<'_>) {
+        let Some(spec) = context.spec(upstream) else { return };
+        let now = Instant::now();
+        if let Some(end) = context.listed.get(&*upstream.id) {
+            upstream.extend_cold(Instant::from_std(*end));
+        }
+        let is_new = !self.by_id.is_empty() && !self.by_id.contains_key(&upstream.id);
+        if is_new || returns {
+            upstream.extend_cold(now + spec.time);
+        }
+        if upstream.is_cold(now) {
+            let quota = context.rules.tolerance.quota(&spec);
+            let own = context.rules.own.into();
+            let share = cold::share(&context.entries, own, upstream.id_hash, quota);
+            upstream.set_cold_share(share, quota);
+        }
+    }
+
     fn split(&mut self, plan: &Plan, entries: usize, link: LinkRate) {
         for (service, upstreams) in &self.services {
             let spec = plan.services.get(service).and_then(|it| it.batch);
@@ -148,6 +175,34 @@
     }
 }
 
+/// What an entry's share of the requests to cold upstreams depends on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ColdRules {
+    /// How far a cold upstream's limit may be exceeded.
+    pub(crate) tolerance: ColdTolerance,
+    /// The address of this entry.
+    pub(crate) own: SocketAddr,
+}
+
+/// What is known of cold upstreams while a directory is created.
+struct ColdContext<'a> {
+    rules: ColdRules,
+    plan: &'a Plan,
+    listed: &'a HashMap<String, std::time::Instant>,
+    entries: Vec<EntryHash>,
+}
+
+impl<'a> ColdContext<'a> {
+    fn new(registry_state: &'a RegistryState, plan: &'a Plan, rules: ColdRules) -> Self {
+        let entries = registry_state.entries.iter().map(|it| it.address.into()).collect();
+        Self { rules, plan, listed: &registry_state.cold, entries }
+    }
+
+    fn spec(&self, upstream: &Upstream) -> Option<ColdSpec> {
+        self.plan.services.get(&*upstream.service)?.cold
+    }
+}
+
 /// Returns this entry's share of the connections to an upstream. All entries together must stay
 /// below what the upstream accepts, because it resets connections beyond that.
 fn connection_share(plan: &Plan, service: &str, entries: usize) -> u32 {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -124,6 +124,9 @@
             Err(_) => return Err(Fault::unknown(Cause::Timeout)),
         };
         let head = D::decode_answer(response.status(), response.headers(), attempt);
+        if let Some(left) = head.cold {
+            upstream.extend_cold(Instant::now() + left);
+        }
         return Ok(Opened { response, lease, head });
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 
 use crate::batch::{BatchClient, Owner, OwnerConfig, accept};
 use crate::budget::{Budget, BudgetSpec};
+use crate::cold::ColdTolerance;
 use crate::dialect::Dialect;
 use crate::drain::Phase;
 use crate::front;
@@ -61,6 +62,8 @@
     pub link: LinkRate,
     /// The retry budget of the deployment.
     pub budget: BudgetSpec,
+    /// How far the limit of cold upstreams may be exceeded.
+    pub cold: ColdTolerance,
 }
 
 /// A running entry.
@@ -96,8 +99,13 @@
         let follower = Follower::spawn(follower, secret.clone());
         let quarantine =
             Quarantine::new(follower.quarantine(), follower.evidence(), config.address);
-        let shared =
-            Shared::<D>::new(config.address, domain, config.link, (budget, metrics), quarantine);
+        let shared = Shared::<D>::new(
+            config.address,
+            domain,
+            (config.link, config.cold),
+            (budget, metrics),
+            quarantine,
+        );
         let shared = Arc::new(shared);
         let owner = Owner::spawn(OwnerConfig { shared: Arc::clone(&shared) });
         tokio::spawn(accept(listener, owner.clone(), follower.state()));
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -165,7 +165,7 @@
 
 /// Mixes the bits of a hash with the finalizer of MurmurHash3; a multiplication alone would leave
 /// the high bits of similar inputs alike.
-fn mix(mut hash: u64) -> u64 {
+pub(crate) fn mix(mut hash: u64) -> u64 {
     hash ^= hash >> 33;
     hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
     hash ^= hash >> 33;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -19,6 +19,7 @@
 use crate::quarantine::RunTimes;
 use crate::reply::{Refusal, Reply, ReplyBody, Truncated, strip_hop_by_hop};
 use crate::request::CallerRequest;
+use crate::room;
 use crate::shared::Shared;
 use crate::upstream::{Lease, Upstream};
 
@@ -58,7 +59,14 @@
         let now = Instant::now();
         let directory = shared.directory();
         let upstream = choose(shared, directory.service(service), offers.tried(), now).cloned();
-        let Some(upstream) = upstream else { break };
+        let Some(upstream) = upstream else {
+            if runs > 0 || fallback.is_some() {
+                break;
+            }
+            let upstreams = directory.service(service);
+            room::wait_for_room(upstreams, offers.tried(), request.target()).await?;
+            continue;
+        };
         if let Err(it) = shared.quarantine.check(request) {
             return if runs > 0 {
                 Err(Refusal::Failed)
@@ -66,6 +74,9 @@
                 Err(Refusal::Quarantined(it.after))
             };
         }
+        if !upstream.claim_room(now) {
+            continue;
+        }
         if reached_upstream && !shared.budget.take(service, 1, shared.entries(), now) {
             shared.metrics.calls.with_label_values(&["no budget"]).inc();
             break;
@@ -162,7 +173,8 @@
     tried: &[Arc<str>],
     now: Instant,
 ) -> Option<&'a Arc<Upstream>> {
-    let open = upstreams.iter().filter(|it| it.is_open() && !tried.contains(&it.id));
+    let fits = |it: &&Arc<Upstream>| it.is_open() && it.has_room(now);
+    let open = upstreams.iter().filter(|it| fits(it) && !tried.contains(&it.id));
     let rank = |it: &&Arc<Upstream>| {
         let away = u32::from(it.domain != shared.domain);
         (it.is_ejected(now), it.total_running() + away, rand::random::<u16>())
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -6,6 +6,8 @@
 
 use types::Version;
 
+use crate::cold::ColdSpec;
+
 /// How often a request of a route may run, and how its answer is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -118,6 +120,8 @@
     pub batch: Option<BatchSpec>,
     /// How it generates, if it does.
     pub engine: Option<EngineSpec>,
+    /// What its upstreams tolerate after their start, if that is limited.
+    pub cold: Option<ColdSpec>,
 }
 
 /// The limits on what a caller may send and how long that may take.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,8 +14,9 @@
 use crate::backlog::Backlogs;
 use crate::body_memory::{BODY_MEMORY_BYTES, MemoryBudget};
 use crate::budget::Budget;
+use crate::cold::ColdTolerance;
 use crate::dialect::Dialect;
-use crate::directory::Directory;
+use crate::directory::{ColdRules, Directory};
 use crate::drain::Drain;
 use crate::metrics::Metrics;
 use crate::plan::Plan;
@@ -51,6 +52,7 @@
     updated: Notify,
     own: SocketAddr,
     link: LinkRate,
+    cold: ColdTolerance,
     pub(crate) domain: Arc<str>,
     pub(crate) budget: Budget,
     pub(crate) metrics: Metrics,
@@ -66,7 +68,7 @@
     pub(crate) fn new(
         own: SocketAddr,
         domain: Arc<str>,
-        link: LinkRate,
+        (link, cold): (LinkRate, ColdTolerance),
         (budget, metrics): (Budget, Metrics),
         quarantine: Quarantine,
     ) -> Self {
@@ -80,6 +82,7 @@
             updated: Notify::new(),
             own,
             link,
+            cold,
             domain,
             budget,
             metrics,
@@ -240,7 +243,8 @@
         }
         self.report_evacuations(registry_state);
         let plan = self.plan().unwrap_or_default();
-        let next = self.directory().next(registry_state, &plan, self.entries(), self.link);
+        let cold = ColdRules { tolerance: self.cold, own: self.own };
+        let next = self.directory().next(registry_state, &plan, self.entries(), self.link, cold);
         self.directory.store(Arc::new(next));
         self.updated.notify_waiters();
     }
--- a/crates/gateway/src/shared/tests.rs
+++ b/crates/gateway/src/shared/tests.rs
@@ -8,6 +8,7 @@
 
 use super::*;
 use crate::budget::BudgetSpec;
+use crate::cold::ColdTolerance;
 use crate::dialect::{
     AnswerHead, ForwardHead, Handle, PieceAnswer, PieceCall, RequestHead, SpaceReport,
 };
@@ -66,7 +67,13 @@
     let budget = Budget::new(spec, Instant::now());
     let metrics = Metrics::open(&telemetry::open_registry()).expect("metrics");
     let quarantine = Quarantine::new(known, evidence, own);
-    Shared::new(own, "d".into(), LinkRate::from_megabits(10.0), (budget, metrics), quarantine)
+    Shared::new(
+        own,
+        "d".into(),
+        (LinkRate::from_megabits(10.0), ColdTolerance::default()),
+        (budget, metrics),
+        quarantine,
+    )
 }
 
 struct Case {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -23,6 +23,7 @@
 use crate::quarantine::RunTimes;
 use crate::reply::{Refusal, Reply, ReplyBody};
 use crate::request::CallerRequest;
+use crate::room;
 use crate::shared::Shared;
 use crate::stages::{self, Inputs, StageFailure, StageRun};
 
@@ -114,9 +115,13 @@
             // The request may have been quarantined while its stages ran.
             self.check_quarantine(request, tries)?;
             let Some(upstream) = upstream else {
-                return Err(if tries.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
+                self.wait_for_room(request, service, tries).await?;
+                continue;
             };
             let now = Instant::now();
+            if !upstream.claim_room(now) {
+                continue;
+            }
             let entries = self.shared.entries();
             if tries.reached_upstream && !self.shared.budget.take(service, 1, entries, now) {
                 self.shared.metrics.calls.with_label_values(&["no budget"]).inc();
@@ -171,6 +176,19 @@
         }
     }
 
+    /// Waits until a cold engine may get a request for which no engine could be chosen.
+    async fn wait_for_room(
+        &self,
+        request: &CallerRequest,
+        service: &Arc<str>,
+        tries: &Tries,
+    ) -> Result<(), Refusal> {
+        let directory = self.shared.directory();
+        let (engines, tried) = (directory.service(service), tries.offers.tried());
+        let waited = room::wait_for_room(engines, tried, request.target()).await;
+        waited.map_err(|refusal| if tries.runs > 0 { Refusal::Failed } else { refusal })
+    }
+
     /// Checks whether a request may be sent to an upstream, and returns the refusal if not.
     fn check_quarantine(&self, request: &CallerRequest, tries: &Tries) -> Result<(), Refusal> {
         let refusal =
--- a/crates/gateway/src/stream/choice.rs
+++ b/crates/gateway/src/stream/choice.rs
@@ -35,7 +35,8 @@
         let now = Instant::now();
         let directory = self.shared.directory();
         let open = directory.service(service).iter();
-        let open = open.filter(|it| it.is_open() && !criteria.tried.contains(&it.id)).cloned();
+        let fits = |it: &&Arc<Upstream>| it.is_open() && it.has_room(now);
+        let open = open.filter(|it| fits(it) && !criteria.tried.contains(&it.id)).cloned();
         let mut candidates: Vec<Arc<Upstream>> = open.collect();
         if candidates.iter().any(|it| !it.is_ejected(now)) {
             candidates.retain(|it| !it.is_ejected(now));
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout_at};
 
+use crate::cold::ColdGate;
 use crate::incarnation::{Incarnation, LatestIncarnation, StartTime};
 use crate::place::score;
 
@@ -78,6 +79,7 @@
     idle: Mutex<Vec<Idle>>,
     permits: Arc<Semaphore>,
     connection_limit: AtomicU32,
+    cold: Mutex<ColdGate>,
 }
 
 /// The requests that other entries have in flight, as last reported.
@@ -134,6 +136,7 @@
             idle: Mutex::default(),
             permits: Arc::new(Semaphore::new(connection_limit as usize)),
             connection_limit: AtomicU32::new(connection_limit),
+            cold: Mutex::default(),
         }
     }
 
@@ -148,6 +151,55 @@
         self.evacuated.swap(evacuated, Ordering::Relaxed)
     }
 
+    /// Marks the upstream as cold until `until`.
+    pub fn extend_cold(&self, until: Instant) {
+        self.cold().extend(until);
+    }
+
+    /// Returns whether the upstream is cold.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold().is_cold(now)
+    }
+
+    /// Sets how many requests this entry, and all entries together, may send while it is cold.
+    pub fn set_cold_share(&self, share: u32, quota: u32) {
+        self.cold().set_share(share, quota);
+    }
+
+    /// Returns whether this entry may send it a request now, so far as that depends on its being cold.
+    pub fn has_room(&self, now: Instant) -> bool {
+        self.cold().room(now).is_none_or(|it| it > 0)
+    }
+
+    /// Returns when this entry may send it a request; `None` if it may now.
+    pub fn next_room(&self, now: Instant) -> Option<Instant> {
+        self.cold().next_room(now)
+    }
+
+    /// Counts a request that is sent now, if the upstream has room for it; returns whether it has.
+    pub fn claim_room(&self, now: Instant) -> bool {
+        let mut cold = self.cold();
+        let has_room = cold.room(now).is_none_or(|it| it > 0);
+        if has_room {
+            cold.record_sent(1, now);
+        }
+        has_room
+    }
+
+    /// Returns how many pieces the owner of its section may send it now; `None` for any number.
+    pub fn owner_room(&self, now: Instant) -> Option<u32> {
+        self.cold().owner_room(now)
+    }
+
+    /// Counts pieces that its owner sends now.
+    pub fn record_pieces(&self, count: u32, now: Instant) {
+        self.cold().record_sent(count, now);
+    }
+
+    fn cold(&self) -> MutexGuard<'_, ColdGate> {
+        self.cold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Raises the limit of this entry's connections. A lower limit takes effect only with the next
     /// incarnation.
     pub fn raise_connection_limit(&self, connections: u32) {
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -82,7 +82,12 @@
 /// were completed on time.
 fn simulate(rate: f64) -> (usize, usize) {
     let targets: Vec<Target> = (0..UPSTREAMS)
-        .map(|at| Target { id: format!("u-{at}").into(), domain: "d".into(), available: true })
+        .map(|at| Target {
+            id: format!("u-{at}").into(),
+            domain: "d".into(),
+            available: true,
+            limit: usize::MAX,
+        })
         .collect();
     let start = Instant::now();
     let mut queue = Queue::new(SPEC);
--- a/crates/gateway/tests/queue.rs
+++ b/crates/gateway/tests/queue.rs
@@ -17,7 +17,7 @@
 };
 
 fn target(id: &str, domain: &str) -> Target {
-    Target { id: id.into(), domain: domain.into(), available: true }
+    Target { id: id.into(), domain: domain.into(), available: true, limit: usize::MAX }
 }
 
 /// The pieces of one job that a case queues: the job, how many, due in ms, bytes of a result,
--- a/crates/mothplank/src/commands/gateway.rs
+++ b/crates/mothplank/src/commands/gateway.rs
@@ -4,6 +4,7 @@
 
 use eyre::{OptionExt, Result};
 use gateway::budget::BudgetSpec;
+use gateway::cold::ColdTolerance;
 use gateway::section::LinkRate;
 use gateway::{Gateway, GatewayConfig};
 use platform::{PlatformDialect, Settings};
@@ -34,6 +35,7 @@
             window: settings.retry_window,
             burst: settings.retry_burst,
         },
+        cold: ColdTolerance { overrun: settings.cold_overrun, slack: settings.cold_slack },
     };
     host::run(
         &settings.vm,
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinHandle;
@@ -53,6 +53,10 @@
     pub entries: Arc<Vec<EntryInfo>>,
     /// The number of the list of entries.
     pub entries_stamp: Stamp,
+    /// When the cold time of each cold upstream ends.
+    pub cold: Arc<HashMap<String, Instant>>,
+    /// The number of the list of cold upstreams.
+    pub cold_stamp: Stamp,
     /// The newest evacuated failure domains.
     pub evacuated: Arc<EvacuatedDomains>,
     /// The number of connected members.
--- a/crates/registry/src/follow/state.rs
+++ b/crates/registry/src/follow/state.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::sync::{mpsc, watch};
 use types::Version;
@@ -11,6 +11,7 @@
 
 use super::link::{Event, link};
 use super::{FollowerConfig, RegistryState};
+use crate::cold::{ColdList, ColdUpstream};
 use crate::difference::NumberedList;
 use crate::evacuation::EvacuatedDomains;
 use crate::fetch::Fetch;
@@ -210,6 +211,7 @@
             }
             ToEntry::Members(members) => self.members = members,
             ToEntry::Quarantine(list) => self.handle_quarantine(from, &list),
+            ToEntry::Cold(list) => self.set_cold(&list),
             ToEntry::Evacuated(evacuated) => self.set_evacuated(from, evacuated),
         }
     }
@@ -227,6 +229,20 @@
         });
     }
 
+    fn set_cold(&self, list: &ColdList) {
+        let now = Instant::now();
+        self.published.send_if_modified(|state| {
+            let newer = list.stamp > state.cold_stamp;
+            if newer {
+                let end = |it: &ColdUpstream| now + Duration::from_millis(it.left_ms.into());
+                let ends = list.upstreams.iter().map(|it| (it.id.clone(), end(it)));
+                state.cold = Arc::new(ends.collect());
+                state.cold_stamp = list.stamp;
+            }
+            newer
+        });
+    }
+
     fn lists_of(&mut self, from: SocketAddr) -> &mut MemberLists {
         self.member_lists.entry(from).or_default()
     }
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -5,18 +5,19 @@
 use std::collections::{BTreeMap, HashMap};
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 use wire::{Connection, Receiver, Sender};
 
+use crate::cold::{ColdEnds, ColdUpstream};
 use crate::difference::NumberedList;
 use crate::driver::View;
 use crate::lists::{EncodedLoads, Published};
 use crate::member::Confirmer;
 use crate::message::{
-    EVACUATION_LEVEL, EntryInfo, LoadReport, Stamp, ToEntry, ToMember, Upstream, UpstreamList,
+    DOMAINS_LEVEL, EntryInfo, LoadReport, Stamp, ToEntry, ToMember, Upstream, UpstreamList,
     UpstreamLoad,
 };
 use crate::package_cache::PackageCache;
@@ -57,6 +58,7 @@
     /// The number of the list of held requests. The list itself is made anew for each message, since it
     /// holds remaining times.
     quarantine: Stamp,
+    cold: ColdEnds,
 }
 
 /// The entries that are connected to this member.
@@ -94,6 +96,18 @@
         self.lists.send_modify(|it| log_failure(it.upstreams.publish(next)));
     }
 
+    /// Takes the cold upstreams that were read from the list in `term`.
+    pub(crate) fn set_cold(&self, read: &[ColdUpstream], term: u64) {
+        self.lists.send_if_modified(|it| {
+            let changed = it.cold.update(read, term, Instant::now());
+            if changed {
+                log::info!(stamp:% = it.cold.stamp, upstreams = read.len();
+                    "upstreams are cold, or colder than before");
+            }
+            changed
+        });
+    }
+
     /// Returns whether the list of upstreams has one in a failure domain.
     pub(crate) fn has_upstreams_in(&self, domain: &str) -> bool {
         self.lists.borrow().upstreams.numbered.list.iter().any(|it| it.domain == domain)
@@ -223,6 +237,7 @@
                         // Sent before the upstreams: without those an entry sends no requests yet.
                         self.send_quarantine(sender, &mut sent, current_view.term, &current_lists)
                             .await?;
+                        sent.send_cold(sender, current_view.term, &current_lists.cold).await?;
                         sent.send_lists(sender, current_view.term, &current_lists).await?;
                         let loads = total_loads.borrow_and_update().clone();
                         sent.send_loads(sender, loads).await?;
@@ -296,6 +311,7 @@
     entries: Stamp,
     loads: Option<Arc<EncodedLoads>>,
     quarantine: Stamp,
+    cold: Stamp,
 }
 
 impl Sent {
@@ -308,7 +324,7 @@
         let evacuations = &view.state.evacuations;
         // Sent before the plan's version: an entry that has just started serves requests once a member
         // has confirmed that version, and must know the evacuations by then.
-        if sender.level() >= EVACUATION_LEVEL && self.evacuations != Some(evacuations.number()) {
+        if sender.level() >= DOMAINS_LEVEL && self.evacuations != Some(evacuations.number()) {
             self.evacuations = Some(evacuations.number());
             sender.send(&ToEntry::Evacuated(evacuations.domains())).await?;
         }
@@ -324,6 +340,21 @@
         Ok(())
     }
 
+    /// Sends the cold upstreams. Sent before the list that names them.
+    async fn send_cold(
+        &mut self,
+        sender: &Sender<ToEntry>,
+        term: u64,
+        cold: &ColdEnds,
+    ) -> types::StepResult<()> {
+        let outdated = cold.stamp.term == term && self.cold < cold.stamp;
+        if !outdated || sender.level() < DOMAINS_LEVEL {
+            return Ok(());
+        }
+        self.cold = cold.stamp;
+        sender.send(&ToEntry::Cold(cold.list(Instant::now()))).await
+    }
+
     async fn send_loads(
         &mut self,
         sender: &Sender<ToEntry>,
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -7,6 +7,7 @@
 //! lost voters. The leader reads the platform's list of upstreams and sends it to the entries. Entries
 //! connect to every member that they can reach and use the newest data that they receive.
 
+pub mod cold;
 pub mod difference;
 pub mod evacuation;
 pub mod fetch;
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 use types::{LogIndex, NodeId, Version};
 
+use crate::cold::ColdList;
 use crate::difference::Difference;
 use crate::evacuation::EvacuatedDomains;
 use crate::package::{PackageId, Part};
@@ -117,6 +118,8 @@
     Quarantine(QuarantineList),
     /// The evacuated failure domains that the member has applied.
     Evacuated(EvacuatedDomains),
+    /// The cold upstreams, from the leader.
+    Cold(ColdList),
 }
 
 /// The protocol level from which an entry accepts differences of lists.
@@ -125,8 +128,8 @@
 /// The protocol level from which entries and members support the quarantine of requests.
 pub const QUARANTINE_LEVEL: u8 = 2;
 
-/// The protocol level from which entries obey evacuations.
-pub const EVACUATION_LEVEL: u8 = 4;
+/// The protocol level from which entries obey evacuations and spare cold upstreams.
+pub const DOMAINS_LEVEL: u8 = 4;
 
 /// The number of a list that a leader publishes. It orders the lists of successive leaders.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/registry/src/reader.rs
+++ b/crates/registry/src/reader.rs
@@ -6,6 +6,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 use types::StepResult;
 
+use crate::cold::ColdUpstream;
 use crate::driver::View;
 use crate::hub::Hub;
 use crate::message::{Stamp, Upstream, UpstreamList};
@@ -22,6 +23,8 @@
 pub struct Listing {
     /// The upstreams.
     pub upstreams: Vec<Upstream>,
+    /// Those of them that are cold.
+    pub cold: Vec<ColdUpstream>,
     /// Why entries of the list could not be parsed; such entries are left out.
     pub unreadable: Vec<String>,
 }
@@ -64,6 +67,8 @@
                 continue;
             }
         };
+        // Before the upstreams, so that no entry takes a new one for one that is not cold.
+        hub.set_cold(&listing.cold, term);
         let upstreams = listing.upstreams;
         if unreadable != listing.unreadable {
             unreadable = listing.unreadable;
--- a/crates/registry/tests/env/mod.rs
+++ b/crates/registry/tests/env/mod.rs
@@ -45,7 +45,7 @@
             slots: 1,
             health: Health::Ready,
         };
-        Ok(Listing { upstreams: vec![upstream], unreadable: Vec::new() })
+        Ok(Listing { upstreams: vec![upstream], ..Listing::default() })
     }
 }
 
