Log why a piece is not sent again, and results that find no space

The logs can't tell a used-up retry budget from the limit of sends, nor show results that found no space.

Change: a line for each of the three. No behaviour changes.

--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -53,13 +53,20 @@
     /// queued.
     fn try_requeue(&mut self, piece: &Piece, now: Instant) -> bool {
         let Some(open) = self.jobs.get(&piece.job) else { return false };
-        let held = piece.request.is_some_and(|it| self.shared.quarantine.is_quarantined(&it));
-        if held || piece.sends >= MAX_SENDS || !open.left.contains(&piece.segment) {
+        if !open.left.contains(&piece.segment) {
             return false;
         }
         let section = open.section.clone();
+        let held = piece.request.is_some_and(|it| self.shared.quarantine.is_quarantined(&it));
+        if held || piece.sends >= MAX_SENDS {
+            log::info!(request = &*piece.attempt, section:% = section, sends = piece.sends, held;
+                "a piece is not sent again");
+            return false;
+        }
         let entries = self.shared.entries();
         if !self.shared.budget.take(&section.service, 1, entries, now) {
+            log::info!(request = &*piece.attempt, section:% = section, sends = piece.sends;
+                "a piece is not sent again: the retry budget is used up");
             return false;
         }
         if let Some(queue) = self.queues.get_mut(&section) {
@@ -193,6 +200,10 @@
             }
             Err(PieceFailure::NoRoom) if !elsewhere => {
                 if let Some(queue) = self.queues.get_mut(&end.section) {
+                    log::info!(request = &*piece.attempt, section:% = end.section,
+                        upstream:% = end.upstream.id, sends = piece.sends,
+                        believed = queue.free_bytes(&end.upstream.id, now);
+                        "a result found no space");
                     queue.result_refused(&end.upstream.id, piece.result_bytes, now);
                 }
                 self.requeue_or_fail(piece, now);
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -265,6 +265,11 @@
         self.states.entry(upstream.into()).or_default().set_foreign_bytes(taken, until);
     }
 
+    /// Returns the bytes that are free at an upstream, so far as this queue knows.
+    pub fn free_bytes(&self, upstream: &str, now: Instant) -> u64 {
+        self.states.get(upstream).map_or(0, |it| it.free(self.spec.space_bytes, now))
+    }
+
     /// Returns the bytes that results of other owners take at an upstream.
     pub fn foreign_bytes(&self, upstream: &str, now: Instant) -> u64 {
         self.states.get(upstream).map_or(0, |it| it.foreign_bytes(now))
