--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -17,6 +17,7 @@
 use crate::batch::link::{HEARTBEAT_INTERVAL, Link, Sinks};
 use crate::batch::message::{Submission, ToOwner};
 use crate::batch::owner::{LOCAL_ORIGIN, Owner, OwnerEvent};
+use crate::budget::Spender;
 use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput};
 use crate::place::score;
 use crate::section::Section;
@@ -132,6 +133,8 @@
             first: None,
             times: StageTimes::default(),
         };
+        let now = Instant::now();
+        self.shared.budget.record(&spec.service, Spender::Submitter, spec.pieces, now);
         let mut resubmitted = false;
         let mut owners = 0;
         while owners < MAX_OWNERS {
@@ -141,7 +144,9 @@
             if resubmitted {
                 let entries = self.shared.entries();
                 let count = progress.left.len() as u32;
-                if !self.shared.budget.take(&spec.service, count, entries, Instant::now()) {
+                let now = Instant::now();
+                let (service, spender) = (&spec.service, Spender::Submitter);
+                if !self.shared.budget.take(service, spender, count, entries, now) {
                     break;
                 }
             }
--- a/crates/gateway/src/batch/owner/jobs.rs
+++ b/crates/gateway/src/batch/owner/jobs.rs
@@ -10,6 +10,7 @@
 use super::{LOCAL_ORIGIN, OpenJob, Replies, State};
 use crate::batch::message::{FromOwner, Job, JobInput, PiecesDone};
 use crate::batch::queue::{JobKey, Piece, Queue};
+use crate::budget::Spender;
 use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput};
 use crate::section::Section;
 
@@ -50,7 +51,8 @@
             let _ = replies.send(FromOwner::Results(done));
             return;
         };
-        self.shared.budget.record_request(&service, now);
+        let count = job.segments.len() as u32;
+        self.shared.budget.record(&service, Spender::Owner, count, now);
         let section = match context.domain {
             Some(domain) => Section { service, domain: Some(domain.into()) },
             // The submitter knows no sections. Another owner uses the other upstreams.
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -2,7 +2,7 @@
 //!
 //! Each entry may use a fixed share of the burst, and the ratio of its own requests. The shares of
 //! all entries add up to no more than the whole budget, whether or not the control plane is
-//! reachable.
+//! reachable. Pieces have budgets of their own, since an owner repeats the pieces of all entries.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -24,6 +24,31 @@
     pub burst: f64,
 }
 
+/// Who sends something again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Spender {
+    /// An entry, a caller's request.
+    Entry,
+    /// An entry, the pieces that it has submitted to an owner that is gone.
+    Submitter,
+    /// The owner of a section, pieces of a call that failed or that found no space. Nearly all
+    /// repeated pieces of a service are repeated by its few owners.
+    Owner,
+}
+
+impl BudgetSpec {
+    /// Returns the part of the budget for all spenders of a kind. The submitters' and the owners'
+    /// parts add up to the whole, with two owners of a section at the same time.
+    fn part(self, spender: Spender) -> Self {
+        let (ratio, burst) = match spender {
+            Spender::Entry => (1.0, 1.0),
+            Spender::Submitter => (0.5, 0.5),
+            Spender::Owner => (0.5, 0.25),
+        };
+        Self { ratio: self.ratio * ratio, burst: self.burst * burst, ..self }
+    }
+}
+
 /// The share of the budget that is used. The rest covers what several entries count differently,
 /// because their windows slide from bucket to bucket.
 const USABLE_SHARE: f64 = 0.8;
@@ -39,7 +64,7 @@
 pub struct Budget {
     spec: BudgetSpec,
     start: Instant,
-    accounts: Mutex<HashMap<Arc<str>, Account>>,
+    accounts: Mutex<HashMap<(Arc<str>, Spender), Account>>,
 }
 
 impl Budget {
@@ -48,19 +73,27 @@
         Self { spec, start: now, accounts: Mutex::default() }
     }
 
-    /// Counts a request for a service.
-    pub fn record_request(&self, service: &Arc<str>, now: Instant) {
-        self.with_account(service, now, |account, bucket| account.bucket_mut(bucket).1 += 1);
+    /// Counts requests or pieces that were sent, or will be, to a service.
+    pub fn record(&self, service: &Arc<str>, spender: Spender, count: u32, now: Instant) {
+        let key = (Arc::clone(service), spender);
+        self.with_account(key, now, |account, bucket| account.bucket_mut(bucket).1 += count);
     }
 
     /// Takes `count` retries for a service from the budget, all or none, and returns whether they
-    /// were granted. The burst is shared by `entries` entries.
-    pub fn take(&self, service: &Arc<str>, count: u32, entries: usize, now: Instant) -> bool {
-        let spec = self.spec;
-        self.with_account(service, now, |account, bucket| {
+    /// were granted. The burst is divided by `sharers`, the number of spenders of this kind.
+    pub fn take(
+        &self,
+        service: &Arc<str>,
+        spender: Spender,
+        count: u32,
+        sharers: usize,
+        now: Instant,
+    ) -> bool {
+        let spec = self.spec.part(spender);
+        self.with_account((Arc::clone(service), spender), now, |account, bucket| {
             let requests: u32 = account.buckets.iter().map(|it| it.1).sum();
             let retries: u32 = account.buckets.iter().map(|it| it.2).sum();
-            let burst = spec.burst / entries.max(1) as f64;
+            let burst = spec.burst / sharers.max(1) as f64;
             let allowed = USABLE_SHARE * (spec.ratio * f64::from(requests) + burst);
             let granted = f64::from(retries + count) <= allowed;
             if granted {
@@ -72,14 +105,14 @@
 
     fn with_account<T>(
         &self,
-        service: &Arc<str>,
+        key: (Arc<str>, Spender),
         now: Instant,
         act: impl FnOnce(&mut Account, u64) -> T,
     ) -> T {
         let bucket_ms = (self.spec.window / BUCKETS).as_millis().max(1);
         let bucket = (now.duration_since(self.start).as_millis() / bucket_ms) as u64;
         let mut accounts = self.accounts.lock().unwrap_or_else(PoisonError::into_inner);
-        let account = accounts.entry(Arc::clone(service)).or_default();
+        let account = accounts.entry(key).or_default();
         account.buckets.retain(|it| it.0 + u64::from(BUCKETS) > bucket);
         act(account, bucket)
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -15,6 +15,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 use types::{StepError, StepResult};
 
+use crate::budget::Spender;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::guard::{GuardedStream, LengthConflict};
@@ -150,7 +151,7 @@
         return Err(Refusal::Quarantined(it.after));
     }
     let service = request.route.service(rand::random()).cloned().ok_or(Refusal::NoUpstream)?;
-    shared.budget.record_request(&service, arrived);
+    shared.budget.record(&service, Spender::Entry, 1, arrived);
     if !can_be_served(&shared.directory(), &request, &service) {
         return Err(Refusal::NoUpstream);
     }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
+use crate::budget::Spender;
 use crate::dialect::{AnswerHead, Dialect};
 use crate::exchange::{self, Cause, Fault, Opened, Read};
 use crate::offers::Offers;
@@ -77,7 +78,9 @@
         if !upstream.claim_room(now) {
             continue;
         }
-        if reached_upstream && !shared.budget.take(service, 1, shared.entries(), now) {
+        if reached_upstream
+            && !shared.budget.take(service, Spender::Entry, 1, shared.entries(), now)
+        {
             shared.metrics.calls.with_label_values(&["no budget"]).inc();
             break;
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -15,6 +15,7 @@
 
 use crate::admission::{self, Forecast, Requirements, Verdict};
 use crate::batch::BatchClient;
+use crate::budget::Spender;
 use crate::dialect::{Dialect, PieceFailure, Segments};
 use crate::exchange::Cause;
 use crate::offers::Offers;
@@ -123,7 +124,9 @@
                 continue;
             }
             let entries = self.shared.entries();
-            if tries.reached_upstream && !self.shared.budget.take(service, 1, entries, now) {
+            let budget = &self.shared.budget;
+            let granted = || budget.take(service, Spender::Entry, 1, entries, now);
+            if tries.reached_upstream && !granted() {
                 self.shared.metrics.calls.with_label_values(&["no budget"]).inc();
                 return Err(if tries.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
             }
--- a/crates/gateway/tests/pure.rs
+++ b/crates/gateway/tests/pure.rs
@@ -5,7 +5,7 @@
 
 use gateway::Upstream;
 use gateway::body_memory::MemoryBudget;
-use gateway::budget::{Budget, BudgetSpec};
+use gateway::budget::{Budget, BudgetSpec, Spender};
 use gateway::dialect::{Generation, PromptPart};
 use gateway::events::EventSplitter;
 use gateway::guard::HeadScanner;
@@ -266,17 +266,44 @@
     let budget = Budget::new(spec, start);
     let service: Arc<str> = "s".into();
     for _ in 0..100 {
-        budget.record_request(&service, start);
+        budget.record(&service, Spender::Entry, 1, start);
     }
-    let granted = (0..100).filter(|_| budget.take(&service, 1, 8, start)).count();
+    let granted = (0..100).filter(|_| budget.take(&service, Spender::Entry, 1, 8, start)).count();
     // A fifth of 100 requests, and an eighth of the burst.
     assert!(granted <= 25, "{granted} retries");
     assert!(granted >= 18, "{granted} retries");
     let later = start + Duration::from_secs(11);
-    let again = (0..100).filter(|_| budget.take(&service, 1, 8, later)).count();
+    let again = (0..100).filter(|_| budget.take(&service, Spender::Entry, 1, 8, later)).count();
     assert!(again <= 5, "{again} retries without requests");
 }
 
+/// Guards against an owner that may repeat next to nothing because its budget is that of one entry of
+/// many: in a burst, results find no space at their upstreams, or a call is lost, and each piece of it
+/// fails its request.
+#[test]
+fn an_owner_may_repeat_the_pieces_of_all_entries() {
+    /// The entries, each with its submitted pieces in the window.
+    const ENTRIES: u32 = 89;
+    const PIECES: u32 = 40;
+    let start = Instant::now();
+    let spec = BudgetSpec { ratio: 0.2, window: Duration::from_secs(10), burst: 218.0 };
+    let service: Arc<str> = "s".into();
+    let granted = |budget: &Budget, spender, sharers| {
+        (0..10_000).filter(|_| budget.take(&service, spender, 1, sharers, start)).count()
+    };
+    let owner = Budget::new(spec, start);
+    owner.record(&service, Spender::Owner, ENTRIES * PIECES, start);
+    let by_owner = granted(&owner, Spender::Owner, 1);
+    assert!(by_owner >= 300, "{by_owner} repeated pieces");
+    let submitter = Budget::new(spec, start);
+    submitter.record(&service, Spender::Submitter, PIECES, start);
+    let by_submitter = granted(&submitter, Spender::Submitter, ENTRIES as usize);
+    // With the next owner of the same section, which has got as many pieces again.
+    let all = 2 * by_owner + ENTRIES as usize * by_submitter;
+    let allowed = 0.2 * f64::from(2 * ENTRIES * PIECES) + 218.0;
+    assert!(all as f64 <= allowed, "{all} repeated pieces of {allowed}");
+}
+
 /// Guards against refusing the longest prompts of a burst, and against prompts that leave the
 /// upstreams holding their parts. Most prompts wait for others at their engine, a fifth meet an
 /// idle one; a reading time taken from the mean would include the waits.
