Split the orders out of the registry's driver, and the waits out of the queue

Each had a second job: taking and applying orders, and telling how long pieces wait.

Change: driver/orders.rs and queue/waits.rs; code moved, nothing else.

--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -3,6 +3,7 @@
 
 mod piece;
 mod upstream_state;
+mod waits;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -154,45 +155,6 @@
         self.waiting.retain(|it| !dead(it.job));
     }
 
-    /// Returns, for each rank, how long a piece is expected to wait behind the pieces of its rank
-    /// and of those before it.
-    pub fn backlog(&self, upstreams: usize) -> [Duration; RANKS] {
-        self.waits_by_rank(upstreams, |_| true)
-    }
-
-    /// Like [`backlog`](Self::backlog), but for a piece that can still be on time: late pieces go
-    /// after it and do not count. If they did, requests that would be on time would be refused
-    /// after a burst for as long as late ones wait.
-    pub fn timely_backlog(&self, upstreams: usize, now: Instant) -> [Duration; RANKS] {
-        let end = self.batch_end(now);
-        self.waits_by_rank(upstreams, |it| it.due > end)
-    }
-
-    fn waits_by_rank(
-        &self,
-        upstreams: usize,
-        counts_for: impl Fn(&Piece) -> bool,
-    ) -> [Duration; RANKS] {
-        let mut counts = [0usize; RANKS];
-        for piece in self.waiting.iter().filter(|it| counts_for(it)) {
-            counts[usize::from(piece.rank).min(RANKS - 1)] += 1;
-        }
-        let call = self.nominal_time(self.spec.batch).as_secs_f64();
-        let rate = upstreams.max(1) as f64 * self.spec.batch as f64 / call.max(0.001) * EFFICIENCY;
-        let mut before = 0;
-        counts.map(|count| {
-            before += count;
-            Duration::from_secs_f64(before as f64 / rate)
-        })
-    }
-
-    /// Returns the time that a piece needs even if it goes first: one call at the present call
-    /// time, and the wait until the next of the `upstreams` becomes idle.
-    pub fn min_latency(&self, upstreams: usize) -> Duration {
-        let call = self.call_time.unwrap_or_else(|| self.nominal_time(1));
-        call + call / upstreams.max(1) as u32
-    }
-
     /// Chooses the next call, if one should be sent now.
     pub fn next_call(&mut self, targets: &[Target], now: Instant) -> Option<NextCall> {
         if self.waiting.is_empty() {
--- a/crates/registry/src/driver.rs
+++ b/crates/registry/src/driver.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod confirm;
 mod membership;
+mod orders;
 mod view;
 
 use std::collections::{BTreeMap, HashMap};
@@ -15,7 +16,7 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender};
 use std::time::{Duration, Instant};
 
-use consensus::{Config, Membership, Message, Node, Payload, Position, Role, Snapshot};
+use consensus::{Config, Membership, Message, Node, Position, Snapshot};
 use replica::Journal;
 use tokio::sync::{oneshot, watch};
 use types::{LogIndex, NodeId, StepResult};
@@ -305,52 +306,6 @@
         Ok(())
     }
 
-    fn handle_put(&mut self, put: PutPlan, reply: oneshot::Sender<Answer>) {
-        if put.version <= self.state.plan.version && self.accepts_orders() {
-            self.handle_read(reply);
-            return;
-        }
-        self.propose(&Command::PutPlan(put), reply);
-    }
-
-    /// Returns whether this node leads enough voters to keep an order. With fewer, the order could be
-    /// acknowledged and then lost together with the disks of all voters that hold it.
-    fn accepts_orders(&self) -> bool {
-        let enough_voters = self.node.membership().quorum() > self.config.max_losses;
-        self.node.status().role == Role::Leader && enough_voters
-    }
-
-    /// Proposes an order to the log, and answers once it is committed.
-    fn propose(&mut self, command: &Command, reply: oneshot::Sender<Answer>) {
-        // The operator has given up and sends the order again. Meanwhile the opposite one may have been
-        // acknowledged, and a late copy must not undo that.
-        if reply.is_closed() {
-            return;
-        }
-        if self.node.status().role != Role::Leader {
-            self.answer_not_leader(reply);
-            return;
-        }
-        if !self.accepts_orders() {
-            let _ = reply.send(Answer::TooFewVoters);
-            return;
-        }
-        match self.node.propose(command.encode()) {
-            Ok(position) => self.pending_orders.push((position, reply)),
-            Err(_) => self.answer_not_leader(reply),
-        }
-    }
-
-    fn handle_read(&mut self, reply: oneshot::Sender<Answer>) {
-        self.next_read += 1;
-        let id = self.next_read;
-        if self.node.read(id).is_err() {
-            self.answer_not_leader(reply);
-            return;
-        }
-        self.pending_reads.insert(id, Reader::Operator(reply));
-    }
-
     fn address(&self, id: NodeId) -> Option<SocketAddr> {
         let membership = self.node.membership();
         let bytes = membership.voters.get(&id).or_else(|| membership.learners.get(&id));
@@ -399,23 +354,6 @@
         }
     }
 
-    fn apply(&mut self, payload: Payload) -> StepResult<()> {
-        match payload {
-            Payload::Empty => {}
-            Payload::Command(bytes) => {
-                let command = Command::decode(&bytes)?;
-                if self.state.apply(&command) {
-                    log_applied(&command, self.applied);
-                }
-            }
-            Payload::Membership(it) => {
-                log::info!(voters = it.voters.len(), learners = it.learners.len(),
-                    index:% = self.applied; "the membership changed");
-            }
-        }
-        Ok(())
-    }
-
     fn compact(&mut self) -> StepResult<()> {
         let Some(head) = self.node.snapshot_head(self.applied) else { return Ok(()) };
         let snapshot = Snapshot { data: self.state.encode(), ..head };
@@ -423,20 +361,6 @@
     }
 }
 
-/// Logs a command that changed the state, for the audit trail.
-fn log_applied(command: &Command, index: LogIndex) {
-    match command {
-        Command::PutPlan(put) => {
-            log::info!(version:% = put.version, index:% = index; "stored a new plan");
-        }
-        Command::Evacuation(order) => {
-            log::info!(domain = order.domain.as_str(), action:% = order.action,
-                operator = order.operator.as_str(), ordered_ms = order.at_ms, index:% = index;
-                "stored an order for a failure domain");
-        }
-    }
-}
-
 fn node_config(id: NodeId) -> Config {
     Config {
         id,
