Write large frames from their shared bytes, without a copy for each connection

Cause: FramedWrite copies each frame into the buffer of its connection, and that buffer keeps its size. The whole list of 10,005 upstreams (some 45 bytes each) for 985 entries is 440 MB of copies of one encoded message. Change: wire's FrameWriter collects frames below 8 kB into one write and writes larger ones from their own bytes. The form on the wire is the same. Conclusion: what a member holds for entries that are sent the same list no longer grows with their number times its size.

--- a/crates/registry/tests/env/mod.rs
+++ b/crates/registry/tests/env/mod.rs
@@ -78,6 +78,16 @@
 
     /// Starts a member.
     pub(crate) async fn member(&self, number: usize, bootstrap: bool) -> Member<TextValidator> {
+        self.member_with(number, bootstrap, OneUpstream).await
+    }
+
+    /// Starts a member that reads this list of upstreams.
+    pub(crate) async fn member_with<L: ListSource>(
+        &self,
+        number: usize,
+        bootstrap: bool,
+        list: L,
+    ) -> Member<TextValidator> {
         let config = MemberConfig {
             vm: format!("vm-{number}").parse().expect("a name"),
             data_dir: self.data_dir(number),
@@ -87,7 +97,7 @@
             max_losses: self.losses,
             domains: BTreeSet::from(["d".to_owned(), "e".to_owned()]),
         };
-        let started = Member::spawn(config, TextValidator, OneUpstream, deployment_secret()).await;
+        let started = Member::spawn(config, TextValidator, list, deployment_secret()).await;
         started.expect("a member")
     }
 
--- a/crates/wire/src/io_tasks.rs
+++ b/crates/wire/src/io_tasks.rs
@@ -3,14 +3,16 @@
 use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::StreamExt;
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
 use tokio::time::timeout;
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::frame::HEARTBEAT_TAG;
-use crate::handshake::{Frames, Reader, Writer};
-use crate::meter::ByteMeter;
+use crate::frame_writer::FrameWriter;
+use crate::handshake::{Frames, Reader};
+use crate::meter::{ByteMeter, Metered};
 use crate::traffic::QueuedBytes;
 use crate::{HEARTBEAT_INTERVAL, LEVEL, WireError};
 
@@ -23,6 +25,9 @@
 /// The unit in which the size of a queue is counted.
 const UNIT_BYTES: usize = 1 << 10;
 
+/// The writing half of a connection.
+type SocketWriter = FrameWriter<Metered<OwnedWriteHalf>>;
+
 /// A frame in a queue. Dropping it frees its space in the queue.
 #[derive(Debug)]
 pub(crate) struct Queued {
@@ -121,6 +126,7 @@
         received: reader.get_ref().meter(),
     });
     let permit = permit.map(Arc::new);
+    let writer = FrameWriter::new(writer.into_inner());
     let (own, other_permit) = (Arc::clone(&shared), permit.clone());
     tokio::spawn(async move {
         let _permit = other_permit;
@@ -178,12 +184,12 @@
 
 /// Writes until the connection ends; returns the cause.
 async fn write(
-    mut writer: Writer,
+    mut writer: SocketWriter,
     mut queue: mpsc::Receiver<Queued>,
     receiver_dropped: &CancellationToken,
 ) -> WireError {
-    let meter = writer.get_ref().meter();
-    if let Err(error) = SinkExt::<Bytes>::send(&mut writer, heartbeat()).await {
+    let meter = writer.io().meter();
+    if let Err(error) = write_queued(&mut writer, None, &mut queue).await {
         return error.into();
     }
     loop {
@@ -204,7 +210,7 @@
             Err(silent) => return silent,
         }
     }
-    match meter.watch(SinkExt::<Bytes>::close(&mut writer)).await {
+    match meter.watch(writer.shutdown()).await {
         Ok(Err(error)) => error.into(),
         Ok(Ok(())) => WireError::Closed,
         Err(silent) => silent,
@@ -220,18 +226,18 @@
 /// Writes one frame, or a heartbeat, and all frames that are queued behind it, then flushes once.
 /// Only then is their space in the queue freed.
 async fn write_queued(
-    writer: &mut Writer,
+    writer: &mut SocketWriter,
     first: Option<Queued>,
     queue: &mut mpsc::Receiver<Queued>,
 ) -> std::io::Result<()> {
     let frame = first.as_ref().map_or_else(heartbeat, |it| it.frame.clone());
-    writer.feed(frame).await?;
+    writer.feed(&frame).await?;
     let mut written = Vec::from_iter(first);
     while let Ok(queued) = queue.try_recv() {
-        writer.feed(queued.frame.clone()).await?;
+        writer.feed(&queued.frame).await?;
         written.push(queued);
     }
-    SinkExt::<Bytes>::flush(writer).await
+    writer.flush().await
 }
 
 fn queue_units(frame: &Bytes) -> u32 {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod edit;
 mod error;
 mod frame;
+mod frame_writer;
 mod handshake;
 mod io_tasks;
 mod listener;
