Wait for an entry's first frame before it is told anything

Cause: a member gave an entry 60 ms to tell its level. If the frame came later (a lost packet, a busy process), the evacuated domains and the cold upstreams were left out until something else changed, and the confirmed plan and the upstreams were sent before them: the entry served without them. Change: the level is known with the first frame of the other side, which every release sends at once; a member waits for that, without a time. Conclusion: what an entry must spare comes first, however late its level is.

--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -47,9 +47,6 @@
 /// that connect at once then cost each entry a few messages instead of one per entry.
 const BATCH_DELAY: Duration = Duration::from_millis(60);
 
-/// How long to wait for an entry's protocol level; an entry of the previous release sends none.
-const LEVEL_TIMEOUT: Duration = Duration::from_millis(60);
-
 /// The lists that the leader sends to entries.
 #[derive(Clone, Debug, Default)]
 struct ListSet {
@@ -217,7 +214,9 @@
         let mut confirmed = false;
         let mut lists = self.lists.subscribe();
         let mut total_loads = self.total_loads.subscribe();
-        sender.wait_level(LEVEL_TIMEOUT).await;
+        // An entry that serves requests must know the evacuations and the cold upstreams. Which
+        // messages it can read is known with its first frame, which may be late.
+        sender.level_known().await?;
         let mut sent = Sent::default();
         let mut outdated = true;
         loop {
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -170,13 +170,22 @@
     pub async fn wait_level(&self, max_wait: Duration) {
         let mut level = self.shared.level.subscribe();
         // After the timeout the level stays 0 until it is announced.
-        let _ = timeout(max_wait, level.wait_for(|it| *it > 0)).await;
+        let _ = timeout(max_wait, level.wait_for(|it| it.is_some_and(|it| it > 0))).await;
+    }
+
+    /// Waits until the level of the other side is known, however long its first frame takes. For
+    /// messages that must not be left out because a packet was lost.
+    ///
+    /// # Errors
+    /// Returns an error where the connection has ended.
+    pub async fn level_known(&self) -> StepResult<()> {
+        self.shared.level_known().await.map_err(|e| self.step_error(e))
     }
 
     /// Returns the level that the other side has announced so far; 0 for none. Where packets are
     /// lost it may arrive late, so callers check it for each message.
     pub fn level(&self) -> u8 {
-        *self.shared.level.borrow()
+        self.shared.level.borrow().unwrap_or_default()
     }
 
     /// Waits until the connection has ended; returns the cause.
--- a/crates/wire/src/io_tasks.rs
+++ b/crates/wire/src/io_tasks.rs
@@ -52,8 +52,8 @@
     receiver_dropped: CancellationToken,
     cause: OnceLock<WireError>,
     space: Arc<Semaphore>,
-    /// The level of the other side; 0 until it announces one.
-    pub(crate) level: watch::Sender<u8>,
+    /// The level of the other side; `None` until its first frame has arrived.
+    pub(crate) level: watch::Sender<Option<u8>>,
     /// Counts the received bytes.
     pub(crate) received: ByteMeter,
 }
@@ -86,6 +86,15 @@
         }
     }
 
+    /// Waits until the level of the other side is known.
+    pub(crate) async fn level_known(&self) -> Result<(), WireError> {
+        let mut level = self.level.subscribe();
+        tokio::select! {
+            known = level.wait_for(Option::is_some) => known.map(drop).map_err(|_| WireError::Closed),
+            () = self.ended.cancelled() => Err(self.cause()),
+        }
+    }
+
     /// Reserves space in the send queue, if there is enough.
     pub(crate) fn try_reserve(&self, frame: Bytes) -> Result<Queued, WireError> {
         if self.ended.is_cancelled() {
@@ -117,16 +126,16 @@
     let (outgoing, to_write) = mpsc::channel(MAX_QUEUED_MESSAGES);
     let (from_read, incoming) = mpsc::channel(MAX_QUEUED_MESSAGES);
     let Frames { reader, writer } = frames;
+    let writer = FrameWriter::new(writer.into_inner());
     let shared = Arc::new(Shared {
         ended: CancellationToken::new(),
         receiver_dropped: CancellationToken::new(),
         cause: OnceLock::new(),
         space: Arc::new(Semaphore::new(QUEUE_UNITS as usize)),
-        level: watch::Sender::new(0),
+        level: watch::Sender::new(None),
         received: reader.get_ref().meter(),
     });
     let permit = permit.map(Arc::new);
-    let writer = FrameWriter::new(writer.into_inner());
     let (own, other_permit) = (Arc::clone(&shared), permit.clone());
     tokio::spawn(async move {
         let _permit = other_permit;
@@ -156,7 +165,7 @@
 async fn read(
     mut reader: Reader,
     queue: mpsc::Sender<Queued>,
-    level: &watch::Sender<u8>,
+    level: &watch::Sender<Option<u8>>,
 ) -> WireError {
     let meter = reader.get_ref().meter();
     let space = Arc::new(Semaphore::new(QUEUE_UNITS as usize));
@@ -167,10 +176,9 @@
             Ok(None) => return WireError::Closed,
             Err(silent) => return silent,
         };
-        if frame.first() == Some(&HEARTBEAT_TAG) {
-            if let Some(announced) = frame.get(1) {
-                level.send_if_modified(|it| std::mem::replace(it, *announced) != *announced);
-            }
+        let is_heartbeat = frame.first() == Some(&HEARTBEAT_TAG);
+        record_level(level, frame.get(1).filter(|_| is_heartbeat).copied());
+        if is_heartbeat {
             continue;
         }
         // While the queue is full nothing is read, which must not count as silence of the other side.
@@ -182,6 +190,15 @@
     }
 }
 
+/// Records the level that a frame announces. Releases with levels announce theirs with their first
+/// frame, so after a first frame without one the level is 0.
+fn record_level(level: &watch::Sender<Option<u8>>, announced: Option<u8>) {
+    level.send_if_modified(|it| {
+        let next = announced.or(*it).unwrap_or_default();
+        it.replace(next) != Some(next)
+    });
+}
+
 /// Writes until the connection ends; returns the cause.
 async fn write(
     mut writer: SocketWriter,
