Bring lists up to date by their content, and keep differences from several lists

Cause, two of one kind: a list was sent whole whenever the entry's last one was not exactly the one before. (1) A new leader numbers anew, so each change of the leader sent every entry all upstreams and entries: entries times upstreams. (2) An entry that had not read one list before the next was published, some 450 ms, got the whole next one, 450 kB of 10,005 upstreams, which takes 0.36 s of its 10 Mbit/s: by then it is behind again. Change: the leader keeps eight earlier lists and sends the difference from whichever the entry has. Where it has none of them, it offers a digest; an entry with that content adopts the number, another names the digests of its buckets (16 elements each) and gets those that differ; the result must have the leader's digest, or the entry asks for the whole list. Members and entries of the release before are sent what they know (level 5). The state of what an entry was sent moves to hub/sent.rs. Conclusion: a change of the leader, a reconnect and a busy link cost an entry what has changed. A process that starts still takes a whole list.

--- a/crates/registry/src/difference.rs
+++ b/crates/registry/src/difference.rs
@@ -4,6 +4,7 @@
 //! entry. When all n entries connect at once, that traffic grows with n³, at the leader and in sum on
 //! the entries' links.
 
+use std::cmp::Ordering;
 use std::collections::HashSet;
 use std::hash::Hash;
 
@@ -12,12 +13,15 @@
 use crate::message::{EntryInfo, Stamp, Upstream};
 
 /// An element of a list that has a key. Lists are ordered by key.
-pub trait Listed: Clone + PartialEq {
+pub trait Listed: Clone + PartialEq + Serialize {
     /// The type of the key. Keys are unique within a list.
-    type Key: Clone + Eq + Hash + Ord;
+    type Key: Clone + Eq + Hash + Ord + Serialize;
 
     /// Returns the key.
     fn key(&self) -> Self::Key;
+
+    /// Compares the keys of two elements, without a copy of them.
+    fn compare(&self, other: &Self) -> Ordering;
 }
 
 impl Listed for EntryInfo {
@@ -26,6 +30,10 @@
     fn key(&self) -> Self::Key {
         self.address
     }
+
+    fn compare(&self, other: &Self) -> Ordering {
+        self.address.cmp(&other.address)
+    }
 }
 
 impl Listed for Upstream {
@@ -34,6 +42,10 @@
     fn key(&self) -> Self::Key {
         self.id.clone()
     }
+
+    fn compare(&self, other: &Self) -> Ordering {
+        self.id.cmp(&other.id)
+    }
 }
 
 /// The difference between two lists.
@@ -68,8 +80,8 @@
     /// Creates a list, sorted by key; of elements with the same key the first one is kept.
     pub fn new(stamp: Stamp, list: Vec<T>) -> Self {
         let mut list = list;
-        list.sort_by_key(T::key);
-        list.dedup_by_key(|it| it.key());
+        list.sort_by(T::compare);
+        list.dedup_by(|a, b| a.compare(b).is_eq());
         Self { stamp, list }
     }
 
@@ -78,7 +90,7 @@
         let kept: HashSet<T::Key> = next.list.iter().map(T::key).collect();
         let removed = self.list.iter().map(T::key).filter(|it| !kept.contains(it)).collect();
         let known = |it: &&T| {
-            let at = self.list.binary_search_by_key(&it.key(), T::key);
+            let at = self.list.binary_search_by(|known| known.compare(it));
             at.is_ok_and(|at| self.list[at] == **it)
         };
         let updated = next.list.iter().filter(|it| !known(it)).cloned().collect();
--- a/crates/registry/src/follow/state.rs
+++ b/crates/registry/src/follow/state.rs
@@ -12,6 +12,7 @@
 use super::link::{Event, link};
 use super::{FollowerConfig, RegistryState};
 use crate::cold::{ColdList, ColdUpstream};
+use crate::content::{Held, Offer};
 use crate::difference::NumberedList;
 use crate::evacuation::EvacuatedDomains;
 use crate::fetch::Fetch;
@@ -57,6 +58,9 @@
 pub(super) struct MemberLists {
     entries: NumberedList<EntryInfo>,
     upstreams: NumberedList<Upstream>,
+    /// What this entry held, from whichever member, when this one offered its lists.
+    held_entries: Arc<Vec<EntryInfo>>,
+    held_upstreams: Arc<Vec<Upstream>>,
 }
 
 impl State {
@@ -183,31 +187,43 @@
                     "a member sent a whole plan, which this entry never requests; it is ignored");
             }
             ToEntry::Upstreams(list) => {
-                self.lists_of(from).upstreams =
-                    NumberedList::new(list.stamp, list.upstreams.clone());
-                self.handle_upstreams(from, list);
+                self.take_upstreams(from, NumberedList::new(list.stamp, list.upstreams));
             }
             ToEntry::UpstreamsChanged(difference) => {
                 let Some(next) = self.lists_of(from).upstreams.apply(difference) else {
                     return self.reconnect(from, "upstreams");
                 };
-                self.lists_of(from).upstreams = next.clone();
-                let list = UpstreamList { stamp: next.stamp, upstreams: next.list };
-                self.handle_upstreams(from, list);
+                self.take_upstreams(from, next);
             }
             ToEntry::Loads(loads) => {
                 self.loads.send_replace(Arc::new(loads));
             }
             ToEntry::Entries(stamp, entries) => {
-                self.lists_of(from).entries = NumberedList::new(stamp, entries.clone());
-                self.set_entries(stamp, entries);
+                self.take_entries(from, NumberedList::new(stamp, entries));
             }
             ToEntry::EntriesChanged(difference) => {
                 let Some(next) = self.lists_of(from).entries.apply(difference) else {
                     return self.reconnect(from, "entries");
                 };
-                self.lists_of(from).entries = next.clone();
-                self.set_entries(next.stamp, next.list);
+                self.take_entries(from, next);
+            }
+            ToEntry::UpstreamsOffered(offer) => self.answer_upstreams(from, offer),
+            ToEntry::EntriesOffered(offer) => self.answer_entries(from, offer),
+            ToEntry::UpstreamsPatched(patch) => {
+                let offered = patch.offer.stamp;
+                let held = std::mem::take(&mut self.lists_of(from).held_upstreams);
+                match patch.apply(&held) {
+                    Some(next) => self.take_upstreams(from, next),
+                    None => self.send_to(from, &ToMember::UpstreamsHeld(offered, Held::Nothing)),
+                }
+            }
+            ToEntry::EntriesPatched(patch) => {
+                let offered = patch.offer.stamp;
+                let held = std::mem::take(&mut self.lists_of(from).held_entries);
+                match patch.apply(&held) {
+                    Some(next) => self.take_entries(from, next),
+                    None => self.send_to(from, &ToMember::EntriesHeld(offered, Held::Nothing)),
+                }
             }
             ToEntry::Members(members) => self.members = members,
             ToEntry::Quarantine(list) => self.handle_quarantine(from, &list),
@@ -243,6 +259,53 @@
         });
     }
 
+    fn take_upstreams(&mut self, from: SocketAddr, next: NumberedList<Upstream>) {
+        self.lists_of(from).upstreams = next.clone();
+        self.handle_upstreams(from, UpstreamList { stamp: next.stamp, upstreams: next.list });
+    }
+
+    fn take_entries(&mut self, from: SocketAddr, next: NumberedList<EntryInfo>) {
+        self.lists_of(from).entries = next.clone();
+        self.set_entries(next.stamp, next.list);
+    }
+
+    /// Answers the offer of a list of upstreams, and adopts its number if this entry holds it already.
+    fn answer_upstreams(&mut self, from: SocketAddr, offer: Offer) {
+        let held = Arc::clone(&self.published.borrow().upstreams);
+        let answer = offer.answer(&held);
+        log::info!(peer:% = from, listed:% = offer.stamp, upstreams = held.len(),
+            same = answer == Held::Same; "a member offered its list of upstreams");
+        if answer == Held::Same {
+            self.take_upstreams(from, NumberedList::new(offer.stamp, held.to_vec()));
+        }
+        self.lists_of(from).held_upstreams = held;
+        self.send_to(from, &ToMember::UpstreamsHeld(offer.stamp, answer));
+    }
+
+    /// Answers the offer of a list of entries, and adopts its number if this entry holds it already.
+    fn answer_entries(&mut self, from: SocketAddr, offer: Offer) {
+        let held = Arc::clone(&self.published.borrow().entries);
+        let answer = offer.answer(&held);
+        log::info!(peer:% = from, seated:% = offer.stamp, entries = held.len(),
+            same = answer == Held::Same; "a member offered its list of entries");
+        if answer == Held::Same {
+            self.take_entries(from, NumberedList::new(offer.stamp, held.to_vec()));
+        }
+        self.lists_of(from).held_entries = held;
+        self.send_to(from, &ToMember::EntriesHeld(offer.stamp, answer));
+    }
+
+    /// Sends a member a message without which it sends no further lists; connects to it again if the
+    /// message can't be queued.
+    fn send_to(&self, member: SocketAddr, message: &ToMember) {
+        let Some(sender) = self.links.get(&member).and_then(Option::as_ref) else { return };
+        if let Err(error) = sender.try_send(message) {
+            log::warn!(peer:% = member, cause:% = error;
+                "an offer can't be answered; connecting to the member again");
+            sender.abort();
+        }
+    }
+
     fn lists_of(&mut self, from: SocketAddr) -> &mut MemberLists {
         self.member_lists.entry(from).or_default()
     }
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -1,6 +1,7 @@
 //! Sends the plan's version, the upstreams and the entries to the connected entries.
 
 mod quarantine;
+mod sent;
 
 use std::collections::{BTreeMap, HashMap};
 use std::pin::pin;
@@ -17,12 +18,13 @@
 use crate::lists::{EncodedLoads, Published};
 use crate::member::Confirmer;
 use crate::message::{
-    DOMAINS_LEVEL, EntryInfo, LoadReport, Stamp, ToEntry, ToMember, Upstream, UpstreamList,
-    UpstreamLoad,
+    EntryInfo, LoadReport, Stamp, ToEntry, ToMember, Upstream, UpstreamList, UpstreamLoad,
 };
 use crate::package_cache::PackageCache;
 use crate::quarantine::QuarantineTable;
 
+use self::sent::Sent;
+
 /// The shortest interval at which entries report their loads and the leader sends out the sum. Until
 /// the sum arrives, two entries may send prompts to the same engine, since neither knows of the
 /// other's.
@@ -272,6 +274,15 @@
                         let current_view = view.borrow().clone();
                         self.take_evidence(incarnation, evidence, &current_view);
                     }
+                    Some(ToMember::UpstreamsHeld(offered, held)) => {
+                        let upstreams = self.lists.borrow().upstreams.clone();
+                        let to = &mut sent.upstreams;
+                        outdated |= upstreams.answer(sender, to, offered, held).await?;
+                    }
+                    Some(ToMember::EntriesHeld(offered, held)) => {
+                        let entries = self.lists.borrow().entries.clone();
+                        outdated |= entries.answer(sender, &mut sent.entries, offered, held).await?;
+                    }
                     Some(ToMember::FetchPlan(version)) => {
                         let plan = view.borrow().state.plan.clone();
                         if plan.version >= version {
@@ -298,88 +309,3 @@
         log::error!(cause:% = error; "a list can't be encoded; entries keep the previous one");
     }
 }
-
-/// The state that one entry was sent last.
-#[derive(Default)]
-struct Sent {
-    plan: Option<(types::Version, bool)>,
-    /// The number of the last order for a failure domain.
-    evacuations: Option<u64>,
-    members: Vec<std::net::SocketAddr>,
-    upstreams: Stamp,
-    entries: Stamp,
-    loads: Option<Arc<EncodedLoads>>,
-    quarantine: Stamp,
-    cold: Stamp,
-}
-
-impl Sent {
-    async fn send_view(
-        &mut self,
-        sender: &Sender<ToEntry>,
-        view: &View,
-        confirmed: bool,
-    ) -> types::StepResult<()> {
-        let evacuations = &view.state.evacuations;
-        // Sent before the plan's version: an entry that has just started serves requests once a member
-        // has confirmed that version, and must know the evacuations by then.
-        if sender.level() >= DOMAINS_LEVEL && self.evacuations != Some(evacuations.number()) {
-            self.evacuations = Some(evacuations.number());
-            sender.send(&ToEntry::Evacuated(evacuations.domains())).await?;
-        }
-        let (version, current) = (view.state.plan.version, confirmed && view.current);
-        if self.plan != Some((version, current)) {
-            self.plan = Some((version, current));
-            sender.send(&ToEntry::PlanVersion { version, current }).await?;
-        }
-        if !view.members.is_empty() && self.members != view.members {
-            self.members.clone_from(&view.members);
-            sender.send(&ToEntry::Members(view.members.clone())).await?;
-        }
-        Ok(())
-    }
-
-    /// Sends the cold upstreams. Sent before the list that names them.
-    async fn send_cold(
-        &mut self,
-        sender: &Sender<ToEntry>,
-        term: u64,
-        cold: &ColdEnds,
-    ) -> types::StepResult<()> {
-        let outdated = cold.stamp.term == term && self.cold < cold.stamp;
-        if !outdated || sender.level() < DOMAINS_LEVEL {
-            return Ok(());
-        }
-        self.cold = cold.stamp;
-        sender.send(&ToEntry::Cold(cold.list(Instant::now()))).await
-    }
-
-    async fn send_loads(
-        &mut self,
-        sender: &Sender<ToEntry>,
-        loads: Option<Arc<EncodedLoads>>,
-    ) -> types::StepResult<()> {
-        let Some(loads) = loads else { return Ok(()) };
-        if self.loads.as_ref().is_some_and(|it| Arc::ptr_eq(it, &loads)) {
-            return Ok(());
-        }
-        let sent = sender.send_encoded(&loads.message).await;
-        self.loads = Some(loads);
-        sent
-    }
-
-    async fn send_lists(
-        &mut self,
-        sender: &Sender<ToEntry>,
-        term: u64,
-        lists: &ListSet,
-    ) -> types::StepResult<()> {
-        if lists.upstreams.numbered.stamp.term == term {
-            lists.upstreams.send_newer(sender, &mut self.upstreams).await?;
-        }
-        if lists.entries.numbered.stamp.term == term {
-            lists.entries.send_newer(sender, &mut self.entries).await?;
-        }
-        Ok(())
-    }
-}
--- a/crates/registry/src/hub/quarantine.rs
+++ b/crates/registry/src/hub/quarantine.rs
@@ -7,7 +7,8 @@
 use tokio::time::sleep;
 use wire::Sender;
 
-use super::{Hub, ListSet, Sent};
+use super::sent::Sent;
+use super::{Hub, ListSet};
 use crate::digest::RequestDigest;
 use crate::driver::View;
 use crate::message::{QUARANTINE_LEVEL, Stamp, ToEntry};
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -8,6 +8,7 @@
 //! connect to every member that they can reach and use the newest data that they receive.
 
 pub mod cold;
+pub mod content;
 pub mod difference;
 pub mod evacuation;
 pub mod fetch;
--- a/crates/registry/src/lists.rs
+++ b/crates/registry/src/lists.rs
@@ -1,85 +1,196 @@
 //! The lists that a leader sends to entries, encoded once for all of them.
 
-use std::sync::Arc;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 
 use types::{StepError, StepResult};
 use wire::{Encoded, Sender};
 
+use crate::content::{Held, Offer, Patch, Summary, bucket_count};
 use crate::difference::{Listed, NumberedList};
 use crate::message::{
-    DIFFERENCES_LEVEL, EntryInfo, LoadReport, Stamp, ToEntry, Upstream, UpstreamList,
+    DIFFERENCES_LEVEL, EntryInfo, LoadReport, OFFERS_LEVEL, Stamp, ToEntry, Upstream, UpstreamList,
 };
 
-/// A list, encoded whole and as the difference from the previous one.
+/// The size from which an entry is offered a list before it is sent, in bytes. The exchange for a
+/// smaller list takes as long as the list.
+const MIN_OFFERED_BYTES: usize = 2 << 10;
+
+/// The number of earlier lists from which entries are sent differences. An entry on a busy link is a
+/// few lists behind; sent the whole list, it would be further behind when that has arrived.
+const MAX_EARLIER_LISTS: usize = 8;
+
+/// A list, encoded whole and as differences from earlier ones.
 #[derive(Clone, Debug)]
 pub(crate) struct Published<T> {
     pub(crate) numbered: Arc<NumberedList<T>>,
     whole: Option<Encoded<ToEntry>>,
-    difference: Option<(Stamp, Encoded<ToEntry>)>,
+    /// The lists before this one, the newest last.
+    earlier: VecDeque<Arc<NumberedList<T>>>,
+    /// The differences from earlier lists, each made for the first entry that needs it.
+    differences: Arc<Mutex<BTreeMap<Stamp, Encoded<ToEntry>>>>,
+    /// Made for the first entry that is offered the list.
+    summary: Arc<OnceLock<Summary>>,
 }
 
 impl<T> Default for Published<T> {
     fn default() -> Self {
-        Self { numbered: Arc::default(), whole: None, difference: None }
+        Self {
+            numbered: Arc::default(),
+            whole: None,
+            earlier: VecDeque::new(),
+            differences: Arc::default(),
+            summary: Arc::default(),
+        }
     }
 }
 
-impl<T: Listed> Published<T> {
+/// What one entry was sent of a list.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SentList {
+    /// The number of the list that it has from this member.
+    pub(crate) stamp: Stamp,
+    /// The number of the list that it was offered and has not answered yet.
+    offered: Option<Stamp>,
+    /// Whether it has told that it holds no list of use, so that it needs a whole one.
+    needs_whole: bool,
+}
+
+impl<T: Listed> Published<T>
+where
+    NumberedList<T>: ListMessages<Element = T>,
+{
     /// Replaces the list.
     ///
     /// # Errors
     /// Fails if the list is too large for a message; the previous one stays.
-    pub(crate) fn publish(&mut self, next: NumberedList<T>) -> StepResult<()>
-    where
-        NumberedList<T>: ListMessages,
-    {
-        let encode = |it: &ToEntry| {
-            Encoded::new(it).map_err(|e| StepError::new("encode list for entries", e))
-        };
-        let whole = encode(&next.whole_message())?;
-        let difference = encode(&self.numbered.difference_message(&next))?;
-        self.difference = Some((self.numbered.stamp, difference));
-        self.whole = Some(whole);
-        self.numbered = Arc::new(next);
+    pub(crate) fn publish(&mut self, next: NumberedList<T>) -> StepResult<()> {
+        self.whole = Some(encode(&next.whole_message())?);
+        if self.earlier.len() == MAX_EARLIER_LISTS {
+            self.earlier.pop_front();
+        }
+        self.earlier.push_back(std::mem::replace(&mut self.numbered, Arc::new(next)));
+        self.differences = Arc::default();
+        self.summary = Arc::default();
         Ok(())
     }
 
-    /// Returns the message that brings an entry from the list `sent` up to date: the difference if the
-    /// entry supports it and has the previous list, else the whole list.
-    fn update(&self, sent: Stamp, level: u8) -> Option<&Encoded<ToEntry>> {
-        let known =
-            self.difference.as_ref().filter(|it| it.0 == sent && level >= DIFFERENCES_LEVEL);
-        known.map(|it| &it.1).or(self.whole.as_ref())
+    /// Returns the difference from the list numbered `base`; `None` if it is not kept any more.
+    ///
+    /// # Errors
+    /// Fails if the difference is too large for a message.
+    fn difference(&self, base: Stamp) -> StepResult<Option<Encoded<ToEntry>>> {
+        let Some(earlier) = self.earlier.iter().find(|it| it.stamp == base) else {
+            return Ok(None);
+        };
+        let mut differences = self.differences.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(known) = differences.get(&base) {
+            return Ok(Some(known.clone()));
+        }
+        let encoded = encode(&earlier.difference_message(&self.numbered))?;
+        differences.insert(base, encoded.clone());
+        Ok(Some(encoded))
+    }
+
+    fn summary(&self) -> &Summary {
+        let list = &self.numbered.list;
+        self.summary.get_or_init(|| Summary::of(list, bucket_count(list.len())))
     }
 
-    /// Sends the list to an entry, if the last one that it was sent is older.
+    /// Sends the list to an entry, if the last one that it was sent is older: as the difference if the
+    /// entry supports it and has the previous list, else as an offer if it may hold most of it, else
+    /// whole.
     pub(crate) async fn send_newer(
         &self,
         sender: &Sender<ToEntry>,
-        sent: &mut Stamp,
+        sent: &mut SentList,
     ) -> StepResult<()> {
-        if *sent >= self.numbered.stamp {
+        let (newest, level) = (self.numbered.stamp, sender.level());
+        // An entry that was offered a list answers before it is sent another.
+        if sent.stamp >= newest || sent.offered.is_some() {
             return Ok(());
         }
-        let update = self.update(*sent, sender.level());
-        *sent = self.numbered.stamp;
-        match update {
-            Some(update) => sender.send_encoded(update).await,
-            None => Ok(()),
+        let Some(whole) = &self.whole else { return Ok(()) };
+        let offers = level >= OFFERS_LEVEL && whole.len() >= MIN_OFFERED_BYTES;
+        // The difference from no list is as large as the whole list.
+        let is_small = !offers || sent.stamp > Stamp::default();
+        let takes_difference = level >= DIFFERENCES_LEVEL && is_small && !sent.needs_whole;
+        let difference = if takes_difference { self.difference(sent.stamp)? } else { None };
+        match difference {
+            Some(difference) => {
+                sent.stamp = newest;
+                sender.send_encoded(&difference).await
+            }
+            _ if offers && !sent.needs_whole => {
+                sent.offered = Some(newest);
+                sender.send(&NumberedList::offer_message(self.summary().offer(newest))).await
+            }
+            _ => {
+                *sent = SentList { stamp: newest, ..SentList::default() };
+                sender.send_encoded(whole).await
+            }
         }
     }
+
+    /// Takes an entry's answer to the offer of the list numbered `offered`, and sends it what it lacks.
+    /// An entry that can't use a patch answers again, with [`Held::Nothing`]. Returns whether a list
+    /// has to be sent.
+    pub(crate) async fn answer(
+        &self,
+        sender: &Sender<ToEntry>,
+        sent: &mut SentList,
+        offered: Stamp,
+        held: Held,
+    ) -> StepResult<bool> {
+        let is_patched = sent.offered.is_none() && sent.stamp == offered;
+        if held == Held::Nothing && is_patched {
+            *sent = SentList { needs_whole: true, ..SentList::default() };
+            return Ok(true);
+        }
+        if sent.offered != Some(offered) {
+            return Ok(false);
+        }
+        sent.offered = None;
+        match held {
+            Held::Same => sent.stamp = offered,
+            Held::Nothing => sent.needs_whole = true,
+            Held::Buckets(held) => {
+                // Without a patch, the number of buckets has changed: the newer list is offered.
+                if let Some(patch) = self.summary().patch(&self.numbered, &held) {
+                    sent.stamp = patch.offer.stamp;
+                    sender.send(&NumberedList::patch_message(patch)).await?;
+                }
+            }
+        }
+        Ok(true)
+    }
+}
+
+fn encode(message: &ToEntry) -> StepResult<Encoded<ToEntry>> {
+    Encoded::new(message).map_err(|e| StepError::new("encode list for entries", e))
 }
 
 /// Makes the messages that carry a list.
 pub(crate) trait ListMessages: Sized {
+    /// The type of the list's elements.
+    type Element;
+
     /// Returns the message with the whole list.
     fn whole_message(&self) -> ToEntry;
 
     /// Returns the message with the difference from this list to `next`.
     fn difference_message(&self, next: &Self) -> ToEntry;
+
+    /// Returns the message that offers a list.
+    fn offer_message(offer: Offer) -> ToEntry;
+
+    /// Returns the message with the buckets that differ.
+    fn patch_message(patch: Patch<Self::Element>) -> ToEntry;
 }
 
 impl ListMessages for NumberedList<EntryInfo> {
+    type Element = EntryInfo;
+
     fn whole_message(&self) -> ToEntry {
         ToEntry::Entries(self.stamp, self.list.clone())
     }
@@ -87,9 +198,19 @@
     fn difference_message(&self, next: &Self) -> ToEntry {
         ToEntry::EntriesChanged(self.difference(next))
     }
+
+    fn offer_message(offer: Offer) -> ToEntry {
+        ToEntry::EntriesOffered(offer)
+    }
+
+    fn patch_message(patch: Patch<EntryInfo>) -> ToEntry {
+        ToEntry::EntriesPatched(patch)
+    }
 }
 
 impl ListMessages for NumberedList<Upstream> {
+    type Element = Upstream;
+
     fn whole_message(&self) -> ToEntry {
         ToEntry::Upstreams(UpstreamList { stamp: self.stamp, upstreams: self.list.clone() })
     }
@@ -97,6 +218,14 @@
     fn difference_message(&self, next: &Self) -> ToEntry {
         ToEntry::UpstreamsChanged(self.difference(next))
     }
+
+    fn offer_message(offer: Offer) -> ToEntry {
+        ToEntry::UpstreamsOffered(offer)
+    }
+
+    fn patch_message(patch: Patch<Upstream>) -> ToEntry {
+        ToEntry::UpstreamsPatched(patch)
+    }
 }
 
 /// The sum of the loads of all entries, with its encoded message.
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -8,6 +8,7 @@
 use types::{LogIndex, NodeId, Version};
 
 use crate::cold::ColdList;
+use crate::content::{Held, Offer, Patch};
 use crate::difference::Difference;
 use crate::evacuation::EvacuatedDomains;
 use crate::package::{PackageId, Part};
@@ -60,6 +61,10 @@
     FetchPart(PartRequest),
     /// Reports requests that may terminate upstreams to the leader.
     Evidence(Evidence),
+    /// Answers the offer of a list of upstreams with this number.
+    UpstreamsHeld(Stamp, Held),
+    /// Answers the offer of a list of entries with this number.
+    EntriesHeld(Stamp, Held),
 }
 
 /// A request for the next part of a plan.
@@ -120,6 +125,14 @@
     Evacuated(EvacuatedDomains),
     /// The cold upstreams, from the leader.
     Cold(ColdList),
+    /// The digest of the leader's list of upstreams, for an entry that may hold it.
+    UpstreamsOffered(Offer),
+    /// The digest of the leader's list of entries, for an entry that may hold it.
+    EntriesOffered(Offer),
+    /// The difference between the leader's upstreams and those that the entry named.
+    UpstreamsPatched(Patch<Upstream>),
+    /// The difference between the leader's entries and those that the entry named.
+    EntriesPatched(Patch<EntryInfo>),
 }
 
 /// The protocol level from which an entry accepts differences of lists.
@@ -131,6 +144,9 @@
 /// The protocol level from which entries obey evacuations and spare cold upstreams.
 pub const DOMAINS_LEVEL: u8 = 4;
 
+/// The protocol level from which entries answer offers of lists.
+pub const OFFERS_LEVEL: u8 = 5;
+
 /// The number of a list that a leader publishes. It orders the lists of successive leaders.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Stamp {
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -237,6 +237,14 @@
     }
 }
 
+impl<Out> Encoded<Out> {
+    /// Returns the number of encoded bytes.
+    #[allow(clippy::len_without_is_empty)] // An encoded message has at least one byte.
+    pub fn len(&self) -> usize {
+        self.frame.len()
+    }
+}
+
 impl<Out> Clone for Encoded<Out> {
     fn clone(&self) -> Self {
         Self { frame: self.frame.clone(), message: PhantomData }
