Let loads and results cost what is in use, not what is listed

Cause: the period between two sums of loads grew with the upstreams listed, 8.3 s at 10,005, though a sum names only those that have a load: some 200 of them, 1 kB. All entries acted alike on what was 8 s old, and a sum was void after 1.2 s. Each sum and report walked all upstreams, idle connections were looked for at all of them twice a second, and the holder of each result was found by a walk (18 results a request). Change: the period follows the number of upstreams with a load (75 ms up to 90, 0.17 s at 200, 1 s at 1,200), within the same 6 kB/s; a sum is valid for three periods, 1.2 s at least. A sum visits the upstreams of it and of the one before; a report those that run a request of this entry; an idle connection is closed by its own timer; holders are found by address. Evidence: directory/tests.rs (sums that replace each other, other lists, the own share, reports after a change of the list), tests/loads.rs at 1,200 loads. Conclusion: news of a load is as old as the load is large. The steps of a new directory still grow with the upstreams listed.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -183,8 +183,7 @@
         let directory = self.shared.directory();
         let mut by_section: HashMap<Section, Vec<String>> = HashMap::new();
         for handle in handles {
-            let address = D::holder(handle);
-            let holder = directory.all().find(|it| Some(it.address) == address);
+            let holder = D::holder(handle).and_then(|it| directory.holder(it));
             if let Some(holder) = holder {
                 let list = by_section.entry(directory.section_of(holder)).or_default();
                 list.push(handle.to_string());
@@ -209,8 +208,7 @@
     fn free_early(&self, handles: &[Handle]) {
         let directory = self.shared.directory();
         let short_of_space = |it: &&Handle| {
-            let address = D::holder(it);
-            let holder = directory.all().find(|it| Some(it.address) == address);
+            let holder = D::holder(it).and_then(|it| directory.holder(it));
             let section = holder.map(|it| directory.section_of(it));
             let wait = section.map(|it| self.shared.backlogs.wait(&it, u8::MAX));
             wait.is_some_and(|it| it >= SPACE_SHORTAGE_WAIT)
@@ -224,8 +222,7 @@
         let directory = self.shared.directory();
         let mut counts: HashMap<Arc<str>, usize> = HashMap::new();
         for handle in handles {
-            let address = D::holder(handle);
-            if let Some(holder) = directory.all().find(|it| Some(it.address) == address) {
+            if let Some(holder) = D::holder(handle).and_then(|it| directory.holder(it)) {
                 *counts.entry(Arc::clone(&holder.domain)).or_default() += 1;
             }
         }
--- a/crates/gateway/src/batch/owner/notify.rs
+++ b/crates/gateway/src/batch/owner/notify.rs
@@ -69,8 +69,7 @@
     pub(super) fn send_releases(&mut self) {
         let directory = self.shared.directory();
         for (address, handles) in self.released.drain() {
-            let holder = directory.all().find(|it| it.address == address);
-            let Some(holder) = holder.cloned() else { continue };
+            let Some(holder) = directory.holder(address).cloned() else { continue };
             let events = self.events.clone();
             tokio::spawn(async move {
                 match exchange::free::<D>(&holder, &handles).await {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -10,7 +10,10 @@
 use crate::cold::{self, ColdSpec, ColdTolerance, EntryHash};
 use crate::plan::Plan;
 use crate::section::{self, LinkRate, Section};
-use crate::upstream::Upstream;
+use crate::upstream::{InUse, Upstream};
+
+#[cfg(test)]
+mod tests;
 
 /// The maximum number of connections to an upstream whose service is not in the plan.
 const DEFAULT_CONNECTIONS: u32 = 16;
@@ -22,8 +25,13 @@
     /// The sections of each service that runs stages.
     sections: HashMap<Arc<str>, Vec<Section>>,
     by_id: HashMap<Arc<str>, Arc<Upstream>>,
+    by_address: HashMap<SocketAddr, Arc<Upstream>>,
     listed: Stamp,
-    positions: Vec<Arc<Upstream>>,
+    /// All upstreams, in the order of the list.
+    ordered: Vec<Arc<Upstream>>,
+    /// The position of each upstream in the list, by id.
+    positions: HashMap<Arc<str>, u32>,
+    in_use: Arc<InUse>,
 }
 
 impl Directory {
@@ -37,13 +45,14 @@
         link: LinkRate,
         cold: ColdRules,
     ) -> Self {
-        let mut next = Self { listed: registry_state.upstreams_stamp, ..Self::default() };
+        let (listed, in_use) = (registry_state.upstreams_stamp, Arc::clone(&self.in_use));
+        let mut next = Self { listed, in_use, ..Self::default() };
         let context = ColdContext::new(registry_state, plan, cold);
         for it in registry_state.upstreams.iter() {
             let connection_share = connection_share(plan, &it.service, entries);
             let upstream = match self.by_id.get(it.id.as_str()) {
                 Some(known) if known.address == it.address => Arc::clone(known),
-                _ => Arc::new(Upstream::new(it, connection_share)),
+                _ => Arc::new(Upstream::new(it, connection_share).with_use(&self.in_use)),
             };
             upstream.set_draining(it.health == registry::Health::Draining);
             let evacuated = registry_state.evacuated.contains(&it.domain);
@@ -52,7 +61,9 @@
             upstream.raise_connection_limit(connection_share);
             let service = next.services.entry(Arc::clone(&upstream.service)).or_default();
             service.push(Arc::clone(&upstream));
-            next.positions.push(Arc::clone(&upstream));
+            next.positions.insert(Arc::clone(&upstream.id), next.ordered.len() as u32);
+            next.ordered.push(Arc::clone(&upstream));
+            next.by_address.insert(upstream.address, Arc::clone(&upstream));
             next.by_id.insert(Arc::clone(&upstream.id), upstream);
         }
         for (id, upstream) in &self.by_id {
@@ -130,11 +141,6 @@
         self.service(service).iter().any(|it| it.is_open())
     }
 
-    /// Returns the number of all upstreams.
-    pub(crate) fn len(&self) -> usize {
-        self.positions.len()
-    }
-
     /// Returns the stamp of the list from which this directory was created.
     pub(crate) fn listed(&self) -> Stamp {
         self.listed
@@ -142,31 +148,64 @@
 
     /// Returns a report of what this entry has in flight.
     pub(crate) fn report(&self) -> LoadReport {
-        let loads = self.positions.iter().enumerate().map(|(at, it)| UpstreamLoad {
-            position: at as u32,
+        let in_use = self.in_use.upstreams();
+        let listed = in_use.iter().filter_map(|it| Some((self.positions.get(&it.id)?, it)));
+        let loads = listed.map(|(position, it)| UpstreamLoad {
+            position: *position,
             running: it.running(),
             tokens: it.tokens(),
         });
-        let loads = loads.filter(|it| it.running > 0).collect();
+        let mut loads: Vec<UpstreamLoad> = loads.filter(|it| it.running > 0).collect();
+        loads.sort_by_key(|it| it.position);
         LoadReport { upstreams_stamp: self.listed, loads }
     }
 
-    /// Sets the load of other entries at each upstream: the total in `total`, less this entry's
-    /// own share in `own`.
-    pub(crate) fn apply_total_loads(&self, total: &LoadReport, own: &LoadReport) {
+    /// Sets the load of other entries at each upstream: the total in `total`, less this entry's own
+    /// share in `own`. `previous` is the total that was applied last; only upstreams in either total
+    /// are visited while the list stays the same. Returns whether `total` refers to this list.
+    pub(crate) fn apply_total_loads(
+        &self,
+        previous: &LoadReport,
+        total: &LoadReport,
+        own: &LoadReport,
+    ) -> bool {
         if total.upstreams_stamp != self.listed {
-            return;
+            return false;
         }
-        let find = |all: &[UpstreamLoad], at: u32| {
-            let found = all.binary_search_by_key(&at, |it| it.position);
-            found.map_or_else(|_| UpstreamLoad::default(), |it| all[it])
-        };
-        for (at, upstream) in self.positions.iter().enumerate() {
-            let all = find(&total.loads, at as u32);
-            let own = find(&own.loads, at as u32);
+        if previous.upstreams_stamp == self.listed {
+            for upstream in previous.loads.iter().filter_map(|it| self.at(it.position)) {
+                upstream.set_peer_load(0, 0);
+            }
+        } else {
+            self.clear_peer_loads();
+        }
+        for all in &total.loads {
+            let Some(upstream) = self.at(all.position) else { continue };
+            let found = own.loads.binary_search_by_key(&all.position, |it| it.position);
+            let own = found.map_or_else(|_| UpstreamLoad::default(), |it| own.loads[it]);
             let running = all.running.saturating_sub(own.running);
             upstream.set_peer_load(running, all.tokens.saturating_sub(own.tokens));
         }
+        true
+    }
+
+    /// Forgets the loads of other entries at all upstreams.
+    pub(crate) fn clear_peer_loads(&self) {
+        self.ordered.iter().for_each(|it| it.set_peer_load(0, 0));
+    }
+
+    fn at(&self, position: u32) -> Option<&Arc<Upstream>> {
+        self.ordered.get(position as usize)
+    }
+
+    /// Returns the upstream with this id.
+    pub(crate) fn upstream(&self, id: &str) -> Option<&Arc<Upstream>> {
+        self.by_id.get(id)
+    }
+
+    /// Returns the upstream that listens at this address, and stores results there.
+    pub(crate) fn holder(&self, address: SocketAddr) -> Option<&Arc<Upstream>> {
+        self.by_address.get(&address)
     }
 
     /// Returns all upstreams.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -27,13 +27,17 @@
 #[cfg(test)]
 mod tests;
 
-/// The interval at which idle connections are checked.
-const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval at which metrics are updated that change without a message.
+const METRICS_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long the loads of other entries are valid without a new report. Older ones mislead more than
-/// none.
+/// How long the loads of other entries are valid without a new report, at least. Older ones mislead
+/// more than none.
 const TOTAL_LOADS_LIFETIME: Duration = Duration::from_millis(1_200);
 
+/// The number of intervals between reports after which the loads of other entries are invalid, where
+/// that is longer than [`TOTAL_LOADS_LIFETIME`].
+const TOTAL_LOADS_INTERVALS: u32 = 3;
+
 /// How long a request waits for the first plan and the first lists of upstreams and entries. After
 /// a power loss of the whole deployment they arrive within about a second of the entry's start;
 /// callers give an entry a second to read a request.
@@ -48,6 +52,8 @@
     /// Whether the list of entries has been received.
     entries_known: AtomicBool,
     listed: AtomicBool,
+    /// Whether the loads of the other entries have been received lately.
+    loads_known: AtomicBool,
     /// Notified after each update.
     updated: Notify,
     own: SocketAddr,
@@ -79,6 +85,7 @@
             entries: AtomicUsize::new(1),
             entries_known: AtomicBool::new(false),
             listed: AtomicBool::new(false),
+            loads_known: AtomicBool::new(false),
             updated: Notify::new(),
             own,
             link,
@@ -149,6 +156,11 @@
         self.peers.load_full()
     }
 
+    /// Returns whether the loads of the other entries are known.
+    pub(crate) fn knows_loads(&self) -> bool {
+        self.loads_known.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the list of entries includes this one.
     pub(crate) fn is_listed(&self) -> bool {
         self.listed.load(Ordering::Relaxed)
@@ -169,8 +181,8 @@
         self: Arc<Self>,
         mut registry_state: watch::Receiver<RegistryState>,
     ) {
-        let mut idle_check = interval(IDLE_CHECK_INTERVAL);
-        idle_check.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut metrics_tick = interval(METRICS_INTERVAL);
+        metrics_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 changed = registry_state.changed() => {
@@ -180,8 +192,7 @@
                     let registry_state = registry_state.borrow_and_update().clone();
                     self.apply_registry_state(&registry_state);
                 }
-                _ = idle_check.tick() => {
-                    self.directory().all().for_each(|it| it.close_idle(false));
+                _ = metrics_tick.tick() => {
                     self.metrics.quarantined.set(self.quarantine.held_count() as i64);
                 }
             }
@@ -197,13 +208,18 @@
         let mut next = Instant::now();
         let mut reported = LoadReport::default();
         let mut received = Instant::now();
+        let mut total = Arc::<LoadReport>::default();
         loop {
             tokio::select! {
                 () = sleep_until(next) => {
                     let directory = self.directory();
-                    next = Instant::now() + loads_interval(directory.len());
-                    if received.elapsed() > TOTAL_LOADS_LIFETIME {
-                        directory.all().for_each(|it| it.set_peer_load(0, 0));
+                    let pause = loads_interval(total.loads.len());
+                    next = Instant::now() + pause;
+                    let lifetime = TOTAL_LOADS_LIFETIME.max(pause * TOTAL_LOADS_INTERVALS);
+                    if received.elapsed() > lifetime && self.knows_loads() {
+                        directory.clear_peer_loads();
+                        total = Arc::default();
+                        self.loads_known.store(false, Ordering::Relaxed);
                     }
                     let report = directory.report();
                     if report != reported && reports.try_send(report.clone()).is_ok() {
@@ -215,8 +231,11 @@
                         return;
                     }
                     received = Instant::now();
-                    let total = Arc::clone(&total_loads.borrow_and_update());
-                    self.directory().apply_total_loads(&total, &reported);
+                    let next_total = Arc::clone(&total_loads.borrow_and_update());
+                    if self.directory().apply_total_loads(&total, &next_total, &reported) {
+                        total = next_total;
+                        self.loads_known.store(true, Ordering::Relaxed);
+                    }
                 }
             }
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,10 +1,11 @@
 //! One incarnation of an upstream: its connections, its load from this entry, and its health.
 
 mod cold;
+mod running;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,12 +16,14 @@
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::cold::ColdGate;
 use crate::incarnation::{Incarnation, LatestIncarnation, StartTime};
 use crate::place::score;
 
+pub(crate) use self::running::{InUse, RunningRequest};
+
 /// The timeout for opening a connection. A lost SYN packet is sent again only after seconds, so a
 /// second try reaches the upstream sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -77,6 +80,8 @@
     running: AtomicU32,
     tokens: AtomicU64,
     peer_load: PeerLoad,
+    /// The upstreams that run requests of this entry.
+    in_use: Arc<InUse>,
     health: Mutex<Health>,
     idle: Mutex<Vec<Idle>>,
     permits: Arc<Semaphore>,
@@ -134,6 +139,7 @@
             running: AtomicU32::new(0),
             tokens: AtomicU64::new(0),
             peer_load: PeerLoad::default(),
+            in_use: Arc::default(),
             health: Mutex::default(),
             idle: Mutex::default(),
             permits: Arc::new(Semaphore::new(connection_limit as usize)),
@@ -142,6 +148,11 @@
         }
     }
 
+    /// Returns the upstream, which is listed in `in_use` while it runs requests of this entry.
+    pub(crate) fn with_use(self, in_use: &Arc<InUse>) -> Self {
+        Self { in_use: Arc::clone(in_use), ..self }
+    }
+
     /// Sets whether the upstream is draining; a draining one gets no new requests.
     pub fn set_draining(&self, draining: bool) {
         self.draining.store(draining, Ordering::Relaxed);
@@ -199,13 +210,6 @@
         self.tokens() + self.peer_load.tokens.load(Ordering::Relaxed)
     }
 
-    /// Counts a request with `tokens` unread prompt tokens until the returned guard is dropped.
-    pub(crate) fn begin_request(self: &Arc<Self>, tokens: u64) -> RunningRequest {
-        self.running.fetch_add(1, Ordering::Relaxed);
-        self.tokens.fetch_add(tokens, Ordering::Relaxed);
-        RunningRequest { upstream: Arc::clone(self), tokens }
-    }
-
     /// Compares the start time in a message from the upstream with the known one. With a newer
     /// incarnation, the failures are forgotten and idle connections to the older one are closed.
     pub fn observe(&self, start_time: Option<StartTime>) -> Incarnation {
@@ -269,7 +273,7 @@
     }
 
     fn take_idle(self: &Arc<Self>) -> Option<Lease> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = self.lock_idle();
         let now = Instant::now();
         while let Some(it) = idle.pop() {
             if it.sender.is_ready() && now < it.expires {
@@ -281,9 +285,13 @@
         None
     }
 
+    fn lock_idle(&self) -> MutexGuard<'_, Vec<Idle>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Closes idle connections: all of them, or those whose time is over.
     pub(crate) fn close_idle(&self, all: bool) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut idle = self.lock_idle();
         let now = Instant::now();
         idle.retain(|it| {
             let keep = !all && now < it.expires && !it.sender.is_closed();
@@ -347,8 +355,9 @@
                 return;
             }
             let expires = Instant::now() + keep;
-            let mut idle = upstream.idle.lock().unwrap_or_else(PoisonError::into_inner);
-            idle.push(Idle { sender, task, permit, expires });
+            upstream.lock_idle().push(Idle { sender, task, permit, expires });
+            sleep_until(expires).await;
+            upstream.close_idle(false);
         });
     }
 }
@@ -360,25 +369,3 @@
         }
     }
 }
-
-/// Counts a request as running at an upstream until it is dropped.
-#[derive(Debug)]
-pub(crate) struct RunningRequest {
-    upstream: Arc<Upstream>,
-    tokens: u64,
-}
-
-impl RunningRequest {
-    /// Records that the prompt has been read.
-    pub(crate) fn prompt_read(&mut self) {
-        self.upstream.tokens.fetch_sub(self.tokens, Ordering::Relaxed);
-        self.tokens = 0;
-    }
-}
-
-impl Drop for RunningRequest {
-    fn drop(&mut self) {
-        self.upstream.tokens.fetch_sub(self.tokens, Ordering::Relaxed);
-        self.upstream.running.fetch_sub(1, Ordering::Relaxed);
-    }
-}
--- a/crates/registry/src/hub.rs
+++ b/crates/registry/src/hub.rs
@@ -37,11 +37,12 @@
 /// The size of one upstream's load in a message, in bytes: position, requests and tokens.
 const LOAD_BYTES: usize = 5;
 
-/// Returns the interval between two load reports for a number of listed upstreams. It grows with the
-/// number, to bound the traffic to each entry and to the leader.
-pub fn loads_interval(upstreams: usize) -> Duration {
+/// Returns the interval between two load reports while `loaded` upstreams have a load. It grows with
+/// that number, to bound the traffic to each entry and to the leader. Upstreams without a load take
+/// no space in a report, so they don't delay it.
+pub fn loads_interval(loaded: usize) -> Duration {
     let needed =
-        Duration::from_millis((upstreams * LOAD_BYTES * 1_000 / MAX_LOADS_BYTES_PER_SECOND) as u64);
+        Duration::from_millis((loaded * LOAD_BYTES * 1_000 / MAX_LOADS_BYTES_PER_SECOND) as u64);
     needed.max(MIN_LOADS_INTERVAL)
 }
 
@@ -142,8 +143,8 @@
     /// Publishes the sum of the loads that entries report, for as long as the member runs.
     pub(crate) async fn publish_loads(self: Arc<Self>) {
         loop {
-            let count = self.lists.borrow().upstreams.numbered.list.len();
-            sleep(loads_interval(count)).await;
+            let loaded = self.total_loads.borrow().as_ref().map_or(0, |it| it.report.loads.len());
+            sleep(loads_interval(loaded)).await;
             let stamp = self.lists.borrow().upstreams.numbered.stamp;
             let report = LoadReport { upstreams_stamp: stamp, loads: self.sum(stamp) };
             if self.total_loads.borrow().as_ref().is_some_and(|it| it.report == report) {
