Read a list of many pages less often

Change: 20 ms for each page between two reads, 450 ms at least and 1 s at most, since an upstream that drains takes requests for some seconds only. Lists of up to 22 pages are read as before; a new leader reads at once. Conclusion: fewer calls up to 50 pages; beyond them the calls grow with the list again, which only a list of differences by the platform would end.

--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -42,7 +42,7 @@
 pub use message::{
     EntryInfo, Health, LoadReport, Relay, Stamp, Upstream, UpstreamList, UpstreamLoad,
 };
-pub use reader::{ListSource, Listing};
+pub use reader::{ListSource, Listing, read_interval};
 pub use repair::{LEARNER_TIMEOUT, PeerView, RepairView, VOTER_TIMEOUT, next_membership};
 
 use wire::Secret;
--- a/crates/registry/src/reader.rs
+++ b/crates/registry/src/reader.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, sleep_until};
 use types::StepResult;
 
 use crate::cold::ColdUpstream;
@@ -15,6 +15,20 @@
 /// about to terminate must get no new work some seconds later; this interval is a small part of both.
 const READ_INTERVAL: Duration = Duration::from_millis(450);
 
+/// The interval between two reads for each page that a read takes, so that a longer list does not
+/// take more calls of the platform per second.
+const PAGE_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The longest interval between two reads: upstreams that are about to terminate take new work for a
+/// few seconds only.
+const MAX_READ_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Returns the interval between two reads of a list with this number of pages.
+pub fn read_interval(pages: usize) -> Duration {
+    let pages = u32::try_from(pages).unwrap_or(u32::MAX);
+    PAGE_INTERVAL.saturating_mul(pages).clamp(READ_INTERVAL, MAX_READ_INTERVAL)
+}
+
 /// The timeout of one read.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -27,6 +41,8 @@
     pub cold: Vec<ColdUpstream>,
     /// Why entries of the list could not be parsed; such entries are left out.
     pub unreadable: Vec<String>,
+    /// The number of calls of the platform that the read took.
+    pub pages: usize,
 }
 
 /// A source of the list of upstreams.
@@ -47,13 +63,18 @@
     let mut last = UpstreamList::default();
     let mut failing = false;
     let mut unreadable = Vec::new();
-    let mut ticks = interval(READ_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut pages = 0;
+    let mut next = Instant::now();
     loop {
-        ticks.tick().await;
+        sleep_until(next).await;
+        next = Instant::now() + read_interval(pages);
         let term = match &*view.borrow() {
             it if it.leads() => it.term,
-            _ => continue,
+            _ => {
+                // A new leader reads at once, however long the list is.
+                next = Instant::now() + READ_INTERVAL;
+                continue;
+            }
         };
         let read = tokio::time::timeout(READ_TIMEOUT, source.read()).await;
         let listing = match read {
@@ -67,6 +88,7 @@
                 continue;
             }
         };
+        pages = listing.pages;
         // Before the upstreams, so that no entry takes a new one for one that is not cold.
         hub.set_cold(&listing.cold, term);
         let upstreams = listing.upstreams;
