Gather prompts that begin alike while most upstreams are idle

Change: the candidates are the engines that come first in rank for the first part, one for each two running requests of the service, 64 at least; among them the deep part decides as before. Where the chosen one isn't expected in time, and while the loads of the others aren't known, all engines are candidates. Conclusion: fewer parts are read again where engines are idle; where two requests or more run at each, the choice is as before.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -58,6 +58,18 @@
         base + (load.tokens + unread) * self.token_ms + load.running * RUNNING_REQUEST_MS
     }
 
+    /// Returns whether an upstream with this load that has read only the first part of the prompt is
+    /// expected to be in time.
+    fn is_in_time(&self, load: Load) -> bool {
+        let unread: f64 = self.parts.iter().skip(1).map(|it| f64::from(it.tokens)).sum();
+        self.estimate(load, unread) <= self.limit_ms()
+    }
+
+    /// Returns the time within which an upstream must be expected to finish, in ms.
+    fn limit_ms(&self) -> f64 {
+        self.left.as_secs_f64() * 1e3 * TIME_SHARE
+    }
+
     /// Returns the part by which upstreams are ranked: the deepest that other requests share.
     fn ranking_part(&self) -> Option<&PromptPart> {
         match self.parts {
@@ -68,6 +80,45 @@
     }
 }
 
+/// The number of running requests for each upstream over which the prompts with the same first part
+/// are gathered.
+const GATHERED_RUNNING: usize = 2;
+
+/// The least number of upstreams over which prompts are gathered. Entries send that many requests
+/// before they hear of each other's.
+const MIN_WIDTH: usize = 64;
+
+/// Returns over how many of `upstreams` the prompts with the same first part are gathered, while
+/// `running` requests run at all of them.
+pub fn width(running: usize, upstreams: usize) -> usize {
+    (running / GATHERED_RUNNING).max(MIN_WIDTH).min(upstreams)
+}
+
+/// As [`place`], but prefers the `width` candidates that come first in rank for the first part of the
+/// prompt, as long as one of them is expected to be in time.
+///
+/// This is made for a fleet with far more upstreams than its requests keep busy. Ranked by a deep part
+/// alone, nearly every request goes to an upstream of its own and reads its first part there, which
+/// others have read already. While upstreams are busy, `width` covers all of them.
+pub fn place_gathered(
+    placement: &Placement<'_>,
+    candidates: &[Arc<Upstream>],
+    width: usize,
+    weight: impl Fn(&Upstream) -> f64,
+    load: impl Fn(&Upstream) -> Load,
+) -> Option<Arc<Upstream>> {
+    let first = placement.parts.first()?.id;
+    if width < candidates.len() {
+        let gathered = first_ranked(first, candidates, &weight, width);
+        // The weights have decided how many of each failure domain these are.
+        let chosen = place(placement, &gathered, |_| 1.0, &load);
+        if let Some(chosen) = chosen.filter(|it| placement.is_in_time(load(it))) {
+            return Some(Arc::clone(chosen));
+        }
+    }
+    place(placement, candidates, weight, load).cloned()
+}
+
 /// Chooses an upstream among `candidates`: the first in rank if it can be in time, else the first
 /// in the failure domain of the inputs that can, else the first of all that can, else the one
 /// expected to finish soonest.
@@ -85,7 +136,7 @@
     let (own, known) = placement.parts.split_last()?;
     let own = f64::from(own.tokens);
     let known: f64 = known.iter().map(|it| f64::from(it.tokens)).sum();
-    let limit_ms = placement.left.as_secs_f64() * 1e3 * TIME_SHARE;
+    let limit_ms = placement.limit_ms();
     let home = first_in_rank(part, candidates, &weight, |_| true)?;
     let home_ms = placement.estimate(load(home), own);
     if home_ms <= limit_ms {
@@ -126,6 +177,22 @@
     best.map(|(_, it)| it)
 }
 
+/// Returns the `count` upstreams with the lowest ranks for a part, in any order.
+fn first_ranked(
+    part: u64,
+    candidates: &[Arc<Upstream>],
+    weight: impl Fn(&Upstream) -> f64,
+    count: usize,
+) -> Vec<Arc<Upstream>> {
+    let rank = |it: &Arc<Upstream>| RankDraw::new(part, it, weight(it)).rank();
+    let mut ranked: Vec<_> = candidates.iter().map(|it| (rank(it), it)).collect();
+    if count < ranked.len() {
+        ranked.select_nth_unstable_by(count, |a, b| a.0.total_cmp(&b.0));
+        ranked.truncate(count);
+    }
+    ranked.into_iter().map(|(_, it)| Arc::clone(it)).collect()
+}
+
 /// The rank of an upstream for a part. The lowest rank goes first, and each upstream goes first as
 /// often as its weight says. Changing one weight moves only parts to or from that upstream.
 #[derive(Clone, Copy)]
--- a/crates/gateway/src/stream/choice.rs
+++ b/crates/gateway/src/stream/choice.rs
@@ -9,7 +9,7 @@
 use super::Streams;
 use crate::dialect::{Dialect, PromptPart};
 use crate::directory::Directory;
-use crate::place::{Load, Placement, place};
+use crate::place::{Load, Placement, place_gathered, width};
 use crate::queue::LARGE_RESULT_BYTES;
 use crate::request::CallerRequest;
 use crate::upstream::Upstream;
@@ -56,7 +56,18 @@
             domain: criteria.domain.as_deref(),
             token_ms: self.shared.prefill_times.token_ms(service),
         };
-        place(&placement, &candidates, weight, load).cloned()
+        place_gathered(&placement, &candidates, self.width(&candidates), weight, load)
+    }
+}
+
+impl<D: Dialect> Streams<D> {
+    /// Returns over how many engines prompts are gathered. Without the loads of the other entries, all
+    /// engines are used: nobody would notice that the gathered ones are overloaded.
+    fn width(&self, engines: &[Arc<Upstream>]) -> usize {
+        if !self.shared.knows_loads() {
+            return engines.len();
+        }
+        width(engines.iter().map(|it| it.total_running() as usize).sum(), engines.len())
     }
 }
 
