Tell waits to the entries that submit jobs, not to all connected ones

Cause: while any piece waits, an owner sent the waits of its section to every entry that had ever submitted a job to it, each 80 ms: entries times sections by the clock, some 12,300 messages a second from an owner of 10 Mbit/s at 985 entries (worked out). In an owner's step, each state of an upstream was looked for in the whole section, the square of the section. Change: an owner tells those that have submitted within five seconds (owner/audience.rs), so as many as it gets jobs; an entry that submits again is told within 80 ms. States are looked up by id. Evidence: owner/audience/tests.rs: at 1,000 and at 2,000 entries with 50 jobs/s 251 are told at most, where all were; at 8 busy ones all. A job that comes after a pause is admitted without a report, as the first one always was.

--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -1,5 +1,6 @@
 //! The owner's side: queues the pieces of its sections and sends the calls.
 
+mod audience;
 mod jobs;
 mod notify;
 mod results;
@@ -20,6 +21,7 @@
 use crate::shared::Shared;
 use crate::upstream::Upstream;
 
+use self::audience::Audience;
 use self::jobs::SubmitContext;
 use self::space::SpaceQuery;
 
@@ -128,8 +130,7 @@
     /// were last told of releases.
     released: HashMap<std::net::SocketAddr, Vec<Handle>>,
     releases_sent: Instant,
-    /// The channel for the answers to each connection.
-    peers: HashMap<u64, Replies>,
+    audience: Audience,
     /// Results that are sent at the end of the step, with those of one job in one message.
     outbox: HashMap<JobKey, (Replies, PiecesDone)>,
     /// Whether waiting jobs were returned to their entries because this entry is shutting down.
@@ -152,7 +153,7 @@
             last_call: 0,
             released: HashMap::new(),
             releases_sent: Instant::now(),
-            peers: HashMap::new(),
+            audience: Audience::default(),
             outbox: HashMap::new(),
             jobs_returned: false,
             backlogs_sent: (Instant::now(), false),
@@ -214,7 +215,7 @@
             // The connection's own task sends the lists.
             OwnerEvent::Message(_, ToOwner::SubscribeRelays, _) => {}
             OwnerEvent::Disconnected(origin) => {
-                self.peers.remove(&origin);
+                self.audience.remove(origin);
                 self.jobs.retain(|key, _| key.origin != origin);
                 self.queues.values_mut().for_each(|it| it.drop_jobs(|key| key.origin == origin));
             }
@@ -289,7 +290,8 @@
         if self.queues.get(section).is_none_or(Queue::is_empty) {
             return;
         }
-        let upstreams = self.shared.directory().members(section);
+        let directory = self.shared.directory();
+        let upstreams = directory.members(section);
         let targets: Vec<Target> = upstreams
             .iter()
             .map(|it| Target {
@@ -303,13 +305,14 @@
             })
             .collect();
         let Some(queue) = self.queues.get_mut(section) else { return };
-        queue.retain(|id| upstreams.iter().any(|it| &*it.id == id));
+        let listed: HashSet<&str> = upstreams.iter().map(|it| &*it.id).collect();
+        queue.retain(|id| listed.contains(id));
         let mut calls = Vec::new();
         while let Some(next) = queue.next_call(&targets, now) {
             calls.push(next);
         }
         for next in calls {
-            let Some(upstream) = upstreams.iter().find(|it| it.id == next.upstream) else { break };
+            let Some(upstream) = directory.upstream(&next.upstream) else { break };
             self.send_call(Arc::clone(upstream), section, next, now);
         }
     }
--- a/crates/gateway/src/batch/owner/jobs.rs
+++ b/crates/gateway/src/batch/owner/jobs.rs
@@ -32,10 +32,10 @@
         job: Job,
         replies: Replies,
     ) {
+        let now = Instant::now();
         if origin != LOCAL_ORIGIN {
-            self.peers.entry(origin).or_insert_with(|| replies.clone());
+            self.audience.record_job(origin, &replies, now);
         }
-        let now = Instant::now();
         let plan = self.shared.plan();
         let service: Arc<str> = job.service.as_str().into();
         let spec = plan.as_ref().and_then(|it| it.services.get(&service)).and_then(|it| it.batch);
--- a/crates/gateway/src/batch/owner/notify.rs
+++ b/crates/gateway/src/batch/owner/notify.rs
@@ -13,7 +13,8 @@
 use crate::exchange;
 
 impl<D: Dialect> State<D> {
-    /// Sends every entry the backlogs, so that entries can refuse requests that would be late.
+    /// Sends the backlogs to the entries that submit jobs, so that they can refuse requests that would
+    /// be late.
     pub(super) fn send_backlogs(&mut self, now: Instant) {
         let mut any = false;
         let had = self.backlogs_sent.1;
@@ -35,9 +36,9 @@
                 domain: section.domain.as_ref().map(ToString::to_string),
                 backlog,
             };
-            for peer in self.peers.values() {
+            for replies in self.audience.interested(now) {
                 // The event for a connection that has ended removes it here.
-                let _ = peer.send(FromOwner::SectionBacklog(message.clone()));
+                let _ = replies.send(FromOwner::SectionBacklog(message.clone()));
             }
         }
         self.backlogs_sent = (now, any);
