Lend retries once an equal share of the budget is less than one

Cause: the burst of the retry budget was divided by the number of entries. 1,040 retries by 985 entries and the usable 0.8 leave 0.845 each: a retry only after a request of the entry's own had added 0.16. From 990 entries on no entry may send anything again before it has seen two requests of the service in ten seconds, and with twice the fleet hardly any retry exists, though the whole budget is unused. Where a share is one or more nothing changes. The message is sent from level 5 on. Not covered: entries with different lists of entries may count different lenders, which the unused fifth of the budget is for; a lender that restarts forgets what it has lent, as every entry does. Conclusion: retries go where the failures are, at any number of entries, and the sum stays within the bound.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -1,6 +1,7 @@
 //! The submitter's side: submits the pieces of a stage to the owner of its service.
 
 mod job;
+mod loan;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -141,14 +142,9 @@
             let last = owners + 1 == MAX_OWNERS;
             let section = self.shared.section(&spec.service, spec.domain.as_deref(), spec.rank);
             let Some(address) = self.owner_of(&section, last) else { break };
-            if resubmitted {
-                let entries = self.shared.entries();
-                let count = progress.left.len() as u32;
-                let now = Instant::now();
-                let (service, spender) = (&spec.service, Spender::Submitter);
-                if !self.shared.budget.take(service, spender, count, entries, now) {
-                    break;
-                }
+            let count = progress.left.len() as u32;
+            if resubmitted && !self.take_retries(&spec.service, Spender::Submitter, count).await {
+                break;
             }
             match self.run_at(address, section, spec, resubmitted, &mut progress).await {
                 JobEnd::Done => {
--- a/crates/gateway/src/batch/client/job.rs
+++ b/crates/gateway/src/batch/client/job.rs
@@ -49,6 +49,7 @@
             }
             FromOwner::Accepted(_)
             | FromOwner::Heartbeat
+            | FromOwner::Lent(..)
             | FromOwner::Relay(_)
             | FromOwner::Backlog(..)
             | FromOwner::SectionBacklog(_) => return None,
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -105,6 +105,7 @@
         state.last_heard = Some(Instant::now());
         let id = match &message {
             FromOwner::Accepted(id) | FromOwner::Refused(id) | FromOwner::Fetched(id) => *id,
+            FromOwner::Lent(id, _) => *id,
             FromOwner::Results(done) => done.id,
             FromOwner::Heartbeat => return,
             FromOwner::Backlog(service, waits) => {
@@ -155,7 +156,8 @@
             tokio::select! {
                 message = outgoing.recv() => {
                     let Some(message) = message else { break };
-                    if sender.send(&message.at_level(sender.level())).await.is_err() {
+                    let Some(message) = message.at_level(sender.level()) else { continue };
+                    if sender.send(&message).await.is_err() {
                         break;
                     }
                 }
@@ -221,7 +223,7 @@
                         ToOwner::Cancel(id) => {
                             left.remove(id);
                         }
-                        ToOwner::Free(_) => {}
+                        ToOwner::Free(_) | ToOwner::Borrow(_) => {}
                         ToOwner::SubscribeRelays => {
                             subscription.until = Some(Instant::now() + RELAY_SUBSCRIPTION_TIME);
                             registry_state.mark_changed();
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -5,6 +5,7 @@
 
 use crate::backlog::Backlog;
 use crate::batch::queue::RANKS;
+use crate::budget::Spender;
 use crate::dialect::PieceFailure;
 
 #[cfg(test)]
@@ -61,6 +62,19 @@
     SubmitToDomain(String, Job),
     /// Submits a job with the digest of its request.
     SubmitWithDigest(Submission),
+    /// Asks for a retry out of the budget that the receiver holds for all entries.
+    Borrow(Loan),
+}
+
+/// A request for retries of requests or pieces of a service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct Loan {
+    /// The number of the request, chosen by the sender; the answer repeats it.
+    pub(crate) id: u64,
+    pub(crate) service: String,
+    pub(crate) spender: Spender,
+    /// The number of retries, all or none of which are lent.
+    pub(crate) count: u32,
 }
 
 /// A job with its section and its request.
@@ -76,21 +90,25 @@
 /// The protocol level from which entries know sections.
 pub(crate) const SECTIONS_LEVEL: u8 = 1;
 
+/// The protocol level from which entries lend retries.
+pub(crate) const LOANS_LEVEL: u8 = 5;
+
 /// The protocol level from which jobs carry the digest of their request, by which owners count the
 /// upstreams that terminate while they run it.
 pub(crate) const DIGESTS_LEVEL: u8 = 3;
 
 impl ToOwner {
-    /// Converts the message to one that an owner of this level can read. An owner that knows no
-    /// sections runs the pieces anywhere.
-    pub(crate) fn at_level(self, level: u8) -> Self {
+    /// Converts the message to one that an owner of this level can read, if there is one. An owner
+    /// that knows no sections runs the pieces anywhere.
+    pub(crate) fn at_level(self, level: u8) -> Option<Self> {
         match self {
             Self::SubmitWithDigest(it) if level < DIGESTS_LEVEL => match it.domain {
                 Some(domain) => Self::SubmitToDomain(domain, it.job).at_level(level),
-                None => Self::Submit(it.job),
+                None => Some(Self::Submit(it.job)),
             },
-            Self::SubmitToDomain(_, job) if level < SECTIONS_LEVEL => Self::Submit(job),
-            message => message,
+            Self::SubmitToDomain(_, job) if level < SECTIONS_LEVEL => Some(Self::Submit(job)),
+            Self::Borrow(_) if level < LOANS_LEVEL => None,
+            message => Some(message),
         }
     }
 }
@@ -127,6 +145,8 @@
     Relay(Box<Relay>),
     /// The backlog of a section.
     SectionBacklog(SectionBacklog),
+    /// Whether the retries of a [`Loan`] are lent.
+    Lent(u64, bool),
 }
 
 /// The backlog of a section as its owner sees it.
--- a/crates/gateway/src/batch/message/tests.rs
+++ b/crates/gateway/src/batch/message/tests.rs
@@ -56,9 +56,9 @@
         let domain = domain.map(str::to_owned);
         let submission = Submission { domain, digest: RequestDigest::default(), job: job() };
         let (text, job) = match ToOwner::SubmitWithDigest(submission).at_level(*level) {
-            ToOwner::Submit(job) => ("job".to_owned(), job),
-            ToOwner::SubmitToDomain(domain, job) => (format!("job in {domain}"), job),
-            ToOwner::SubmitWithDigest(it) => {
+            Some(ToOwner::Submit(job)) => ("job".to_owned(), job),
+            Some(ToOwner::SubmitToDomain(domain, job)) => (format!("job in {domain}"), job),
+            Some(ToOwner::SubmitWithDigest(it)) => {
                 let place = it.domain.map(|it| format!(" in {it}")).unwrap_or_default();
                 (format!("job of a request{place}"), it.job)
             }
@@ -68,6 +68,15 @@
     }
 }
 
+/// Guards against an entry of an earlier release that ends its connection over a message which it can't
+/// read.
+#[test]
+fn only_entries_that_can_read_it_are_asked_for_a_loan() {
+    let loan = || Loan { id: 7, service: "s".to_owned(), spender: Spender::Entry, count: 1 };
+    assert!(ToOwner::Borrow(loan()).at_level(LOANS_LEVEL - 1).is_none());
+    assert!(matches!(ToOwner::Borrow(loan()).at_level(LOANS_LEVEL), Some(ToOwner::Borrow(_))));
+}
+
 struct Case {
     name: &'static str,
     domain: Option<&'static str>,
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::batch::message::{FromOwner, PiecesDone, ToOwner};
+use crate::batch::message::{FromOwner, Loan, PiecesDone, ToOwner};
 use crate::batch::queue::{JobKey, NextCall, Piece, Queue, Target};
 use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, SpaceReport};
 use crate::exchange::{self, Fault};
@@ -212,6 +212,7 @@
                 self.queues.values_mut().for_each(|it| it.cancel(key));
             }
             OwnerEvent::Message(_, ToOwner::Free(handles), _) => self.release(handles),
+            OwnerEvent::Message(_, ToOwner::Borrow(loan), replies) => self.lend(&loan, &replies),
             // The connection's own task sends the lists.
             OwnerEvent::Message(_, ToOwner::SubscribeRelays, _) => {}
             OwnerEvent::Disconnected(origin) => {
@@ -232,6 +233,16 @@
         }
     }
 
+    /// Lends another entry retries of the budget that this entry holds for all.
+    fn lend(&self, loan: &Loan, replies: &Replies) {
+        let service: Arc<str> = loan.service.as_str().into();
+        let share = self.shared.budget_share(&service);
+        let lent =
+            self.shared.budget.take(&service, loan.spender, loan.count, share, Instant::now());
+        // The borrower may have ended meanwhile.
+        let _ = replies.send(FromOwner::Lent(loan.id, lent));
+    }
+
     fn release(&mut self, handles: Vec<String>) {
         for handle in handles.into_iter().map(Handle::from) {
             if let Some(address) = D::holder(&handle) {
--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -10,7 +10,7 @@
 use super::{CallEnd, InFlightCall, State};
 use crate::batch::message::{FromOwner, PiecesDone};
 use crate::batch::queue::{JobKey, Piece};
-use crate::budget::Spender;
+use crate::budget::{Share, Spender};
 use crate::dialect::{Dialect, PieceFailure, PieceResult};
 use crate::exchange::Cause;
 use crate::incarnation::Incarnation;
@@ -64,7 +64,7 @@
                 "a piece is not sent again");
             return false;
         }
-        let owners = self.shared.directory().sections(&section.service).len();
+        let owners = Share::Equal(self.shared.directory().sections(&section.service).len());
         if !self.shared.budget.take(&section.service, Spender::Owner, 1, owners, now) {
             log::info!(request = &*piece.attempt, section:% = section, sends = piece.sends;
                 "a piece is not sent again: the retry budget is used up");
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -3,11 +3,16 @@
 //! Each entry may use a fixed share of the burst, and the ratio of its own requests. The shares of
 //! all entries add up to no more than the whole budget, whether or not the control plane is
 //! reachable. Pieces have budgets of their own, since an owner repeats the pieces of all entries.
+//!
+//! The load is that of single failures, anywhere in a fleet of any size. Once there are more entries
+//! than retries in the burst, an equal share is less than one retry, and no entry could use it. Then a
+//! few entries, which all choose alike, hold the whole burst and lend it to the others.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 /// The number of buckets in which a window is counted.
@@ -25,7 +30,7 @@
 }
 
 /// Who sends something again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Spender {
     /// An entry, a caller's request.
     Entry,
@@ -49,6 +54,43 @@
     }
 }
 
+/// How many entries hold the burst at most once an equal share is less than one retry.
+const MAX_LENDERS: usize = 8;
+
+/// How the burst is divided among the spenders of a kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Share {
+    /// Equally among this number of spenders.
+    Equal(usize),
+    /// Equally among this number of entries while each gets a whole retry, else among lenders.
+    Ranked {
+        /// The number of entries.
+        entries: usize,
+        /// The rank of this entry, by which all entries choose the lenders alike.
+        rank: usize,
+    },
+}
+
+impl Share {
+    /// Returns this spender's share of `burst` retries.
+    fn of(self, burst: f64) -> f64 {
+        match self {
+            Self::Equal(sharers) => burst / sharers.max(1) as f64,
+            Self::Ranked { entries, rank } => match lenders(burst, entries) {
+                None => burst / entries.max(1) as f64,
+                Some(lenders) if rank < lenders => burst / lenders as f64,
+                Some(_) => 0.0,
+            },
+        }
+    }
+}
+
+/// Returns how many of `entries` hold the burst; `None` if each has a share of its own.
+fn lenders(burst: f64, entries: usize) -> Option<usize> {
+    let each = burst / entries.max(1) as f64;
+    (each < 1.0).then(|| (burst as usize).clamp(1, MAX_LENDERS).min(entries))
+}
+
 /// The share of the budget that is used. The rest covers what several entries count differently,
 /// because their windows slide from bucket to bucket.
 const USABLE_SHARE: f64 = 0.8;
@@ -80,21 +122,21 @@
     }
 
     /// Takes `count` retries for a service from the budget, all or none, and returns whether they
-    /// were granted. The burst is divided by `sharers`, the number of spenders of this kind.
+    /// were granted.
     pub fn take(
         &self,
         service: &Arc<str>,
         spender: Spender,
         count: u32,
-        sharers: usize,
+        share: Share,
         now: Instant,
     ) -> bool {
         let spec = self.spec.part(spender);
         self.with_account((Arc::clone(service), spender), now, |account, bucket| {
             let requests: u32 = account.buckets.iter().map(|it| it.1).sum();
             let retries: u32 = account.buckets.iter().map(|it| it.2).sum();
-            let burst = spec.burst / sharers.max(1) as f64;
-            let allowed = USABLE_SHARE * (spec.ratio * f64::from(requests) + burst);
+            let burst = share.of(USABLE_SHARE * spec.burst);
+            let allowed = USABLE_SHARE * spec.ratio * f64::from(requests) + burst;
             let granted = f64::from(retries + count) <= allowed;
             if granted {
                 account.bucket_mut(bucket).2 += count;
@@ -103,6 +145,11 @@
         })
     }
 
+    /// Returns how many of `entries` lend the burst to the others; `None` if each has its own share.
+    pub fn lenders(&self, spender: Spender, entries: usize) -> Option<usize> {
+        lenders(USABLE_SHARE * self.spec.part(spender).burst, entries)
+    }
+
     fn with_account<T>(
         &self,
         key: (Arc<str>, Spender),
--- a/crates/gateway/src/cold.rs
+++ b/crates/gateway/src/cold.rs
@@ -68,6 +68,13 @@
     }
 }
 
+impl EntryHash {
+    /// Returns the rank of the entry for `key`; the lowest goes first.
+    pub fn rank(self, key: u64) -> (u64, Self) {
+        (mix(key ^ self.0), self)
+    }
+}
+
 /// Returns how many of `quota` requests an entry may send to an upstream in a [`COLD_WINDOW`]. The
 /// shares of all `entries` add up to no more than the quota. An entry that is not listed has none.
 pub fn share(entries: &[EntryHash], own: EntryHash, id_hash: u64, quota: u32) -> u32 {
@@ -78,9 +85,8 @@
     if count <= quota {
         return quota / count;
     }
-    let rank = |it: EntryHash| (mix(id_hash ^ it.0), it);
-    let own_rank = rank(own);
-    let before = entries.iter().filter(|it| rank(**it) < own_rank).count();
+    let own_rank = own.rank(id_hash);
+    let before = entries.iter().filter(|it| it.rank(id_hash) < own_rank).count();
     u32::from((before as u32) < quota)
 }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -164,7 +164,7 @@
         match kind {
             RouteKind::Stream => streams.run(request, &service).await,
             _ if engine => streams.run(request, &service).await,
-            _ => plain::run(shared, &request, &service).await,
+            _ => plain::run(shared, &streams.batches, &request, &service).await,
         }
     };
     let result = tokio::select! {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
+use crate::batch::BatchClient;
 use crate::budget::Spender;
 use crate::dialect::{AnswerHead, Dialect};
 use crate::exchange::{self, Cause, Fault, Opened, Read};
@@ -48,6 +49,7 @@
 /// Serves a request to a service without engines.
 pub(crate) async fn run<D: Dialect>(
     shared: &Shared<D>,
+    batches: &BatchClient<D>,
     request: &CallerRequest,
     service: &Arc<str>,
 ) -> Result<Reply, Refusal> {
@@ -78,12 +80,11 @@
         if !upstream.claim_room(now) {
             continue;
         }
-        if reached_upstream
-            && !shared.budget.take(service, Spender::Entry, 1, shared.entries(), now)
-        {
+        if reached_upstream && !batches.take_retries(service, Spender::Entry, 1).await {
             shared.metrics.calls.with_label_values(&["no budget"]).inc();
             break;
         }
+        let now = Instant::now();
         offers.add(&upstream, now);
         let reached_before = reached_upstream;
         reached_upstream = true;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -13,12 +13,13 @@
 
 use crate::backlog::Backlogs;
 use crate::body_memory::{BODY_MEMORY_BYTES, MemoryBudget};
-use crate::budget::Budget;
-use crate::cold::ColdTolerance;
+use crate::budget::{Budget, Share};
+use crate::cold::{ColdTolerance, EntryHash};
 use crate::dialect::Dialect;
 use crate::directory::{ColdRules, Directory};
 use crate::drain::Drain;
 use crate::metrics::Metrics;
+use crate::place::score;
 use crate::plan::Plan;
 use crate::prefill::PrefillTimes;
 use crate::quarantine::Quarantine;
@@ -171,6 +172,26 @@
         self.entries.load(Ordering::Relaxed)
     }
 
+    /// Returns this entry's share of the retry budget of a service.
+    pub(crate) fn budget_share(&self, service: &str) -> Share {
+        let key = score(0, service);
+        let own = EntryHash::from(self.own).rank(key);
+        let peers = self.peers();
+        let before = peers.iter().filter(|it| EntryHash::from(it.address).rank(key) < own);
+        Share::Ranked { entries: self.entries(), rank: before.count() }
+    }
+
+    /// Returns the `count` entries that come first in rank for a service, the same at every entry.
+    pub(crate) fn first_entries(&self, service: &str, count: usize) -> Vec<SocketAddr> {
+        let key = score(0, service);
+        let peers = self.peers();
+        let mut all: Vec<SocketAddr> = peers.iter().map(|it| it.address).collect();
+        all.push(self.own);
+        all.sort_by_cached_key(|it| EntryHash::from(*it).rank(key));
+        all.truncate(count);
+        all
+    }
+
     /// Returns whether the entry may get new connections.
     pub(crate) fn is_ready(&self) -> bool {
         self.is_initialized() && !self.drain.is_ending()
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -128,10 +128,8 @@
             if !upstream.claim_room(now) {
                 continue;
             }
-            let entries = self.shared.entries();
-            let budget = &self.shared.budget;
-            let granted = || budget.take(service, Spender::Entry, 1, entries, now);
-            if tries.reached_upstream && !granted() {
+            let retries = self.batches.take_retries(service, Spender::Entry, 1);
+            if tries.reached_upstream && !retries.await {
                 self.shared.metrics.calls.with_label_values(&["no budget"]).inc();
                 return Err(if tries.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
             }
--- a/crates/gateway/tests/pure.rs
+++ b/crates/gateway/tests/pure.rs
@@ -5,7 +5,7 @@
 
 use gateway::Upstream;
 use gateway::body_memory::MemoryBudget;
-use gateway::budget::{Budget, BudgetSpec, Spender};
+use gateway::budget::{Budget, BudgetSpec, Share, Spender};
 use gateway::dialect::{Generation, PromptPart};
 use gateway::events::EventSplitter;
 use gateway::guard::HeadScanner;
@@ -264,16 +264,17 @@
     let start = Instant::now();
     let spec = BudgetSpec { ratio: 0.2, window: Duration::from_secs(10), burst: 40.0 };
     let budget = Budget::new(spec, start);
-    let service: Arc<str> = "s".into();
+    let (service, share): (Arc<str>, _) = ("s".into(), Share::Ranked { entries: 8, rank: 3 });
     for _ in 0..100 {
         budget.record(&service, Spender::Entry, 1, start);
     }
-    let granted = (0..100).filter(|_| budget.take(&service, Spender::Entry, 1, 8, start)).count();
+    let granted =
+        (0..100).filter(|_| budget.take(&service, Spender::Entry, 1, share, start)).count();
     // A fifth of 100 requests, and an eighth of the burst.
     assert!(granted <= 25, "{granted} retries");
     assert!(granted >= 18, "{granted} retries");
     let later = start + Duration::from_secs(11);
-    let again = (0..100).filter(|_| budget.take(&service, Spender::Entry, 1, 8, later)).count();
+    let again = (0..100).filter(|_| budget.take(&service, Spender::Entry, 1, share, later)).count();
     assert!(again <= 5, "{again} retries without requests");
 }
 
@@ -288,22 +289,63 @@
     let start = Instant::now();
     let spec = BudgetSpec { ratio: 0.2, window: Duration::from_secs(10), burst: 218.0 };
     let service: Arc<str> = "s".into();
-    let granted = |budget: &Budget, spender, sharers| {
-        (0..10_000).filter(|_| budget.take(&service, spender, 1, sharers, start)).count()
+    let granted = |budget: &Budget, spender, share| {
+        (0..10_000).filter(|_| budget.take(&service, spender, 1, share, start)).count()
     };
     let owner = Budget::new(spec, start);
     owner.record(&service, Spender::Owner, ENTRIES * PIECES, start);
-    let by_owner = granted(&owner, Spender::Owner, 1);
+    let by_owner = granted(&owner, Spender::Owner, Share::Equal(1));
     assert!(by_owner >= 300, "{by_owner} repeated pieces");
     let submitter = Budget::new(spec, start);
     submitter.record(&service, Spender::Submitter, PIECES, start);
-    let by_submitter = granted(&submitter, Spender::Submitter, ENTRIES as usize);
+    let by_submitter = granted(&submitter, Spender::Submitter, Share::Equal(ENTRIES as usize));
     // With the next owner of the same section, which has got as many pieces again.
     let all = 2 * by_owner + ENTRIES as usize * by_submitter;
     let allowed = 0.2 * f64::from(2 * ENTRIES * PIECES) + 218.0;
     assert!(all as f64 <= allowed, "{all} repeated pieces of {allowed}");
 }
 
+struct Fleet {
+    entries: usize,
+    burst: f64,
+    /// The entry of which a request has failed.
+    failed: usize,
+}
+
+const FLEETS: &[Fleet] = &[
+    Fleet { entries: 8, burst: 56.0, failed: 7 },
+    Fleet { entries: 830, burst: 1_040.0, failed: 829 },
+    Fleet { entries: 985, burst: 1_040.0, failed: 984 },
+    Fleet { entries: 2_000, burst: 1_040.0, failed: 1_999 },
+    Fleet { entries: 20_000, burst: 1_040.0, failed: 5 },
+    Fleet { entries: 20_000, burst: 2.0, failed: 700 },
+];
+
+/// Guards against a fleet in which no request may be sent again: the burst, divided by the number of
+/// entries, is less than one retry.
+#[test]
+fn one_retry_is_possible_in_an_idle_fleet_of_any_size() {
+    let start = Instant::now();
+    let service: Arc<str> = "s".into();
+    for case in FLEETS {
+        let spec = BudgetSpec { ratio: 0.2, window: Duration::from_secs(10), burst: case.burst };
+        let budgets: Vec<Budget> = (0..case.entries).map(|_| Budget::new(spec, start)).collect();
+        let take = |rank: usize| {
+            let share = Share::Ranked { entries: case.entries, rank };
+            budgets[rank].take(&service, Spender::Entry, 1, share, start)
+        };
+        let lenders = budgets[0].lenders(Spender::Entry, case.entries).unwrap_or(0);
+        let borrowed = |rank| take(rank) || (0..lenders).any(take);
+        assert!(borrowed(case.failed), "no retry at {} entries", case.entries);
+        let all = 1
+            + (0..case.entries)
+                .map(|rank| (0..100).take_while(|_| borrowed(rank)).count())
+                .sum::<usize>();
+        assert!(all as f64 <= case.burst, "{all} retries at {} entries", case.entries);
+        assert!(all as f64 >= case.burst / 2.0, "{all} retries at {} entries", case.entries);
+    }
+}
+
 /// Guards against refusing the longest prompts of a burst, and against prompts that leave the
 /// upstreams holding their parts. Most prompts wait for others at their engine, a fifth meet an
 /// idle one; a reading time taken from the mean would include the waits.
