Ask one entry for newer lists only, and give a handshake on a full link its time

Cause: an entry without a member asked three others each 500 ms for the registry's lists; each sent both lists whole for two seconds at every change of either. With 10,005 upstreams that is some 0.5 MB a time from up to twelve entries over a link of 10 Mbit/s. The link was full, so that a socket and a handshake with a member took longer than the 250 ms after which the entry gave up and began again: it never had a member again, and went on asking. Change: an entry asks one other at a time, with the numbers of its lists, and is answered once with those that are newer; entries of the release before are asked as before. Opening a socket may take 250 ms, each fourth time 1 s, the handshake after it two seconds. The follower's lists move to a file of their own. Conclusion: what an entry out of touch receives is bounded by one list at a time, and a busy link delays a connection instead of preventing it.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -11,8 +11,8 @@
 
 use rand::seq::IteratorRandom;
 use registry::{RegistryState, Relay, RequestDigest};
-use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
 use wire::{Hello, Secret};
 
 use crate::batch::link::{HEARTBEAT_INTERVAL, Link, Sinks};
@@ -44,11 +44,11 @@
 /// The number of owners that a job is submitted to at most.
 const MAX_OWNERS: usize = 3;
 
-/// How often an entry without a registry member asks other entries for the registry's lists.
-const SUBSCRIBE_INTERVAL: Duration = Duration::from_millis(500);
+/// How often an entry without a registry member asks another entry for the registry's lists.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// How many entries it asks each time; some of them may be connected to no member either.
-const MAX_SUBSCRIBED_PEERS: usize = 3;
+/// How long an entry that was asked for its lists may take to answer: a large list on a slow link.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The pieces of one stage of one request.
 pub(crate) struct JobSpec {
@@ -95,6 +95,7 @@
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     suspects: Mutex<HashMap<SocketAddr, Instant>>,
     relays: mpsc::Sender<Relay>,
+    relayed: Arc<Notify>,
 }
 
 impl<D: Dialect> BatchClient<D> {
@@ -116,6 +117,7 @@
             links: Mutex::default(),
             suspects: Mutex::default(),
             relays,
+            relayed: Arc::default(),
         }
     }
 
@@ -246,24 +248,27 @@
         first.map(|it| it.1).or(Some(self.own_address))
     }
 
-    /// Asks other entries for the registry's lists while this one is connected to no registry
-    /// member. Runs for as long as the process does.
-    pub(crate) async fn subscribe_relays(
+    /// Asks other entries for newer lists of the registry while this one is connected to no registry
+    /// member, one entry at a time: several that sent the same large list at once would fill this
+    /// entry's link, and no connection to a member could be opened. Runs for as long as the process
+    /// does.
+    pub(crate) async fn ask_for_lists(
         self: Arc<Self>,
         registry_state: watch::Receiver<RegistryState>,
     ) {
-        let mut ticks = interval(SUBSCRIBE_INTERVAL);
+        let mut ticks = interval(ASK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            if registry_state.borrow().members > 0 {
-                continue;
-            }
-            let peers = self.shared.peers();
-            let addresses = peers.iter().map(|it| it.address);
-            for address in addresses.sample(&mut rand::rng(), MAX_SUBSCRIBED_PEERS) {
-                self.link(address).send(ToOwner::SubscribeRelays);
-            }
+            let held = match &*registry_state.borrow() {
+                it if it.members > 0 => continue,
+                it => it.list_stamps(),
+            };
+            let peer = self.shared.peers().iter().map(|it| it.address).choose(&mut rand::rng());
+            let Some(peer) = peer else { continue };
+            self.link(peer).send(ToOwner::AskLists(held));
+            // An entry that doesn't answer may be connected to no member either, or be gone.
+            let _ = timeout(ANSWER_TIMEOUT, self.relayed.notified()).await;
         }
     }
 
@@ -279,7 +284,8 @@
         links.retain(|_, it| !it.is_ended());
         let open = || {
             let backlogs = Arc::clone(&self.shared.backlogs);
-            let sinks = Sinks { backlogs, relays: self.relays.clone() };
+            let relayed = Arc::clone(&self.relayed);
+            let sinks = Sinks { backlogs, relays: self.relays.clone(), relayed };
             Link::open(address, self.secret.clone(), self.hello.clone(), sinks)
         };
         Arc::clone(links.entry(address).or_insert_with(open))
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -5,8 +5,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use registry::{RegistryState, Relay, Stamp};
-use tokio::sync::{mpsc, watch};
+use registry::{ListStamps, RegistryState, Relay, Stamp};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 use wire::{Connection, Hello, Kind, Listener, Secret};
 
@@ -34,6 +34,8 @@
 pub(crate) struct Sinks {
     pub(crate) backlogs: Arc<Backlogs>,
     pub(crate) relays: mpsc::Sender<Relay>,
+    /// Notified when another entry has answered with its lists.
+    pub(crate) relayed: Arc<Notify>,
 }
 
 /// A connection to an owner.
@@ -123,6 +125,7 @@
             FromOwner::Relay(relay) => {
                 // If the channel is full, the lists that wait in it are as recent.
                 let _ = self.sinks.relays.try_send(Relay::clone(relay));
+                self.sinks.relayed.notify_one();
                 return;
             }
         };
@@ -229,6 +232,14 @@
                             registry_state.mark_changed();
                             continue;
                         }
+                        ToOwner::AskLists(held) => {
+                            let relay = registry_state.borrow().relay(*held);
+                            // Answered without newer lists, too: the entry asks another one then.
+                            if sender.send(&FromOwner::Relay(Box::new(relay))).await.is_err() {
+                                break;
+                            }
+                            continue;
+                        }
                     }
                     owner.send(OwnerEvent::Message(origin, message, replies.clone()));
                     continue;
@@ -286,6 +297,6 @@
             return None;
         }
         self.sent = newest;
-        Some(registry_state.relay())
+        Some(registry_state.relay(ListStamps::default()))
     }
 }
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -1,6 +1,6 @@
 //! The messages between entries and the owner of a service.
 
-use registry::{Relay, RequestDigest};
+use registry::{ListStamps, Relay, RequestDigest};
 use serde::{Deserialize, Serialize};
 
 use crate::backlog::Backlog;
@@ -64,6 +64,8 @@
     SubmitWithDigest(Submission),
     /// Asks for a retry out of the budget that the receiver holds for all entries.
     Borrow(Loan),
+    /// Asks once for those of the registry's lists that are newer than the sender's.
+    AskLists(ListStamps),
 }
 
 /// A request for retries of requests or pieces of a service.
@@ -90,7 +92,7 @@
 /// The protocol level from which entries know sections.
 pub(crate) const SECTIONS_LEVEL: u8 = 1;
 
-/// The protocol level from which entries lend retries.
+/// The protocol level from which entries lend retries, and forward only lists that are newer.
 pub(crate) const LOANS_LEVEL: u8 = 5;
 
 /// The protocol level from which jobs carry the digest of their request, by which owners count the
@@ -108,6 +110,7 @@
             },
             Self::SubmitToDomain(_, job) if level < SECTIONS_LEVEL => Some(Self::Submit(job)),
             Self::Borrow(_) if level < LOANS_LEVEL => None,
+            Self::AskLists(_) if level < LOANS_LEVEL => Some(Self::SubscribeRelays),
             message => Some(message),
         }
     }
@@ -141,7 +144,8 @@
     Heartbeat,
     /// The expected wait of pieces of a service at this owner, by rank, in ms.
     Backlog(String, [u32; RANKS]),
-    /// The registry's lists of entries and upstreams, as the owner has them.
+    /// The registry's lists of entries and upstreams, as the owner has them; without those that the
+    /// entry holds, if it has told which.
     Relay(Box<Relay>),
     /// The backlog of a section.
     SectionBacklog(SectionBacklog),
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -214,7 +214,7 @@
             OwnerEvent::Message(_, ToOwner::Free(handles), _) => self.release(handles),
             OwnerEvent::Message(_, ToOwner::Borrow(loan), replies) => self.lend(&loan, &replies),
             // The connection's own task sends the lists.
-            OwnerEvent::Message(_, ToOwner::SubscribeRelays, _) => {}
+            OwnerEvent::Message(_, ToOwner::SubscribeRelays | ToOwner::AskLists(_), _) => {}
             OwnerEvent::Disconnected(origin) => {
                 self.audience.remove(origin);
                 self.jobs.retain(|key, _| key.origin != origin);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -112,7 +112,7 @@
         let (relays, own) = (follower.relays(), config.address);
         let batches = BatchClient::new(Arc::clone(&shared), owner, secret, hello, own, relays);
         let batches = Arc::new(batches);
-        tokio::spawn(Arc::clone(&batches).subscribe_relays(follower.state()));
+        tokio::spawn(Arc::clone(&batches).ask_for_lists(follower.state()));
         let streams = Arc::new(Streams { shared: Arc::clone(&shared), batches });
         tokio::spawn(Arc::clone(&shared).follow_registry(follower.state()));
         let loads = Arc::clone(&shared).exchange_loads(follower.reports(), follower.total_loads());
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -4,6 +4,7 @@
 //! stalled delays nothing. A plan is transferred once, from one member at a time, in parts.
 
 mod link;
+mod lists;
 mod state;
 
 use std::collections::HashMap;
@@ -20,7 +21,7 @@
 use self::state::State;
 use crate::evacuation::EvacuatedDomains;
 use crate::fetch::Fetch;
-use crate::message::{EntryInfo, LoadReport, Relay, Stamp, Upstream, UpstreamList};
+use crate::message::{EntryInfo, ListStamps, LoadReport, Relay, Stamp, Upstream, UpstreamList};
 use crate::quarantine::{Evidence, EvidenceBuffer, QuarantineView};
 
 /// The interval at which missing members are connected to and unsent evidence is sent.
@@ -64,11 +65,23 @@
 }
 
 impl RegistryState {
-    /// Returns the lists to forward to an entry that has no connection to the registry.
-    pub fn relay(&self) -> Relay {
-        let upstreams =
-            UpstreamList { stamp: self.upstreams_stamp, upstreams: self.upstreams.to_vec() };
-        Relay { entries_stamp: self.entries_stamp, entries: self.entries.to_vec(), upstreams }
+    /// Returns the numbers of the lists.
+    pub fn list_stamps(&self) -> ListStamps {
+        ListStamps { entries: self.entries_stamp, upstreams: self.upstreams_stamp }
+    }
+
+    /// Returns the lists to forward to an entry that has no connection to the registry and holds those
+    /// numbered `held`. A list that is not newer is left out: its number is the default one.
+    pub fn relay(&self, held: ListStamps) -> Relay {
+        let mut relay = Relay::default();
+        if self.entries_stamp > held.entries {
+            (relay.entries_stamp, relay.entries) = (self.entries_stamp, self.entries.to_vec());
+        }
+        if self.upstreams_stamp > held.upstreams {
+            let (stamp, upstreams) = (self.upstreams_stamp, self.upstreams.to_vec());
+            relay.upstreams = UpstreamList { stamp, upstreams };
+        }
+        relay
     }
 }
 
@@ -192,6 +205,7 @@
         known,
         seeds,
         links: HashMap::new(),
+        failures: HashMap::new(),
         members: Vec::new(),
         plan_versions: HashMap::new(),
         min_version: None,
--- a/crates/registry/src/follow/link.rs
+++ b/crates/registry/src/follow/link.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use wire::{Hello, Kind, Secret, Sender};
 
 use crate::message::{EntryInfo, ToEntry, ToMember};
@@ -12,11 +12,20 @@
 /// The pause before a new attempt to connect to an unreachable member.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 
-/// The timeout of an attempt to connect: many times the latency between regions. TCP resends a lost
-/// first packet only after a second, and a host that is off never answers, so a new attempt is faster.
-/// After all machines lost power, entries must reach members before their callers give up.
+/// The timeout of opening a socket: many times the latency between regions. TCP resends a lost first
+/// packet only after a second, and a host that is off never answers, so a new attempt is faster. After
+/// all machines lost power, entries must reach members before their callers give up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The timeout of each fourth attempt: on a full link even the first packets take longer, and an entry
+/// that always gave up early would never have a member again.
+const PATIENT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Returns the timeout of opening a socket after some failed attempts.
+pub(super) fn connect_timeout(failures: u32) -> Duration {
+    if failures % 4 == 3 { PATIENT_TIMEOUT } else { CONNECT_TIMEOUT }
+}
+
 /// An event of a connection.
 pub(super) enum Event {
     Connected(SocketAddr, Sender<ToMember>),
@@ -24,17 +33,17 @@
     Message(SocketAddr, ToEntry),
 }
 
-/// Connects to one member and forwards its messages until the connection ends.
+/// Connects to one member, opening the socket within `limit`, and forwards its messages until the connection ends.
 pub(super) async fn link(
     address: SocketAddr,
     secret: Secret,
     me: Hello,
     entry: EntryInfo,
+    limit: Duration,
     events: mpsc::Sender<Event>,
 ) {
-    let connecting =
-        timeout(CONNECT_TIMEOUT, wire::connect(address, &secret, me, Kind::Member)).await;
-    if let Ok(Ok(connection)) = connecting {
+    let connecting = wire::connect_within(limit, address, &secret, me, Kind::Member);
+    if let Ok(connection) = connecting.await {
         let (sender, mut receiver) = connection.split::<ToMember, ToEntry>();
         let hello_sent = sender.send(&ToMember::Hello(entry)).await.is_ok();
         if hello_sent && events.send(Event::Connected(address, sender)).await.is_ok() {
--- a/crates/registry/src/follow/state.rs
+++ b/crates/registry/src/follow/state.rs
@@ -9,17 +9,14 @@
 use types::Version;
 use wire::{Hello, Secret, Sender};
 
-use super::link::{Event, link};
+use super::link::{Event, connect_timeout, link};
+use super::lists::MemberLists;
 use super::{FollowerConfig, RegistryState};
 use crate::cold::{ColdList, ColdUpstream};
-use crate::content::{Held, Offer};
 use crate::difference::NumberedList;
 use crate::evacuation::EvacuatedDomains;
 use crate::fetch::Fetch;
-use crate::message::{
-    EntryInfo, LoadReport, QUARANTINE_LEVEL, Relay, Stamp, ToEntry, ToMember, Upstream,
-    UpstreamList,
-};
+use crate::message::{LoadReport, QUARANTINE_LEVEL, ToEntry, ToMember};
 use crate::package::Part;
 use crate::quarantine::{Evidence, EvidenceBuffer, QuarantineList, QuarantineView};
 
@@ -37,6 +34,8 @@
     pub(super) known: watch::Sender<Arc<QuarantineView>>,
     pub(super) seeds: Arc<Mutex<Vec<SocketAddr>>>,
     pub(super) links: HashMap<SocketAddr, Option<Sender<ToMember>>>,
+    /// The failed attempts to connect to each member since the last connection.
+    pub(super) failures: HashMap<SocketAddr, u32>,
     pub(super) members: Vec<SocketAddr>,
     /// The version of the plan that each member holds.
     pub(super) plan_versions: HashMap<SocketAddr, Version>,
@@ -53,16 +52,6 @@
     pub(super) member_lists: HashMap<SocketAddr, MemberLists>,
 }
 
-/// The last lists that a member sent.
-#[derive(Default)]
-pub(super) struct MemberLists {
-    entries: NumberedList<EntryInfo>,
-    upstreams: NumberedList<Upstream>,
-    /// What this entry held, from whichever member, when this one offered its lists.
-    held_entries: Arc<Vec<EntryInfo>>,
-    held_upstreams: Arc<Vec<Upstream>>,
-}
-
 impl State {
     /// Starts a connection to every known member that has none.
     pub(super) fn connect_missing(&mut self) {
@@ -78,7 +67,8 @@
             self.links.insert(address, None);
             let (secret, me) = (self.secret.clone(), self.me.clone());
             let (entry, events) = (self.config.entry.clone(), self.events.clone());
-            tokio::spawn(link(address, secret, me, entry, events));
+            let limit = connect_timeout(self.failures.get(&address).copied().unwrap_or(0));
+            tokio::spawn(link(address, secret, me, entry, limit, events));
         }
     }
 
@@ -86,12 +76,15 @@
         match event {
             Event::Connected(address, sender) => {
                 log::info!(peer:% = address; "connected to a member");
+                self.failures.remove(&address);
                 self.links.insert(address, Some(sender));
                 self.update_count();
             }
             Event::Lost(address) => {
                 if self.links.remove(&address).flatten().is_some() {
                     log::warn!(peer:% = address; "lost the connection to a member");
+                } else {
+                    *self.failures.entry(address).or_default() += 1;
                 }
                 self.plan_versions.remove(&address);
                 self.member_lists.remove(&address);
@@ -134,7 +127,7 @@
     }
 
     /// Sends evidence to the leader; returns whether it could be queued.
-    fn send_evidence(&self, evidence: Evidence) -> bool {
+    pub(super) fn send_evidence(&self, evidence: Evidence) -> bool {
         let Some(sender) = self.quarantine_leader() else {
             log::info!(evidence:? = evidence;
                 "no leader to send evidence to; it is kept for the next one");
@@ -189,42 +182,18 @@
             ToEntry::Upstreams(list) => {
                 self.take_upstreams(from, NumberedList::new(list.stamp, list.upstreams));
             }
-            ToEntry::UpstreamsChanged(difference) => {
-                let Some(next) = self.lists_of(from).upstreams.apply(difference) else {
-                    return self.reconnect(from, "upstreams");
-                };
-                self.take_upstreams(from, next);
-            }
+            ToEntry::UpstreamsChanged(difference) => self.change_upstreams(from, difference),
             ToEntry::Loads(loads) => {
                 self.loads.send_replace(Arc::new(loads));
             }
             ToEntry::Entries(stamp, entries) => {
                 self.take_entries(from, NumberedList::new(stamp, entries));
             }
-            ToEntry::EntriesChanged(difference) => {
-                let Some(next) = self.lists_of(from).entries.apply(difference) else {
-                    return self.reconnect(from, "entries");
-                };
-                self.take_entries(from, next);
-            }
+            ToEntry::EntriesChanged(difference) => self.change_entries(from, difference),
             ToEntry::UpstreamsOffered(offer) => self.answer_upstreams(from, offer),
             ToEntry::EntriesOffered(offer) => self.answer_entries(from, offer),
-            ToEntry::UpstreamsPatched(patch) => {
-                let offered = patch.offer.stamp;
-                let held = std::mem::take(&mut self.lists_of(from).held_upstreams);
-                match patch.apply(&held) {
-                    Some(next) => self.take_upstreams(from, next),
-                    None => self.send_to(from, &ToMember::UpstreamsHeld(offered, Held::Nothing)),
-                }
-            }
-            ToEntry::EntriesPatched(patch) => {
-                let offered = patch.offer.stamp;
-                let held = std::mem::take(&mut self.lists_of(from).held_entries);
-                match patch.apply(&held) {
-                    Some(next) => self.take_entries(from, next),
-                    None => self.send_to(from, &ToMember::EntriesHeld(offered, Held::Nothing)),
-                }
-            }
+            ToEntry::UpstreamsPatched(patch) => self.patch_upstreams(from, patch),
+            ToEntry::EntriesPatched(patch) => self.patch_entries(from, patch),
             ToEntry::Members(members) => self.members = members,
             ToEntry::Quarantine(list) => self.handle_quarantine(from, &list),
             ToEntry::Cold(list) => self.set_cold(&list),
@@ -259,67 +228,6 @@
         });
     }
 
-    fn take_upstreams(&mut self, from: SocketAddr, next: NumberedList<Upstream>) {
-        self.lists_of(from).upstreams = next.clone();
-        self.handle_upstreams(from, UpstreamList { stamp: next.stamp, upstreams: next.list });
-    }
-
-    fn take_entries(&mut self, from: SocketAddr, next: NumberedList<EntryInfo>) {
-        self.lists_of(from).entries = next.clone();
-        self.set_entries(next.stamp, next.list);
-    }
-
-    /// Answers the offer of a list of upstreams, and adopts its number if this entry holds it already.
-    fn answer_upstreams(&mut self, from: SocketAddr, offer: Offer) {
-        let held = Arc::clone(&self.published.borrow().upstreams);
-        let answer = offer.answer(&held);
-        log::info!(peer:% = from, listed:% = offer.stamp, upstreams = held.len(),
-            same = answer == Held::Same; "a member offered its list of upstreams");
-        if answer == Held::Same {
-            self.take_upstreams(from, NumberedList::new(offer.stamp, held.to_vec()));
-        }
-        self.lists_of(from).held_upstreams = held;
-        self.send_to(from, &ToMember::UpstreamsHeld(offer.stamp, answer));
-    }
-
-    /// Answers the offer of a list of entries, and adopts its number if this entry holds it already.
-    fn answer_entries(&mut self, from: SocketAddr, offer: Offer) {
-        let held = Arc::clone(&self.published.borrow().entries);
-        let answer = offer.answer(&held);
-        log::info!(peer:% = from, seated:% = offer.stamp, entries = held.len(),
-            same = answer == Held::Same; "a member offered its list of entries");
-        if answer == Held::Same {
-            self.take_entries(from, NumberedList::new(offer.stamp, held.to_vec()));
-        }
-        self.lists_of(from).held_entries = held;
-        self.send_to(from, &ToMember::EntriesHeld(offer.stamp, answer));
-    }
-
-    /// Sends a member a message without which it sends no further lists; connects to it again if the
-    /// message can't be queued.
-    fn send_to(&self, member: SocketAddr, message: &ToMember) {
-        let Some(sender) = self.links.get(&member).and_then(Option::as_ref) else { return };
-        if let Err(error) = sender.try_send(message) {
-            log::warn!(peer:% = member, cause:% = error;
-                "an offer can't be answered; connecting to the member again");
-            sender.abort();
-        }
-    }
-
-    fn lists_of(&mut self, from: SocketAddr) -> &mut MemberLists {
-        self.member_lists.entry(from).or_default()
-    }
-
-    /// Closes the connection to a member that sent a difference from a list that this entry does not
-    /// have. A new connection starts with the whole list.
-    fn reconnect(&mut self, from: SocketAddr, list: &str) {
-        log::error!(peer:% = from, list;
-            "a member sent a difference from an unknown list; connecting to it again");
-        if let Some(sender) = self.links.get(&from).and_then(Option::as_ref) {
-            sender.abort();
-        }
-    }
-
     fn handle_part(&mut self, from: SocketAddr, part: Part) {
         let (base, sent) = (part.id.base.unwrap_or(Version(0)), part.id.size);
         let held = self.plan.as_ref();
@@ -337,62 +245,6 @@
         }
     }
 
-    /// Takes lists that another entry forwarded. Loads still go to the last known leader, if any.
-    pub(super) fn take_relay(&self, relay: Relay) {
-        let (entries_stamp, upstreams_stamp) = (relay.entries_stamp, relay.upstreams.stamp);
-        let is_newer = {
-            let state = self.published.borrow();
-            entries_stamp > state.entries_stamp || upstreams_stamp > state.upstreams_stamp
-        };
-        if is_newer {
-            log::info!(seated:% = entries_stamp, listed:% = upstreams_stamp, entries = relay.entries.len();
-                "received newer lists from another entry");
-        }
-        self.set_entries(relay.entries_stamp, relay.entries);
-        self.set_upstreams(relay.upstreams);
-    }
-
-    fn set_entries(&self, stamp: Stamp, entries: Vec<EntryInfo>) {
-        self.published.send_if_modified(|state| {
-            let newer = stamp > state.entries_stamp;
-            if newer {
-                state.entries_stamp = stamp;
-                state.entries = Arc::new(entries);
-            }
-            newer
-        });
-    }
-
-    fn handle_upstreams(&mut self, from: SocketAddr, list: UpstreamList) {
-        let stamp = self.published.borrow().upstreams_stamp;
-        if list.stamp < stamp {
-            return self.set_upstreams(list);
-        }
-        let is_new = list.stamp.term > stamp.term;
-        if self.leader.replace(from) != Some(from) || is_new {
-            // A new leader does not know the decisions of the previous one.
-            let held = self.known.borrow().held(Instant::now());
-            if !held.is_empty() {
-                self.report_evidence(Evidence::Known(held));
-            }
-            for evidence in self.evidence.all(Instant::now()) {
-                self.send_evidence(evidence);
-            }
-        }
-        self.set_upstreams(list);
-    }
-
-    fn set_upstreams(&self, list: UpstreamList) {
-        self.published.send_if_modified(|state| {
-            let newer = list.stamp > state.upstreams_stamp;
-            if newer {
-                state.upstreams_stamp = list.stamp;
-                state.upstreams = Arc::new(list.upstreams);
-            }
-            newer
-        });
-    }
-
     /// Publishes the newest plan. The first one is published only if it is at least as new as the version
     /// that a quorum confirmed: an entry that restarts must not serve a plan that was replaced meanwhile.
     /// A newer one is accepted too, so that an entry can start while plans change continuously.
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -40,7 +40,7 @@
     ReadOutcome,
 };
 pub use message::{
-    EntryInfo, Health, LoadReport, Relay, Stamp, Upstream, UpstreamList, UpstreamLoad,
+    EntryInfo, Health, ListStamps, LoadReport, Relay, Stamp, Upstream, UpstreamList, UpstreamLoad,
 };
 pub use reader::{ListSource, Listing, read_interval};
 pub use repair::{LEARNER_TIMEOUT, PeerView, RepairView, VOTER_TIMEOUT, next_membership};
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -182,6 +182,15 @@
     pub upstreams: Vec<Upstream>,
 }
 
+/// The numbers of the lists that an entry holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListStamps {
+    /// The number of the list of entries.
+    pub entries: Stamp,
+    /// The number of the list of upstreams.
+    pub upstreams: Stamp,
+}
+
 /// The lists that an entry forwards to one that has no connection to the registry.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Relay {
--- a/crates/registry/tests/cluster.rs
+++ b/crates/registry/tests/cluster.rs
@@ -7,7 +7,7 @@
 use env::{Env, TIMEOUT, put, read};
 use futures_util::future::join_all;
 use registry::message::{ToEntry, ToMember};
-use registry::{EntryInfo, PutOutcome, Relay, Stamp, UpstreamList};
+use registry::{EntryInfo, ListStamps, PutOutcome, Relay, Stamp, UpstreamList};
 use tokio::time::timeout;
 use types::Version;
 use wire::Receiver;
@@ -206,6 +206,12 @@
         let state = taken.expect("in time").expect("the follower runs").clone();
         let known: Vec<&str> = state.entries.iter().map(|it| it.name.as_str()).collect();
         assert_eq!(known, case.known, "{}", case.name);
-        assert_eq!(state.relay().entries_stamp, state.entries_stamp, "{}", case.name);
+        let whole = state.relay(ListStamps::default());
+        assert_eq!(whole.entries_stamp, state.entries_stamp, "{}", case.name);
+        assert_eq!(whole.upstreams.stamp, state.upstreams_stamp, "{}", case.name);
+        // What the other entry holds is not sent again.
+        assert_eq!(state.relay(state.list_stamps()), Relay::default(), "{}", case.name);
+        let without_entries = ListStamps { upstreams: Stamp::default(), ..state.list_stamps() };
+        assert_eq!(state.relay(without_entries).entries_stamp, Stamp::default(), "{}", case.name);
     }
 }
--- a/crates/registry/tests/slow_link.rs
+++ b/crates/registry/tests/slow_link.rs
@@ -128,3 +128,17 @@
         () = changes => panic!("no plan is shown before the changes end"),
     }
 }
+
+/// The delay of each chunk on a link that is full of other data.
+const FULL_LINK_DELAY: Duration = Duration::from_millis(150);
+
+/// Guards against an entry that never has a member again: on a full link the handshake takes longer than
+/// the time after which the entry gave up and began again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_on_a_full_link_connects_to_a_member() {
+    let cluster = Cluster::open().await;
+    let version = cluster.put(&plan(1, 10, 0)).await;
+    cluster.links.iter().for_each(|it| it.delay(FULL_LINK_DELAY));
+    let mut entry = cluster.entry();
+    entry.shown(version).await;
+}
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -53,7 +53,22 @@
     own: Hello,
     expect: Kind,
 ) -> StepResult<Connection> {
-    let stream = match timeout(HANDSHAKE_TIMEOUT, TcpStream::connect(address)).await {
+    connect_within(HANDSHAKE_TIMEOUT, address, secret, own, expect).await
+}
+
+/// As [`connect`], but opens the socket within `limit`, or fails. The handshake may take longer: the
+/// other side is there, and the link may be busy.
+///
+/// # Errors
+/// As [`connect`].
+pub async fn connect_within(
+    limit: Duration,
+    address: SocketAddr,
+    secret: &Secret,
+    own: Hello,
+    expect: Kind,
+) -> StepResult<Connection> {
+    let stream = match timeout(limit, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(StepError::new("connect", error).at(address)),
         Err(_) => return Err(StepError::new("connect", WireError::Timeout).at(address)),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -23,7 +23,7 @@
 
 use std::time::Duration;
 
-pub use connection::{Connection, Encoded, Receiver, Sender, connect};
+pub use connection::{Connection, Encoded, Receiver, Sender, connect, connect_within};
 pub use datagram::{Datagrams, MAX_DATAGRAM_BYTES};
 pub use error::{RefusalCause, WireError};
 pub use frame::{MAX_FRAME_BYTES, decode, encode};
