Keep the share of an upstream's connections, whatever the number of entries

Cause: an entry's share was its part of what an upstream accepts, two at least: 1,970 of 1,800 at the plain service of the fleet. It was never lowered, so that the share of an entry that had not heard of the others at its start was the whole. Both were found by reading. Change: one connection at least, two to upstreams of stages, which only owners call; where there are more entries than connections none is kept idle. The share follows the number of entries, down as well. A request that waits for a connection takes one that becomes idle. Evidence: directory/tests.rs: 8, 985, 2,000 and 20,000 entries, idle connections of all within what is accepted; a share that shrinks from 1,800 to 1. Conclusion: idle connections stay within the bound by construction; those in use are bounded by the requests under way.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -10,7 +10,7 @@
 use crate::cold::{self, ColdSpec, ColdTolerance, EntryHash};
 use crate::plan::Plan;
 use crate::section::{self, LinkRate, Section};
-use crate::upstream::{InUse, Upstream};
+use crate::upstream::{ConnectionShare, InUse, Upstream};
 
 #[cfg(test)]
 mod tests;
@@ -18,6 +18,10 @@
 /// The maximum number of connections to an upstream whose service is not in the plan.
 const DEFAULT_CONNECTIONS: u32 = 16;
 
+/// The least share of an entry in the connections to an upstream of a stage. Only the owners of its
+/// section call it, two of them while one replaces the other.
+const OWNER_CONNECTIONS: u32 = 2;
+
 /// The upstreams at one moment.
 #[derive(Debug, Default)]
 pub(crate) struct Directory {
@@ -52,13 +56,13 @@
             let connection_share = connection_share(plan, &it.service, entries);
             let upstream = match self.by_id.get(it.id.as_str()) {
                 Some(known) if known.address == it.address => Arc::clone(known),
-                _ => Arc::new(Upstream::new(it, connection_share).with_use(&self.in_use)),
+                _ => Arc::new(Upstream::new(it, connection_share.most).with_use(&self.in_use)),
             };
             upstream.set_draining(it.health == registry::Health::Draining);
             let evacuated = registry_state.evacuated.contains(&it.domain);
             let returns = upstream.set_evacuated(evacuated) && !evacuated;
             self.spare_if_cold(&upstream, returns, &context);
-            upstream.raise_connection_limit(connection_share);
+            upstream.set_connection_share(connection_share);
             let service = next.services.entry(Arc::clone(&upstream.service)).or_default();
             service.push(Arc::clone(&upstream));
             next.positions.insert(Arc::clone(&upstream.id), next.ordered.len() as u32);
@@ -244,7 +248,11 @@
 
 /// Returns this entry's share of the connections to an upstream. All entries together must stay
 /// below what the upstream accepts, because it resets connections beyond that.
-fn connection_share(plan: &Plan, service: &str, entries: usize) -> u32 {
-    let Some(service) = plan.services.get(service) else { return DEFAULT_CONNECTIONS };
-    (service.connections / entries.max(1) as u32).max(2)
+fn connection_share(plan: &Plan, service: &str, entries: usize) -> ConnectionShare {
+    let Some(service) = plan.services.get(service) else {
+        return ConnectionShare { most: DEFAULT_CONNECTIONS, keeps_idle: true };
+    };
+    let share = service.connections / entries.max(1) as u32;
+    let least = if service.batch.is_some() { OWNER_CONNECTIONS } else { 1 };
+    ConnectionShare { most: share.max(least), keeps_idle: share > 0 }
 }
--- a/crates/gateway/src/directory/tests.rs
+++ b/crates/gateway/src/directory/tests.rs
@@ -1,8 +1,11 @@
 //! The loads that entries exchange, by their positions in the list.
 
+use std::time::Duration;
+
 use registry::Health;
 
 use super::*;
+use crate::plan::{BatchSpec, Service};
 
 fn registry_state(count: u64, ids: &[usize]) -> RegistryState {
     let listed = |id: &usize| registry::Upstream {
@@ -114,3 +117,84 @@
     drop(two);
     assert!(newer.report().loads.is_empty());
 }
+
+struct ShareCase {
+    name: &'static str,
+    connections: u32,
+    entries: usize,
+    batch: bool,
+    share: ConnectionShare,
+}
+
+const SHARES: &[ShareCase] = &[
+    ShareCase {
+        name: "a few entries",
+        connections: 110,
+        entries: 8,
+        batch: false,
+        share: ConnectionShare { most: 13, keeps_idle: true },
+    },
+    ShareCase {
+        name: "a fleet",
+        connections: 1_800,
+        entries: 985,
+        batch: false,
+        share: ConnectionShare { most: 1, keeps_idle: true },
+    },
+    ShareCase {
+        name: "more entries than connections",
+        connections: 1_800,
+        entries: 2_000,
+        batch: false,
+        share: ConnectionShare { most: 1, keeps_idle: false },
+    },
+    ShareCase {
+        name: "a stage, called by owners only",
+        connections: 2_100,
+        entries: 20_000,
+        batch: true,
+        share: ConnectionShare { most: 2, keeps_idle: false },
+    },
+];
+
+/// Guards against upstreams that reset connections because all entries together keep more open than
+/// they accept: each has two at least, however many entries there are.
+#[test]
+fn idle_connections_of_all_entries_stay_within_what_an_upstream_accepts() {
+    for case in SHARES {
+        let batch = BatchSpec {
+            batch: 8,
+            call: Duration::from_millis(200),
+            item: Duration::from_millis(10),
+            space_bytes: 1,
+            ttl: Duration::from_secs(1),
+        };
+        let service = Service {
+            name: "s".into(),
+            connections: case.connections,
+            batch: case.batch.then_some(batch),
+            engine: None,
+            cold: None,
+        };
+        let mut plan = Plan::default();
+        plan.services.insert("s".into(), service);
+        let share = connection_share(&plan, "s", case.entries);
+        assert_eq!(share, case.share, "{}", case.name);
+        let idle = if share.keeps_idle { case.entries as u32 * share.most } else { 0 };
+        assert!(idle <= case.connections, "{}: {idle} idle connections", case.name);
+    }
+}
+
+/// Guards against a share that stays as large as when the entry knew of no other.
+#[test]
+fn a_share_shrinks_when_more_entries_are_known() {
+    let directory = next(&Directory::default(), &registry_state(1, &[1]));
+    let upstream = &directory.ordered[0];
+    for most in [1_800, 2, 5, 1] {
+        upstream.set_connection_share(ConnectionShare { most, keeps_idle: true });
+        let running: Vec<_> = (0..most).map(|_| upstream.begin_request(0)).collect();
+        assert!(!upstream.has_connection(), "more than {most}");
+        drop(running);
+        assert!(upstream.has_connection(), "fewer than {most}");
+    }
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -170,7 +170,7 @@
 }
 
 /// Chooses the upstream with the fewest requests of all entries, and prefers the entry's own
-/// failure domain. Ejected upstreams come last.
+/// failure domain. Upstreams at which all its connections are in use come last, after ejected ones.
 fn choose<'a, D: Dialect>(
     shared: &Shared<D>,
     upstreams: &'a [Arc<Upstream>],
@@ -181,7 +181,8 @@
     let open = upstreams.iter().filter(|it| fits(it) && !tried.contains(&it.id));
     let rank = |it: &&Arc<Upstream>| {
         let away = u32::from(it.domain != shared.domain);
-        (it.is_ejected(now), it.total_running() + away, rand::random::<u16>())
+        let waits = !it.has_connection();
+        (waits, it.is_ejected(now), it.total_running() + away, rand::random::<u16>())
     };
     open.min_by_key(rank)
 }
--- a/crates/gateway/src/stream/choice.rs
+++ b/crates/gateway/src/stream/choice.rs
@@ -25,7 +25,8 @@
 }
 
 impl<D: Dialect> Streams<D> {
-    /// Chooses an engine; ejected ones are used only if all are ejected.
+    /// Chooses an engine; ejected ones, and those at which all connections of this entry are in use, are
+    /// chosen only if all are such.
     pub(super) fn choose(
         &self,
         request: &CallerRequest,
@@ -38,8 +39,9 @@
         let fits = |it: &&Arc<Upstream>| it.is_open() && it.has_room(now);
         let open = open.filter(|it| fits(it) && !criteria.tried.contains(&it.id)).cloned();
         let mut candidates: Vec<Arc<Upstream>> = open.collect();
-        if candidates.iter().any(|it| !it.is_ejected(now)) {
-            candidates.retain(|it| !it.is_ejected(now));
+        let fit = |it: &Arc<Upstream>| !it.is_ejected(now) && it.has_connection();
+        if candidates.iter().any(fit) {
+            candidates.retain(fit);
         }
         let load = |it: &Upstream| Load {
             running: f64::from(it.total_running()),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
@@ -84,8 +84,11 @@
     in_use: Arc<InUse>,
     health: Mutex<Health>,
     idle: Mutex<Vec<Idle>>,
+    /// Notified when a connection becomes idle.
+    idle_added: Notify,
     permits: Arc<Semaphore>,
     connection_limit: AtomicU32,
+    keeps_idle: AtomicBool,
     cold: Mutex<ColdGate>,
 }
 
@@ -110,6 +113,16 @@
     expires: Instant,
 }
 
+/// An entry's share of the connections to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ConnectionShare {
+    /// The most connections of this entry.
+    pub(crate) most: u32,
+    /// Whether it may keep one that no request uses. Where there are more entries than connections,
+    /// idle ones would keep the other entries out.
+    pub(crate) keeps_idle: bool,
+}
+
 /// Why no connection is available. No byte of the request was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectError {
@@ -142,8 +155,10 @@
             in_use: Arc::default(),
             health: Mutex::default(),
             idle: Mutex::default(),
+            idle_added: Notify::new(),
             permits: Arc::new(Semaphore::new(connection_limit as usize)),
             connection_limit: AtomicU32::new(connection_limit),
+            keeps_idle: AtomicBool::new(true),
             cold: Mutex::default(),
         }
     }
@@ -164,13 +179,23 @@
         self.evacuated.swap(evacuated, Ordering::Relaxed)
     }
 
-    /// Raises the limit of this entry's connections. A lower limit takes effect only with the next
-    /// incarnation.
-    pub fn raise_connection_limit(&self, connections: u32) {
-        let previous = self.connection_limit.fetch_max(connections, Ordering::Relaxed);
-        if connections > previous {
-            self.permits.add_permits((connections - previous) as usize);
-        }
+    /// Sets this entry's share of the connections. Connections in use beyond a lower limit stay until
+    /// their request ends; the limit is lowered further with the next call.
+    pub(crate) fn set_connection_share(&self, share: ConnectionShare) {
+        self.keeps_idle.store(share.keeps_idle, Ordering::Relaxed);
+        let limit = self.connection_limit.load(Ordering::Relaxed);
+        let next = if share.most >= limit {
+            self.permits.add_permits((share.most - limit) as usize);
+            share.most
+        } else {
+            limit - self.permits.forget_permits((limit - share.most) as usize) as u32
+        };
+        self.connection_limit.store(next, Ordering::Relaxed);
+    }
+
+    /// Returns whether this entry may send a request without waiting for one of its connections.
+    pub(crate) fn has_connection(&self) -> bool {
+        self.running() < self.connection_limit.load(Ordering::Relaxed)
     }
 
     /// Returns whether the upstream may get new requests.
@@ -255,12 +280,20 @@
         self: &Arc<Self>,
         deadline: Instant,
     ) -> Result<Lease, ConnectError> {
-        if let Some(lease) = self.take_idle() {
-            return Ok(lease);
-        }
         let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let permit = timeout_at(deadline, Arc::clone(&self.permits).acquire_owned()).await;
-        let Ok(Ok(permit)) = permit else { return Err(ConnectError::LimitReached) };
+        let permit = loop {
+            if let Some(lease) = self.take_idle() {
+                return Ok(lease);
+            }
+            tokio::select! {
+                permit = timeout_at(deadline, Arc::clone(&self.permits).acquire_owned()) => {
+                    let Ok(Ok(permit)) = permit else { return Err(ConnectError::LimitReached) };
+                    break permit;
+                }
+                // The connection of a request that has just ended keeps its permit.
+                () = self.idle_added.notified() => {}
+            }
+        };
         if let Some(lease) = self.take_idle() {
             return Ok(lease);
         }
@@ -350,12 +383,14 @@
         };
         tokio::spawn(async move {
             // Bytes after the answer are an error: the connection ends here and is not used again.
-            if sender.ready().await.is_err() || !upstream.is_open() {
+            let keeps = upstream.is_open() && upstream.keeps_idle.load(Ordering::Relaxed);
+            if sender.ready().await.is_err() || !keeps {
                 task.abort();
                 return;
             }
             let expires = Instant::now() + keep;
             upstream.lock_idle().push(Idle { sender, task, permit, expires });
+            upstream.idle_added.notify_one();
             sleep_until(expires).await;
             upstream.close_idle(false);
         });
