--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,48 +1,25 @@
 //! One incarnation of an upstream: its connections, its load from this entry, and its health.
 
 mod cold;
+mod connections;
 mod running;
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::Instant;
 
 use crate::cold::ColdGate;
 use crate::incarnation::{Incarnation, LatestIncarnation, StartTime};
 use crate::place::score;
 
+pub(crate) use self::connections::{ConnectError, ConnectionShare, Lease};
 pub(crate) use self::running::{InUse, RunningRequest};
 
-/// The timeout for opening a connection. A lost SYN packet is sent again only after seconds, so a
-/// second try reaches the upstream sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// How long an idle connection is kept if the upstream announces no keep-alive time.
-const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
-
-/// How much earlier than announced an idle connection is closed, because the upstream may close it
-/// while a request is being sent.
-const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1_100);
-
-/// How long sent bytes may stay unacknowledged before a connection counts as dead. A connection can
-/// go silent without a reset, and only the kernel's timer shows that to a task that waits for an
-/// answer.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// The interval between two keep-alive probes of an idle connection; the kernel counts in whole
-/// seconds.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+use self::connections::Idle;
 
 /// The base of the backoff of an ejected upstream. The backoff is this times 2^n, where n is the
 /// number of failures in a row that count, up to 4.
@@ -55,9 +32,6 @@
 /// ejects it.
 const TOLERATED_FAILURES: u32 = 3;
 
-/// The request sender of an HTTP connection.
-pub(crate) type ConnectionSender = SendRequest<Full<Bytes>>;
-
 /// One incarnation of an upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -105,35 +79,6 @@
     ejected_until: Option<Instant>,
 }
 
-#[derive(Debug)]
-struct Idle {
-    sender: ConnectionSender,
-    task: AbortHandle,
-    permit: OwnedSemaphorePermit,
-    expires: Instant,
-}
-
-/// An entry's share of the connections to an upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct ConnectionShare {
-    /// The most connections of this entry.
-    pub(crate) most: u32,
-    /// Whether it may keep one that no request uses. Where there are more entries than connections,
-    /// idle ones would keep the other entries out.
-    pub(crate) keeps_idle: bool,
-}
-
-/// Why no connection is available. No byte of the request was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ConnectError {
-    /// The upstream refused the connection.
-    Refused,
-    /// The connection was not established in time.
-    TimedOut,
-    /// All connections that this entry may have are in use.
-    LimitReached,
-}
-
 impl Upstream {
     /// Creates an upstream from its listing, with at most `connections` connections from this
     /// entry.
@@ -179,25 +124,6 @@
         self.evacuated.swap(evacuated, Ordering::Relaxed)
     }
 
-    /// Sets this entry's share of the connections. Connections in use beyond a lower limit stay until
-    /// their request ends; the limit is lowered further with the next call.
-    pub(crate) fn set_connection_share(&self, share: ConnectionShare) {
-        self.keeps_idle.store(share.keeps_idle, Ordering::Relaxed);
-        let limit = self.connection_limit.load(Ordering::Relaxed);
-        let next = if share.most >= limit {
-            self.permits.add_permits((share.most - limit) as usize);
-            share.most
-        } else {
-            limit - self.permits.forget_permits((limit - share.most) as usize) as u32
-        };
-        self.connection_limit.store(next, Ordering::Relaxed);
-    }
-
-    /// Returns whether this entry may send a request without waiting for one of its connections.
-    pub(crate) fn has_connection(&self) -> bool {
-        self.running() < self.connection_limit.load(Ordering::Relaxed)
-    }
-
     /// Returns whether the upstream may get new requests.
     pub fn is_open(&self) -> bool {
         !self.draining.load(Ordering::Relaxed) && !self.evacuated.load(Ordering::Relaxed)
@@ -274,133 +200,4 @@
         }
         health.ejected_until = Some(Instant::now() + backoff);
     }
-
-    /// Returns an idle connection, or opens a new one before `deadline`.
-    pub(crate) async fn connect(
-        self: &Arc<Self>,
-        deadline: Instant,
-    ) -> Result<Lease, ConnectError> {
-        let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let permit = loop {
-            if let Some(lease) = self.take_idle() {
-                return Ok(lease);
-            }
-            tokio::select! {
-                permit = timeout_at(deadline, Arc::clone(&self.permits).acquire_owned()) => {
-                    let Ok(Ok(permit)) = permit else { return Err(ConnectError::LimitReached) };
-                    break permit;
-                }
-                // The connection of a request that has just ended keeps its permit.
-                () = self.idle_added.notified() => {}
-            }
-        };
-        if let Some(lease) = self.take_idle() {
-            return Ok(lease);
-        }
-        let opened = timeout_at(deadline, open(self.address)).await;
-        let (sender, task) = match opened {
-            Ok(opened) => opened?,
-            Err(_) => return Err(ConnectError::TimedOut),
-        };
-        Ok(Lease { upstream: Arc::clone(self), connection: Some((sender, task, permit)) })
-    }
-
-    fn take_idle(self: &Arc<Self>) -> Option<Lease> {
-        let mut idle = self.lock_idle();
-        let now = Instant::now();
-        while let Some(it) = idle.pop() {
-            if it.sender.is_ready() && now < it.expires {
-                let connection = Some((it.sender, it.task, it.permit));
-                return Some(Lease { upstream: Arc::clone(self), connection });
-            }
-            it.task.abort();
-        }
-        None
-    }
-
-    fn lock_idle(&self) -> MutexGuard<'_, Vec<Idle>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Closes idle connections: all of them, or those whose time is over.
-    pub(crate) fn close_idle(&self, all: bool) {
-        let mut idle = self.lock_idle();
-        let now = Instant::now();
-        idle.retain(|it| {
-            let keep = !all && now < it.expires && !it.sender.is_closed();
-            if !keep {
-                it.task.abort();
-            }
-            keep
-        });
-    }
-}
-
-async fn open(address: SocketAddr) -> Result<(ConnectionSender, AbortHandle), ConnectError> {
-    let refused = |_| ConnectError::Refused;
-    let stream = TcpStream::connect(address).await.map_err(refused)?;
-    let keepalive =
-        TcpKeepalive::new().with_time(TCP_USER_TIMEOUT).with_interval(KEEPALIVE_INTERVAL);
-    let socket = SockRef::from(&stream);
-    let configured = stream
-        .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)))
-        .and_then(|()| socket.set_tcp_keepalive(&keepalive.with_retries(2)));
-    configured.map_err(refused)?;
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(64 << 10)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|_| ConnectError::Refused)?;
-    let task = tokio::spawn(async move {
-        // The request sender reports the cause of an error.
-        let _ = connection.await;
-    });
-    Ok((sender, task.abort_handle()))
-}
-
-/// A connection in use. If it is dropped before its answer has ended, it is closed, which makes the
-/// upstream cancel the request.
-#[derive(Debug)]
-pub(crate) struct Lease {
-    upstream: Arc<Upstream>,
-    connection: Option<(ConnectionSender, AbortHandle, OwnedSemaphorePermit)>,
-}
-
-impl Lease {
-    /// Returns the request sender of the connection.
-    pub(crate) fn sender(&mut self) -> Option<&mut ConnectionSender> {
-        self.connection.as_mut().map(|it| &mut it.0)
-    }
-
-    /// Keeps the connection for later requests. To be called after the answer has ended properly.
-    pub(crate) fn keep(mut self, keep_alive: Option<Duration>) {
-        let Some((mut sender, task, permit)) = self.connection.take() else { return };
-        let upstream = Arc::clone(&self.upstream);
-        let keep = match keep_alive {
-            Some(it) => it.checked_sub(KEEP_ALIVE_MARGIN).unwrap_or(Duration::from_millis(300)),
-            None => DEFAULT_KEEP_ALIVE,
-        };
-        tokio::spawn(async move {
-            // Bytes after the answer are an error: the connection ends here and is not used again.
-            let keeps = upstream.is_open() && upstream.keeps_idle.load(Ordering::Relaxed);
-            if sender.ready().await.is_err() || !keeps {
-                task.abort();
-                return;
-            }
-            let expires = Instant::now() + keep;
-            upstream.lock_idle().push(Idle { sender, task, permit, expires });
-            upstream.idle_added.notify_one();
-            sleep_until(expires).await;
-            upstream.close_idle(false);
-        });
-    }
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        if let Some((_, task, _)) = &self.connection {
-            task.abort();
-        }
-    }
 }
