--- a/crates/registry/src/lists.rs
+++ b/crates/registry/src/lists.rs
@@ -12,6 +12,9 @@
     DIFFERENCES_LEVEL, EntryInfo, LoadReport, OFFERS_LEVEL, Stamp, ToEntry, Upstream, UpstreamList,
 };
 
+#[cfg(test)]
+mod tests;
+
 /// The size from which an entry is offered a list before it is sent, in bytes. The exchange for a
 /// smaller list takes as long as the list.
 const MIN_OFFERED_BYTES: usize = 2 << 10;
--- a/crates/registry/tests/list_memory.rs
+++ b/crates/registry/tests/list_memory.rs
@@ -7,10 +7,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use env::{Env, put};
+use env::{Env, TIMEOUT, put};
+use registry::message::ToEntry;
 use registry::{Health, ListSource, Listing, Upstream};
 use standins::proxy::{self, Config, Cut, Direction, Scope};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use types::StepResult;
 
 /// The number of entries.
@@ -64,7 +65,15 @@
     let link = proxy::spawn(Config::to(env.addresses[0])).await.expect("a proxy");
     let mut entries = Vec::new();
     for _ in 0..ENTRIES {
-        entries.push(env.connect(link.address()).await);
+        let (sender, mut receiver) = env.connect(link.address()).await;
+        // An entry that has the first list is sent the difference from it, without an exchange.
+        loop {
+            let message = timeout(TIMEOUT, receiver.recv()).await.expect("the empty list comes");
+            if let Ok(Some(ToEntry::Upstreams(_) | ToEntry::UpstreamsChanged(_))) = message {
+                break;
+            }
+        }
+        entries.push((sender, receiver));
     }
     // What the member sends from now on reaches no entry, whose memory would count here too.
     link.cut(Cut { way: Direction::Down, scope: Scope::Open });
