Gather prompts only while most upstreams are idle

Whether gathering is the cause is not shown, but it could narrow 90 engines to 64 there, which its reason does not cover: engines in use keep parts of their own. Change: from a running request for each four upstreams on, all are candidates, as before. At the fleet (200 requests at 5,615 engines) nothing changes.

--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -88,9 +88,16 @@
 /// before they hear of each other's.
 const MIN_WIDTH: usize = 64;
 
+/// The number of upstreams for each running request from which most are idle, so that prompts are
+/// gathered. Where more are in use, each has parts of its own to keep.
+const IDLE_UPSTREAMS: usize = 4;
+
 /// Returns over how many of `upstreams` the prompts with the same first part are gathered, while
 /// `running` requests run at all of them.
 pub fn width(running: usize, upstreams: usize) -> usize {
+    if running * IDLE_UPSTREAMS > upstreams {
+        return upstreams;
+    }
     (running / GATHERED_RUNNING).max(MIN_WIDTH).min(upstreams)
 }
 
--- a/crates/gateway/tests/gather.rs
+++ b/crates/gateway/tests/gather.rs
@@ -183,6 +183,9 @@
     Width { running: 0, upstreams: 12, width: 12 },
     Width { running: 0, upstreams: 5_000, width: 64 },
     Width { running: 400, upstreams: 5_000, width: 200 },
+    Width { running: 1_000, upstreams: 5_000, width: 500 },
+    Width { running: 1_500, upstreams: 5_000, width: 5_000 },
+    Width { running: 25, upstreams: 90, width: 90 },
     Width { running: 20_000, upstreams: 5_000, width: 5_000 },
 ];
 
