Log the limits that upstreams name, and what an entry sends under them

Answers are read for the limit now; an entry logs each change with what it sent under the last one, and a choice names the limit that is known. Nothing is decided by it.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
+use types::Rate;
 
 pub use crate::incarnation::StartTime;
 use crate::plan::Plan;
@@ -75,7 +76,7 @@
 }
 
 /// The decoded head of an upstream's answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// Whether it repeats the attempt's id.
     pub same_attempt: bool,
@@ -87,6 +88,8 @@
     pub keep_alive: Option<Duration>,
     /// How much longer the upstream is cold, if it says so.
     pub cold: Option<Duration>,
+    /// The requests per second that the upstream takes from all callers together, if it names a limit.
+    pub limit: Option<Rate>,
 }
 
 /// The name of a stage result, which includes the address at which it is kept.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -107,6 +107,8 @@
         let Some(sender) = lease.sender() else {
             return Err(Fault::unsent(ConnectError::Refused));
         };
+        let sent = Instant::now();
+        upstream.record_sent(sent);
         let response = match timeout_at(deadline, sender.try_send_request(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(mut error)) => match error.take_message() {
@@ -127,6 +129,7 @@
         if let Some(left) = head.cold {
             upstream.extend_cold(Instant::now() + left);
         }
+        upstream.record_limit(head.limit, sent);
         return Ok(Opened { response, lease, head });
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod guard;
 mod head_timeout;
 pub mod incarnation;
+pub mod limit;
 mod metrics;
 mod offers;
 mod phases;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -90,6 +90,7 @@
         reached_upstream = true;
         log::info!(request = request.head.attempt.as_str(), upstream:% = upstream.id,
             running = upstream.total_running(), listed:% = directory.listed(),
+            limit = upstream.limit_named().map(|it| it.0),
             tried = offers.tried().len(); "chose an upstream");
         let last = !repeats || runs + 1 >= request.route.attempts;
         let deadline = if last { request.deadline } else { first_try_deadline(request, now) };
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -136,6 +136,7 @@
             tries.offers.add(&upstream, now);
             log::info!(request = request.head.attempt.as_str(), upstream:% = upstream.id,
                 running = upstream.total_running(), tokens = upstream.total_tokens(),
+                limit = upstream.limit_named().map(|it| it.0),
                 listed:% = self.shared.directory().listed(), inputs = handles.len(),
                 last = last_event, stages:% = phases,
                 age_ms = request.arrived.elapsed().as_millis() as u64; "chose an engine");
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -2,6 +2,7 @@
 
 mod cold;
 mod connections;
+mod limit;
 mod running;
 
 use std::net::SocketAddr;
@@ -14,6 +15,7 @@
 
 use crate::cold::ColdGate;
 use crate::incarnation::{Incarnation, LatestIncarnation, StartTime};
+use crate::limit::LimitGate;
 use crate::place::score;
 
 pub(crate) use self::connections::{ConnectError, ConnectionShare, Lease};
@@ -64,6 +66,7 @@
     connection_limit: AtomicU32,
     keeps_idle: AtomicBool,
     cold: Mutex<ColdGate>,
+    limit: Mutex<LimitGate>,
 }
 
 /// The requests that other entries have in flight, as last reported.
@@ -105,6 +108,7 @@
             connection_limit: AtomicU32::new(connection_limit),
             keeps_idle: AtomicBool::new(true),
             cold: Mutex::default(),
+            limit: Mutex::default(),
         }
     }
 
