Share what an upstream's named limit allows among all entries

What callers saw: an upstream that names 1 request a second got 12 and 13 in 4 s (allowed 11), and was no better for having said so. Cause: nothing read the header; entries chose by load, and an upstream in need looks idle. Its class: a bound on a sum that no one knows, like that of cold upstreams and of the retry budget. Change: each entry keeps a share of what the limit allows in a window (limit.rs, quota.rs); the shares of all entries with one list add up to it, without a message, so they hold with late or lost news and without a leader. A share that grows counts only a window later, since entries with the list before still use theirs. What was sent before the limit was heard counts. An answer without a limit lifts it only if it is newer than the last with one.

--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -337,7 +337,7 @@
     ) {
         self.last_call += 1;
         self.record_call(&upstream.id, now);
-        upstream.record_pieces(next.pieces.len() as u32, now);
+        upstream.record_call(next.pieces.len() as u32, now);
         let in_flight = InFlightCall {
             call: self.last_call,
             section: section.clone(),
--- a/crates/gateway/src/batch/owner/notify.rs
+++ b/crates/gateway/src/batch/owner/notify.rs
@@ -71,6 +71,10 @@
         let directory = self.shared.directory();
         for (address, handles) in self.released.drain() {
             let Some(holder) = directory.holder(address).cloned() else { continue };
+            if holder.limit_named().is_some() {
+                // The results expire on their own; a message would take the place of a call.
+                continue;
+            }
             let events = self.events.clone();
             tokio::spawn(async move {
                 match exchange::free::<D>(&holder, &handles).await {
--- a/crates/gateway/src/batch/owner/space.rs
+++ b/crates/gateway/src/batch/owner/space.rs
@@ -41,6 +41,10 @@
         section: &Section,
         now: Instant,
     ) -> bool {
+        if upstream.limit_named().is_some() {
+            // A query would take the place of a call.
+            return true;
+        }
         let known = self.space_queries.get(&upstream.id).copied();
         let fresh =
             known.filter(|it| now.duration_since(it.last_call.max(it.asked)) < SPACE_VALIDITY);
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -64,7 +64,10 @@
             let connection_share = connection_share(plan, &it.service, entries);
             let upstream = match self.by_id.get(it.id.as_str()) {
                 Some(known) if known.address == it.address => Arc::clone(known),
-                _ => Arc::new(Upstream::new(it, connection_share.most).with_use(&self.in_use)),
+                _ => Arc::new(
+                    Upstream::new(it, connection_share.most)
+                        .with_lists(&self.in_use, &self.entries),
+                ),
             };
             upstream.set_draining(it.health == registry::Health::Draining);
             let evacuated = registry_state.evacuated.contains(&it.domain);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -108,7 +108,6 @@
             return Err(Fault::unsent(ConnectError::Refused));
         };
         let sent = Instant::now();
-        upstream.record_sent(sent);
         let response = match timeout_at(deadline, sender.try_send_request(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(mut error)) => match error.take_message() {
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -1,20 +1,62 @@
-//! The limits that upstreams name: how many requests a second they take from all entries together.
+//! Bounds what all entries together send to an upstream that names a limit.
+//!
+//! An upstream in need names in its answers how many requests a second it takes from all entries
+//! together. Each entry keeps a share of what the limit allows in a window, and the shares add up to
+//! it, so the limit holds without a message between entries, also while the registry has no leader. A
+//! share that grows counts only after a window: until then, entries with the list before may still use
+//! what they had. An entry whose share is used up borrows from one that has some left.
 
+use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
 use types::Rate;
 
+use crate::quota::EntryList;
+
+/// The window over which an upstream counts requests.
+const COUNTED_WINDOW: Duration = Duration::from_secs(4);
+
+/// The window over which an entry counts them: two requests that are sent this far apart may arrive
+/// closer together.
+pub const LIMIT_WINDOW: Duration = Duration::from_millis(4_200);
+
+/// How many owners of a section send calls at most, while one replaces the other.
+const OWNERS: u32 = 2;
+
+/// How long an entry without a share waits before it tries to borrow again.
+const BORROW_INTERVAL: Duration = Duration::from_secs(1);
+
+/// How long an entry that was told by an upstream itself that the limit is lifted ignores what others
+/// say of it, which may be older.
+const NEWS_DELAY: Duration = Duration::from_secs(1);
+
+/// Returns how many requests all entries together may send in a [`LIMIT_WINDOW`]. Without a single one,
+/// nobody would hear that the limit is lifted.
+pub fn quota(limit: Rate) -> u32 {
+    ((limit.0 * COUNTED_WINDOW.as_secs_f64()) as u32).max(1)
+}
+
 /// A change of the limit that an upstream names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LimitChange {
-    /// The requests that this entry sent under the last limit.
+    /// The requests that this entry sent in the last window.
     pub sent: u32,
-    /// How long the last limit lasted.
+    /// How long the last limit, or the time without one, lasted.
     pub lasted: Duration,
 }
 
-/// The limit that an upstream names, and what this entry sends under it.
+/// The entries that an entry knows, and the key by which they divide the quota of one upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Sharing<'a> {
+    /// The entries.
+    pub entries: &'a Arc<EntryList>,
+    /// The hash of the upstream's id.
+    pub key: u64,
+}
+
+/// The limit that an upstream names, and what this entry sends to it.
 #[derive(Debug, Default)]
 pub struct LimitGate {
     named: Option<Rate>,
@@ -22,7 +64,12 @@
     since: Option<Instant>,
     /// When the newest answer with a limit arrived.
     heard: Option<Instant>,
-    sent: u32,
+    /// The requests of this entry within the last window, under a limit or not.
+    sent: VecDeque<Instant>,
+    /// The shares of this entry since the start of the last window, and from when on each holds.
+    shares: VecDeque<(Instant, u32)>,
+    /// What the newest share was computed from.
+    basis: Option<(Rate, Arc<EntryList>)>,
 }
 
 impl LimitGate {
@@ -40,22 +87,89 @@
         } else if self.heard.is_some_and(|it| sent < it) {
             return None;
         }
+        self.change(limit, now)
+    }
+
+    /// Takes the limit of which another entry tells at `now`, unless this one knows better.
+    pub fn take_news(&mut self, limit: Rate, now: Instant) -> Option<LimitChange> {
+        let knows_better = match self.named {
+            Some(_) => true,
+            None => self.since.is_some_and(|it| now < it + NEWS_DELAY),
+        };
+        if knows_better {
+            return None;
+        }
+        self.heard = Some(now);
+        self.change(Some(limit), now)
+    }
+
+    fn change(&mut self, limit: Option<Rate>, now: Instant) -> Option<LimitChange> {
         if self.named == limit {
             return None;
         }
         let since = self.since.replace(now).unwrap_or(now);
+        if limit.is_none() || self.named.is_none() {
+            (self.basis, self.shares) = Default::default();
+        }
         self.named = limit;
-        let sent = std::mem::take(&mut self.sent);
-        Some(LimitChange { sent, lasted: now.duration_since(since) })
+        Some(LimitChange { sent: self.count(now), lasted: now.duration_since(since) })
     }
 
-    /// Counts a request that this entry sends at `now`.
-    pub fn record_sent(&mut self, _now: Instant) {
-        self.sent += u32::from(self.named.is_some());
+    /// Counts a request that is sent at `now`.
+    pub fn record_sent(&mut self, now: Instant) {
+        self.count(now);
+        self.sent.push_back(now);
     }
 
     /// Returns the limit that was named last.
     pub fn named(&self) -> Option<Rate> {
         self.named
     }
+
+    /// Returns how many requests this entry may send at `now`; `None` if there is no limit.
+    pub fn room(&mut self, sharing: Sharing<'_>, now: Instant) -> Option<u32> {
+        let limit = self.named?;
+        let share = self.share(limit, sharing, now);
+        Some(share.saturating_sub(self.count(now)))
+    }
+
+    /// Returns how many calls the owner of the upstream's section may send at `now`; `None` if there is
+    /// no limit. Only its owner sends it pieces.
+    pub fn owner_room(&mut self, now: Instant) -> Option<u32> {
+        let limit = self.named?;
+        Some((quota(limit) / OWNERS).max(1).saturating_sub(self.count(now)))
+    }
+
+    /// Returns when this entry may send the next request; `None` if it may at `now`.
+    pub fn next_room(&mut self, sharing: Sharing<'_>, now: Instant) -> Option<Instant> {
+        if self.room(sharing, now).is_none_or(|it| it > 0) {
+            return None;
+        }
+        let share = self.share(self.named?, sharing, now) as usize;
+        let first = self.sent.len().checked_sub(share.max(1)).and_then(|it| self.sent.get(it));
+        let freed = first.filter(|_| share > 0).map(|it| *it + LIMIT_WINDOW);
+        Some(freed.unwrap_or(now + BORROW_INTERVAL))
+    }
+
+    /// Returns this entry's share of the quota: the least one of the last window.
+    fn share(&mut self, limit: Rate, sharing: Sharing<'_>, now: Instant) -> u32 {
+        let known = self.basis.as_ref();
+        if known.is_none_or(|it| it.0 != limit || !Arc::ptr_eq(&it.1, sharing.entries)) {
+            let share = sharing.entries.share(sharing.key, quota(limit));
+            self.shares.push_back((now, share));
+            self.basis = Some((limit, Arc::clone(sharing.entries)));
+        }
+        while self.shares.get(1).is_some_and(|it| it.0 + LIMIT_WINDOW <= now) {
+            self.shares.pop_front();
+        }
+        self.shares.iter().map(|it| it.1).min().unwrap_or(0)
+    }
+
+    /// Returns how many requests were sent in the window that ends at `now`.
+    fn count(&mut self, now: Instant) -> u32 {
+        while self.sent.front().is_some_and(|it| *it + LIMIT_WINDOW <= now) {
+            self.sent.pop_front();
+        }
+        self.sent.len() as u32
+    }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,8 +1,7 @@
 //! One incarnation of an upstream: its connections, its load from this entry, and its health.
 
-mod cold;
 mod connections;
-mod limit;
+mod room;
 mod running;
 
 use std::net::SocketAddr;
@@ -10,6 +9,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 
@@ -17,6 +17,7 @@
 use crate::incarnation::{Incarnation, LatestIncarnation, StartTime};
 use crate::limit::LimitGate;
 use crate::place::score;
+use crate::quota::EntryList;
 
 pub(crate) use self::connections::{ConnectError, ConnectionShare, Lease};
 pub(crate) use self::running::{InUse, RunningRequest};
@@ -67,6 +68,8 @@
     keeps_idle: AtomicBool,
     cold: Mutex<ColdGate>,
     limit: Mutex<LimitGate>,
+    /// The entries that share what a limit allows.
+    entries: Arc<ArcSwap<EntryList>>,
 }
 
 /// The requests that other entries have in flight, as last reported.
@@ -109,12 +112,14 @@
             keeps_idle: AtomicBool::new(true),
             cold: Mutex::default(),
             limit: Mutex::default(),
+            entries: Arc::default(),
         }
     }
 
-    /// Returns the upstream, which is listed in `in_use` while it runs requests of this entry.
-    pub(crate) fn with_use(self, in_use: &Arc<InUse>) -> Self {
-        Self { in_use: Arc::clone(in_use), ..self }
+    /// Returns the upstream, which is listed in `in_use` while it runs requests of this entry, and whose
+    /// limit this entry shares with the others in `entries`.
+    pub(crate) fn with_lists(self, in_use: &Arc<InUse>, entries: &Arc<ArcSwap<EntryList>>) -> Self {
+        Self { in_use: Arc::clone(in_use), entries: Arc::clone(entries), ..self }
     }
 
     /// Sets whether the upstream is draining; a draining one gets no new requests.
