Let entries without a share of a named limit borrow from those that have one

What callers saw: with the shares alone, a request at an entry whose share is used up, or that has none, is refused with 503 while other entries leave theirs unused: at a limit of 1 a second, four entries of any number have one. Change: before it waits or refuses, an entry asks up to two holders of a share; a holder counts what it lends as sent, so the sum stays. With the question a holder hears of a limit that it had not been told of. After a refusal the entry asks again a second later. Protocol level 6; entries of earlier levels are not asked. Evidence: an_entry_without_a_share_of_a_limit_borrows (12 entries, one upstream, limit 1): red with the question left out (the second request gets 503), green with it; the test of the sum stays green.

--- a/crates/gateway/src/batch/client/loan.rs
+++ b/crates/gateway/src/batch/client/loan.rs
@@ -1,17 +1,19 @@
-//! Takes retries out of this entry's budget, or borrows them from an entry that holds the burst.
+//! Borrows from other entries: retries, and room at upstreams that name a limit.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
 use super::BatchClient;
-use crate::batch::message::{FromOwner, Loan, ToOwner};
+use crate::batch::message::{FromOwner, Loan, RoomLoan, ToOwner};
 use crate::budget::Spender;
 use crate::dialect::Dialect;
+use crate::upstream::Upstream;
 
 /// How long a lender may take to answer, a new connection to it included.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(120);
@@ -54,18 +56,60 @@
         spender: Spender,
         count: u32,
     ) -> bool {
+        let loan = |id| ToOwner::Borrow(Loan { id, service: service.to_string(), spender, count });
+        let lent = self.ask_loan(lender, loan).await;
+        log::info!(peer:% = lender, service:% = service, count, lent = lent.unwrap_or(false),
+            in_time = lent.is_some(); "asked another entry for retries");
+        lent.unwrap_or(false)
+    }
+
+    /// Asks other entries for room at one of the `upstreams` whose limits keep this entry from sending.
+    /// Returns the upstream to which one request may be sent now.
+    pub(crate) async fn borrow_room(
+        &self,
+        upstreams: &[Arc<Upstream>],
+        tried: &[Arc<str>],
+    ) -> Option<Arc<Upstream>> {
+        let now = Instant::now();
+        let open = upstreams.iter().filter(|it| it.is_open() && !it.is_ejected(now));
+        let open = open.filter(|it| !tried.contains(&it.id));
+        let limited = open.filter_map(|it| Some((it, it.borrowable_limit(now)?)));
+        let (upstream, limit) =
+            limited.min_by_key(|(it, _)| (it.total_running(), rand::random::<u16>()))?;
+        let holders = upstream.limit_holders(limit).into_iter();
+        let lenders = holders.sample(&mut rand::rng(), MAX_LENDERS_ASKED);
+        for lender in lenders {
+            let id = upstream.id.to_string();
+            let loan = |number| ToOwner::BorrowRoom(RoomLoan { id: number, upstream: id, limit });
+            if self.ask_loan(lender, loan).await == Some(true) {
+                log::info!(peer:% = lender, upstream:% = upstream.id, limit = limit.0;
+                    "another entry lent its room at an upstream that names a limit");
+                return Some(Arc::clone(upstream));
+            }
+        }
+        upstream.record_no_loan(Instant::now());
+        None
+    }
+
+    /// Sends an entry the message that `loan` makes of the request's number. Returns whether it lends
+    /// what is asked for, or `None` if it doesn't answer in time.
+    async fn ask_loan(
+        &self,
+        lender: SocketAddr,
+        loan: impl FnOnce(u64) -> ToOwner,
+    ) -> Option<bool> {
         let id = self.next_id.fetch_add(1, Ordering::Relaxed) + 1;
         let (replies, mut answers) = mpsc::unbounded_channel();
         let link = self.link(lender);
         if !link.register(id, replies) {
-            return false;
+            return None;
         }
-        link.send(ToOwner::Borrow(Loan { id, service: service.to_string(), spender, count }));
+        link.send(loan(id));
         let answer = timeout(LOAN_TIMEOUT, answers.recv()).await;
         link.forget(id);
-        let lent = matches!(answer, Ok(Some(FromOwner::Lent(_, true))));
-        log::info!(peer:% = lender, service:% = service, count, lent,
-            in_time = answer.is_ok(); "asked another entry for retries");
-        lent
+        match answer {
+            Ok(Some(FromOwner::Lent(_, lent))) => Some(lent),
+            Ok(_) | Err(_) => None,
+        }
     }
 }
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -226,7 +226,7 @@
                         ToOwner::Cancel(id) => {
                             left.remove(id);
                         }
-                        ToOwner::Free(_) | ToOwner::Borrow(_) => {}
+                        ToOwner::Free(_) | ToOwner::Borrow(_) | ToOwner::BorrowRoom(_) => {}
                         ToOwner::SubscribeRelays => {
                             subscription.until = Some(Instant::now() + RELAY_SUBSCRIPTION_TIME);
                             registry_state.mark_changed();
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -2,6 +2,7 @@
 
 use registry::{ListStamps, Relay, RequestDigest};
 use serde::{Deserialize, Serialize};
+use types::Rate;
 
 use crate::backlog::Backlog;
 use crate::batch::queue::RANKS;
@@ -66,6 +67,19 @@
     Borrow(Loan),
     /// Asks once for those of the registry's lists that are newer than the sender's.
     AskLists(ListStamps),
+    /// Asks for a request out of the receiver's share of what an upstream takes.
+    BorrowRoom(RoomLoan),
+}
+
+/// A request for room at an upstream that names a limit.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct RoomLoan {
+    /// The number of the request, chosen by the sender; the answer repeats it.
+    pub(crate) id: u64,
+    /// The id of the upstream.
+    pub(crate) upstream: String,
+    /// The limit that the upstream has named to the sender.
+    pub(crate) limit: Rate,
 }
 
 /// A request for retries of requests or pieces of a service.
@@ -95,6 +109,9 @@
 /// The protocol level from which entries lend retries, and forward only lists that are newer.
 pub(crate) const LOANS_LEVEL: u8 = 5;
 
+/// The protocol level from which entries lend room at upstreams that name a limit.
+pub(crate) const ROOM_LEVEL: u8 = 6;
+
 /// The protocol level from which jobs carry the digest of their request, by which owners count the
 /// upstreams that terminate while they run it.
 pub(crate) const DIGESTS_LEVEL: u8 = 3;
@@ -110,6 +127,7 @@
             },
             Self::SubmitToDomain(_, job) if level < SECTIONS_LEVEL => Some(Self::Submit(job)),
             Self::Borrow(_) if level < LOANS_LEVEL => None,
+            Self::BorrowRoom(_) if level < ROOM_LEVEL => None,
             Self::AskLists(_) if level < LOANS_LEVEL => Some(Self::SubscribeRelays),
             message => Some(message),
         }
@@ -149,7 +167,7 @@
     Relay(Box<Relay>),
     /// The backlog of a section.
     SectionBacklog(SectionBacklog),
-    /// Whether the retries of a [`Loan`] are lent.
+    /// Whether the retries of a [`Loan`], or the room of a [`RoomLoan`], are lent.
     Lent(u64, bool),
 }
 
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::batch::message::{FromOwner, Loan, PiecesDone, ToOwner};
+use crate::batch::message::{FromOwner, Loan, PiecesDone, RoomLoan, ToOwner};
 use crate::batch::queue::{JobKey, NextCall, Piece, Queue, Target};
 use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, SpaceReport};
 use crate::exchange::{self, Fault};
@@ -213,6 +213,9 @@
             }
             OwnerEvent::Message(_, ToOwner::Free(handles), _) => self.release(handles),
             OwnerEvent::Message(_, ToOwner::Borrow(loan), replies) => self.lend(&loan, &replies),
+            OwnerEvent::Message(_, ToOwner::BorrowRoom(loan), replies) => {
+                self.lend_room(&loan, &replies);
+            }
             // The connection's own task sends the lists.
             OwnerEvent::Message(_, ToOwner::SubscribeRelays | ToOwner::AskLists(_), _) => {}
             OwnerEvent::Disconnected(origin) => {
@@ -243,6 +246,17 @@
         let _ = replies.send(FromOwner::Lent(loan.id, lent));
     }
 
+    /// Lends another entry a request out of this entry's share of what an upstream takes.
+    fn lend_room(&self, loan: &RoomLoan, replies: &Replies) {
+        let directory = self.shared.directory();
+        let lent = directory.upstream(&loan.upstream).is_some_and(|it| {
+            it.take_limit_news(loan.limit);
+            it.is_open() && it.claim_room(Instant::now())
+        });
+        // The borrower may have ended meanwhile.
+        let _ = replies.send(FromOwner::Lent(loan.id, lent));
+    }
+
     fn release(&mut self, handles: Vec<String>) {
         for handle in handles.into_iter().map(Handle::from) {
             if let Some(address) = D::holder(&handle) {
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -25,7 +25,7 @@
 /// How many owners of a section send calls at most, while one replaces the other.
 const OWNERS: u32 = 2;
 
-/// How long an entry without a share waits before it tries to borrow again.
+/// How long an entry to which no other one lends its room waits before it asks again.
 const BORROW_INTERVAL: Duration = Duration::from_secs(1);
 
 /// How long an entry that was told by an upstream itself that the limit is lifted ignores what others
@@ -70,6 +70,8 @@
     shares: VecDeque<(Instant, u32)>,
     /// What the newest share was computed from.
     basis: Option<(Rate, Arc<EntryList>)>,
+    /// Until when no other entry is asked for its room.
+    borrow_after: Option<Instant>,
 }
 
 impl LimitGate {
@@ -140,7 +142,20 @@
         Some((quota(limit) / OWNERS).max(1).saturating_sub(self.count(now)))
     }
 
-    /// Returns when this entry may send the next request; `None` if it may at `now`.
+    /// Returns the limit that keeps this entry from sending a request at `now`, if others may be asked
+    /// for their room.
+    pub fn borrowable(&mut self, sharing: Sharing<'_>, now: Instant) -> Option<Rate> {
+        let may_ask = self.borrow_after.is_none_or(|it| it <= now);
+        let used_up = self.room(sharing, now) == Some(0);
+        self.named.filter(|_| may_ask && used_up)
+    }
+
+    /// Records that no other entry lent its room at `now`.
+    pub fn record_no_loan(&mut self, now: Instant) {
+        self.borrow_after = Some(now + BORROW_INTERVAL);
+    }
+
+    /// Returns when this entry may send the next request, or ask others for their room; `None` if it may at `now`.
     pub fn next_room(&mut self, sharing: Sharing<'_>, now: Instant) -> Option<Instant> {
         if self.room(sharing, now).is_none_or(|it| it > 0) {
             return None;
@@ -148,7 +163,8 @@
         let share = self.share(self.named?, sharing, now) as usize;
         let first = self.sent.len().checked_sub(share.max(1)).and_then(|it| self.sent.get(it));
         let freed = first.filter(|_| share > 0).map(|it| *it + LIMIT_WINDOW);
-        Some(freed.unwrap_or(now + BORROW_INTERVAL))
+        let borrowed = self.borrow_after.filter(|it| *it > now).unwrap_or(now + BORROW_INTERVAL);
+        Some(freed.map_or(borrowed, |it| it.min(borrowed)))
     }
 
     /// Returns this entry's share of the quota: the least one of the last window.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -57,17 +57,25 @@
     let mut runs = 0;
     let mut reached_upstream = false;
     let mut fallback: Option<Answer> = None;
+    // The upstream at which another entry has lent its room for the next try.
+    let mut borrowed: Option<Arc<Upstream>> = None;
     let repeats = request.route.kind == RouteKind::Idempotent && !request.is_trial();
     loop {
         let now = Instant::now();
         let directory = shared.directory();
-        let upstream = choose(shared, directory.service(service), offers.tried(), now).cloned();
+        let lent = borrowed.take();
+        let has_loan = lent.is_some();
+        let upstream = lent
+            .or_else(|| choose(shared, directory.service(service), offers.tried(), now).cloned());
         let Some(upstream) = upstream else {
             if runs > 0 || fallback.is_some() {
                 break;
             }
             let upstreams = directory.service(service);
-            room::wait_for_room(upstreams, offers.tried(), request.target()).await?;
+            borrowed = batches.borrow_room(upstreams, offers.tried()).await;
+            if borrowed.is_none() {
+                room::wait_for_room(upstreams, offers.tried(), request.target()).await?;
+            }
             continue;
         };
         if let Err(it) = shared.quarantine.check(request) {
@@ -77,7 +85,7 @@
                 Err(Refusal::Quarantined(it.after))
             };
         }
-        if !upstream.claim_room(now) {
+        if !has_loan && !upstream.claim_room(now) {
             continue;
         }
         if reached_upstream && !batches.take_retries(service, Spender::Entry, 1).await {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -27,6 +27,7 @@
 use crate::room;
 use crate::shared::Shared;
 use crate::stages::{self, Inputs, StageFailure, StageRun};
+use crate::upstream::Upstream;
 
 use self::choice::Criteria;
 use self::open::{AttachedStream, EngineAnswer, open};
@@ -104,6 +105,8 @@
         last_event: Option<u64>,
     ) -> Result<EngineAnswer, Refusal> {
         let mut inputs: Option<Inputs<D>> = None;
+        // The engine at which another entry has lent its room for the next try.
+        let mut borrowed: Option<Arc<Upstream>> = None;
         loop {
             if inputs.is_none() {
                 inputs = Some(self.inputs(request, service, tries).await?);
@@ -117,15 +120,20 @@
                 left: request.target().saturating_duration_since(Instant::now()),
                 domain: self.batches.domain_of(handles),
             };
-            let upstream = self.choose(request, service, &criteria);
+            let lent = borrowed.take();
+            let has_loan = lent.is_some();
+            let upstream = lent.or_else(|| self.choose(request, service, &criteria));
             // The request may have been quarantined while its stages ran.
             self.check_quarantine(request, tries)?;
             let Some(upstream) = upstream else {
-                self.wait_for_room(request, service, tries).await?;
+                borrowed = self.borrow_room(service, tries).await;
+                if borrowed.is_none() {
+                    self.wait_for_room(request, service, tries).await?;
+                }
                 continue;
             };
             let now = Instant::now();
-            if !upstream.claim_room(now) {
+            if !has_loan && !upstream.claim_room(now) {
                 continue;
             }
             let retries = self.batches.take_retries(service, Spender::Entry, 1);
@@ -183,6 +191,12 @@
         }
     }
 
+    /// Borrows room at an engine for which this entry has none.
+    async fn borrow_room(&self, service: &Arc<str>, tries: &Tries) -> Option<Arc<Upstream>> {
+        let directory = self.shared.directory();
+        self.batches.borrow_room(directory.service(service), tries.offers.tried()).await
+    }
+
     /// Waits until a cold engine may get a request for which no engine could be chosen.
     async fn wait_for_room(
         &self,
--- a/crates/gateway/src/upstream/room.rs
+++ b/crates/gateway/src/upstream/room.rs
@@ -1,5 +1,6 @@
 //! What this entry may send to an upstream that is cold or names a limit.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard, PoisonError};
 
 use tokio::time::Instant;
@@ -7,7 +8,7 @@
 
 use super::Upstream;
 use crate::cold::ColdGate;
-use crate::limit::{LimitChange, LimitGate, Sharing};
+use crate::limit::{self, LimitChange, LimitGate, Sharing};
 use crate::quota::EntryList;
 
 impl Upstream {
@@ -32,6 +33,12 @@
         self.log_change(named, change, "answer");
     }
 
+    /// Takes the limit of which another entry tells.
+    pub(crate) fn take_limit_news(&self, named: Rate) {
+        let change = self.limit().take_news(named, Instant::now());
+        self.log_change(Some(named), change, "another entry");
+    }
+
     fn log_change(&self, named: Option<Rate>, change: Option<LimitChange>, source: &str) {
         let Some(change) = change else { return };
         log::info!(upstream:% = self.id, service:% = self.service, source,
@@ -71,6 +78,23 @@
         self.limit().record_sent(now);
     }
 
+    /// Returns the limit that keeps this entry from sending a request now, if another entry may have
+    /// room left under it.
+    pub(crate) fn borrowable_limit(&self, now: Instant) -> Option<Rate> {
+        let limit = self.with_limit(|it, by| it.borrowable(by, now));
+        limit.filter(|_| self.has_cold_room(now))
+    }
+
+    /// Records that no other entry has lent its room.
+    pub(crate) fn record_no_loan(&self, now: Instant) {
+        self.limit().record_no_loan(now);
+    }
+
+    /// Returns the other entries that have a share under the limit.
+    pub(crate) fn limit_holders(&self, named: Rate) -> Vec<SocketAddr> {
+        self.entries.load().holders(self.id_hash, limit::quota(named))
+    }
+
     /// Returns how many pieces the owner of its section may send it now; `None` for any number.
     pub fn owner_room(&self, now: Instant) -> Option<u32> {
         let may_call = self.limit().owner_room(now).is_none_or(|it| it > 0);
