Log whether an entry reaches upstreams by itself

The logs had one line a failed call and nothing that tells an entry without a path from one with a few dead upstreams. Change: an entry counts the upstreams that it could not reach since the last that it could. Two make it suspect its path; it then tries up to three others at once, and says that it reaches none, or goes on. While it reaches none it tries two every 300 ms, and says when it reaches one again. The decision stands in path/state.rs, without input and output. Nothing depends on it yet. Tests can partition a running entry from all upstreams, in debug builds alone, as they slow its disk: a file beside its settings says how (connections hang, are reset, or only new ones are refused).

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::cold::{ColdSpec, ColdTolerance};
+use crate::path::Paths;
 use crate::plan::Plan;
 use crate::quota::EntryList;
 use crate::section::{self, LinkRate, Section};
@@ -40,9 +41,15 @@
     in_use: Arc<InUse>,
     /// The entries among which quotas are divided.
     entries: Arc<ArcSwap<EntryList>>,
+    paths: Arc<Paths>,
 }
 
 impl Directory {
+    /// Creates an empty directory, whose upstreams are reached over these paths.
+    pub(crate) fn new(paths: Arc<Paths>) -> Self {
+        Self { paths, ..Self::default() }
+    }
+
     /// Creates the next directory. Known incarnations of upstreams keep their connections and
     /// health.
     pub(crate) fn next(
@@ -55,7 +62,8 @@
     ) -> Self {
         let (in_use, entry_list) = (Arc::clone(&self.in_use), Arc::clone(&self.entries));
         let listed = registry_state.upstreams_stamp;
-        let mut next = Self { listed, in_use, entries: entry_list, ..Self::default() };
+        let paths = Arc::clone(&self.paths);
+        let mut next = Self { listed, in_use, entries: entry_list, paths, ..Self::default() };
         next.update_entries(registry_state, cold.own);
         let known = next.entries.load_full();
         let context =
@@ -66,7 +74,8 @@
                 Some(known) if known.address == it.address => Arc::clone(known),
                 _ => Arc::new(
                     Upstream::new(it, connection_share.most)
-                        .with_lists(&self.in_use, &self.entries),
+                        .with_lists(&self.in_use, &self.entries)
+                        .with_paths(&self.paths),
                 ),
             };
             upstream.set_draining(it.health == registry::Health::Draining);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -120,7 +120,10 @@
                 None if error.error().is_parse() => {
                     return Err(Fault::unknown(Cause::Malformed("not HTTP")));
                 }
-                None => return Err(Fault::unknown(Cause::Lost)),
+                None => {
+                    upstream.record_lost_connection();
+                    return Err(Fault::unknown(Cause::Lost));
+                }
             },
             Err(_) => return Err(Fault::unknown(Cause::Timeout)),
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,8 @@
 use crate::drain::Phase;
 use crate::front;
 use crate::metrics::Metrics;
+use crate::partition::Partition;
+use crate::path::Paths;
 use crate::quarantine::Quarantine;
 use crate::section::LinkRate;
 use crate::shared::Shared;
@@ -64,6 +66,8 @@
     pub budget: BudgetSpec,
     /// How far the limit of cold upstreams may be exceeded.
     pub cold: ColdTolerance,
+    /// The artificial partition from upstreams, for tests.
+    pub partition: Partition,
 }
 
 /// A running entry.
@@ -99,8 +103,9 @@
         let follower = Follower::spawn(follower, secret.clone());
         let quarantine =
             Quarantine::new(follower.quarantine(), follower.evidence(), config.address);
+        let paths = Arc::new(Paths::new(config.partition));
         let shared = Shared::<D>::new(
-            config.address,
+            (config.address, paths),
             domain,
             (config.link, config.cold),
             (budget, metrics),
@@ -117,6 +122,7 @@
         tokio::spawn(Arc::clone(&shared).follow_registry(follower.state()));
         let loads = Arc::clone(&shared).exchange_loads(follower.reports(), follower.total_loads());
         tokio::spawn(loads);
+        tokio::spawn(Arc::clone(&shared).watch_path());
         tokio::spawn(front::serve(callers, Arc::clone(&shared), streams));
         tokio::spawn(front::serve_ready(balancer, Arc::clone(&shared)));
         Ok(Self { shared, follower })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,8 @@
 pub mod limit;
 mod metrics;
 mod offers;
+pub mod partition;
+pub mod path;
 mod phases;
 pub mod place;
 mod plain;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -19,6 +19,7 @@
 use crate::directory::{ColdRules, Directory};
 use crate::drain::Drain;
 use crate::metrics::Metrics;
+use crate::path::Paths;
 use crate::place::score;
 use crate::plan::Plan;
 use crate::prefill::PrefillTimes;
@@ -26,6 +27,7 @@
 use crate::quota::EntryHash;
 use crate::section::{self, LinkRate, Section};
 
+mod path;
 #[cfg(test)]
 mod tests;
 
@@ -49,6 +51,7 @@
 pub(crate) struct Shared<D> {
     plan: ArcSwapOption<Plan>,
     directory: ArcSwap<Directory>,
+    paths: Arc<Paths>,
     peers: ArcSwap<Vec<EntryInfo>>,
     entries: AtomicUsize,
     /// Whether the list of entries has been received.
@@ -74,7 +77,7 @@
 
 impl<D: Dialect> Shared<D> {
     pub(crate) fn new(
-        own: SocketAddr,
+        (own, paths): (SocketAddr, Arc<Paths>),
         domain: Arc<str>,
         (link, cold): (LinkRate, ColdTolerance),
         (budget, metrics): (Budget, Metrics),
@@ -82,7 +85,8 @@
     ) -> Self {
         Self {
             plan: ArcSwapOption::empty(),
-            directory: ArcSwap::default(),
+            directory: ArcSwap::from_pointee(Directory::new(Arc::clone(&paths))),
+            paths,
             peers: ArcSwap::default(),
             entries: AtomicUsize::new(1),
             entries_known: AtomicBool::new(false),
--- a/crates/gateway/src/shared/tests.rs
+++ b/crates/gateway/src/shared/tests.rs
@@ -68,7 +68,7 @@
     let metrics = Metrics::open(&telemetry::open_registry()).expect("metrics");
     let quarantine = Quarantine::new(known, evidence, own);
     Shared::new(
-        own,
+        (own, Arc::default()),
         "d".into(),
         (LinkRate::from_megabits(10.0), ColdTolerance::default()),
         (budget, metrics),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -16,6 +16,7 @@
 use crate::cold::ColdGate;
 use crate::incarnation::{Incarnation, LatestIncarnation, StartTime};
 use crate::limit::LimitGate;
+use crate::path::Paths;
 use crate::place::score;
 use crate::quota::EntryList;
 
@@ -70,6 +71,7 @@
     limit: Mutex<LimitGate>,
     /// The entries that share what a limit allows.
     entries: Arc<ArcSwap<EntryList>>,
+    paths: Arc<Paths>,
 }
 
 /// The requests that other entries have in flight, as last reported.
@@ -113,6 +115,7 @@
             cold: Mutex::default(),
             limit: Mutex::default(),
             entries: Arc::default(),
+            paths: Arc::default(),
         }
     }
 
@@ -122,6 +125,11 @@
         Self { in_use: Arc::clone(in_use), entries: Arc::clone(entries), ..self }
     }
 
+    /// Returns the upstream, which is reached over these paths.
+    pub(crate) fn with_paths(self, paths: &Arc<Paths>) -> Self {
+        Self { paths: Arc::clone(paths), ..self }
+    }
+
     /// Sets whether the upstream is draining; a draining one gets no new requests.
     pub fn set_draining(&self, draining: bool) {
         self.draining.store(draining, Ordering::Relaxed);
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -1,6 +1,5 @@
 //! The connections of this entry to an upstream.
 
-use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -13,9 +12,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::Upstream;
+use crate::partition::Cut;
+use crate::path::Paths;
 
 /// The timeout for opening a connection. A lost SYN packet is sent again only after seconds, so a
 /// second try reaches the upstream sooner.
@@ -112,14 +113,38 @@
         if let Some(lease) = self.take_idle() {
             return Ok(lease);
         }
-        let opened = timeout_at(deadline, open(self.address)).await;
-        let (sender, task) = match opened {
-            Ok(opened) => opened?,
-            Err(_) => return Err(ConnectError::TimedOut),
-        };
+        let (sender, task) = self.open(deadline).await?;
         Ok(Lease { upstream: Arc::clone(self), connection: Some((sender, task, permit)) })
     }
 
+    /// Opens a connection before `deadline`.
+    async fn open(
+        &self,
+        deadline: Instant,
+    ) -> Result<(ConnectionSender, AbortHandle), ConnectError> {
+        let opened = timeout_at(deadline, self.paths.dial(self.address)).await;
+        let stream = match opened {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(_)) => {
+                self.paths.record_failure(self.id_hash);
+                return Err(ConnectError::Refused);
+            }
+            Err(_) => {
+                self.paths.record_failure(self.id_hash);
+                return Err(ConnectError::TimedOut);
+            }
+        };
+        self.paths.record_success();
+        configure(&stream).map_err(|_| ConnectError::Refused)?;
+        let handshake = timeout_at(deadline, start(stream, Arc::clone(&self.paths)));
+        handshake.await.unwrap_or(Err(ConnectError::TimedOut))
+    }
+
+    /// Records that a connection was lost.
+    pub(crate) fn record_lost_connection(&self) {
+        self.paths.record_failure(self.id_hash);
+    }
+
     fn take_idle(self: &Arc<Self>) -> Option<Lease> {
         let mut idle = self.lock_idle();
         let now = Instant::now();
@@ -151,25 +176,35 @@
     }
 }
 
-async fn open(address: SocketAddr) -> Result<(ConnectionSender, AbortHandle), ConnectError> {
-    let refused = |_| ConnectError::Refused;
-    let stream = TcpStream::connect(address).await.map_err(refused)?;
+/// Sets the socket options of a connection to an upstream.
+fn configure(stream: &TcpStream) -> std::io::Result<()> {
     let keepalive =
         TcpKeepalive::new().with_time(TCP_USER_TIMEOUT).with_interval(KEEPALIVE_INTERVAL);
-    let socket = SockRef::from(&stream);
-    let configured = stream
-        .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)))
-        .and_then(|()| socket.set_tcp_keepalive(&keepalive.with_retries(2)));
-    configured.map_err(refused)?;
+    let socket = SockRef::from(stream);
+    stream.set_nodelay(true)?;
+    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+    socket.set_tcp_keepalive(&keepalive.with_retries(2))
+}
+
+/// Starts HTTP on a connection.
+async fn start(
+    stream: TcpStream,
+    paths: Arc<Paths>,
+) -> Result<(ConnectionSender, AbortHandle), ConnectError> {
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(64 << 10)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|_| ConnectError::Refused)?;
     let task = tokio::spawn(async move {
-        // The request sender reports the cause of an error.
-        let _ = connection.await;
+        tokio::select! {
+            // The request sender reports the cause of an error.
+            _ = connection => {}
+            cut = paths.cut_open() => if cut == Cut::Hang {
+                // As long as the kernel takes to give up a connection without a path.
+                sleep(TCP_USER_TIMEOUT).await;
+            }
+        }
     });
     Ok((sender, task.abort_handle()))
 }
--- a/crates/mothplank/src/commands/gateway.rs
+++ b/crates/mothplank/src/commands/gateway.rs
@@ -5,6 +5,7 @@
 use eyre::{OptionExt, Result};
 use gateway::budget::BudgetSpec;
 use gateway::cold::ColdTolerance;
+use gateway::partition::Partition;
 use gateway::section::LinkRate;
 use gateway::{Gateway, GatewayConfig};
 use platform::{PlatformDialect, Settings};
@@ -35,6 +36,7 @@
             window: settings.retry_window,
             burst: settings.retry_burst,
         },
+        partition: Partition::beside(&path),
         cold: ColdTolerance { overrun: settings.cold_overrun, slack: settings.cold_slack },
     };
     host::run(
