Relay connections to upstreams through other entries while an entry is cut off

Cause: the only way from an entry to an upstream was its own; and what an entry can't reach it took for upstreams that are gone. Its class: a failure of the observer that is booked to what it observes. Change: an entry that is cut off opens each connection to an upstream through another entry that is not (path/relay.rs): one connection between entries for each, bytes passed on in both directions, a reset or a loss on the way never looks like a proper end, an end of the request ends all of it. All that is decided stays with the entry that has the request: shares, retries, stages and what a failure proves. When an entry finds itself cut off it forgets its idle connections and the failures of upstreams; when it is not any more, the relayed ones. Entries of earlier levels are not asked.

--- a/crates/gateway/src/batch/client/job.rs
+++ b/crates/gateway/src/batch/client/job.rs
@@ -50,6 +50,7 @@
             FromOwner::Accepted(_)
             | FromOwner::Heartbeat
             | FromOwner::Lent(..)
+            | FromOwner::Relayed(_)
             | FromOwner::Relay(_)
             | FromOwner::Backlog(..)
             | FromOwner::SectionBacklog(_) => return None,
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -13,7 +13,10 @@
 use crate::backlog::{Backlog, Backlogs};
 use crate::batch::message::{FromOwner, Submission, ToOwner};
 use crate::batch::owner::{Owner, OwnerEvent};
+use crate::dialect::Dialect;
+use crate::path::relay::{self, ToRelay};
 use crate::section::Section;
+use crate::shared::Shared;
 
 /// How often an owner sends a heartbeat to a submitter with open jobs.
 pub(crate) const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(60);
@@ -109,7 +112,8 @@
             FromOwner::Accepted(id) | FromOwner::Refused(id) | FromOwner::Fetched(id) => *id,
             FromOwner::Lent(id, _) => *id,
             FromOwner::Results(done) => done.id,
-            FromOwner::Heartbeat => return,
+            // Relayed bytes travel on connections of their own.
+            FromOwner::Heartbeat | FromOwner::Relayed(_) => return,
             FromOwner::Backlog(service, waits) => {
                 let section = Section { service: service.as_str().into(), domain: None };
                 let backlog = Backlog { waits: *waits, timely: *waits, need: 0 };
@@ -176,8 +180,9 @@
 }
 
 /// Accepts connections of other entries.
-pub(crate) async fn accept(
+pub(crate) async fn accept<D: Dialect>(
     mut listener: Listener,
+    shared: Arc<Shared<D>>,
     owner: Owner,
     registry_state: watch::Receiver<RegistryState>,
 ) {
@@ -186,7 +191,8 @@
         match listener.accept().await {
             Ok((hello, connection)) if hello.kind == Kind::Entry => {
                 origin += 1;
-                tokio::spawn(serve(origin, connection, owner.clone(), registry_state.clone()));
+                let (shared, owner) = (Arc::clone(&shared), owner.clone());
+                tokio::spawn(serve(origin, connection, shared, owner, registry_state.clone()));
             }
             Ok(_) => {}
             Err(error) => {
@@ -199,9 +205,10 @@
 }
 
 /// Serves one submitter until its connection ends.
-async fn serve(
+async fn serve<D: Dialect>(
     origin: u64,
     connection: Connection,
+    shared: Arc<Shared<D>>,
     owner: Owner,
     mut registry_state: watch::Receiver<RegistryState>,
 ) {
@@ -227,6 +234,10 @@
                             left.remove(id);
                         }
                         ToOwner::Free(_) | ToOwner::Borrow(_) | ToOwner::BorrowRoom(_) => {}
+                        ToOwner::Relayed(ToRelay::Open(address)) => {
+                            return relay::serve(&shared, (sender, receiver), *address).await;
+                        }
+                        ToOwner::Relayed(ToRelay::Data(_)) => break,
                         ToOwner::SubscribeRelays => {
                             subscription.until = Some(Instant::now() + RELAY_SUBSCRIPTION_TIME);
                             registry_state.mark_changed();
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -8,6 +8,7 @@
 use crate::batch::queue::RANKS;
 use crate::budget::Spender;
 use crate::dialect::PieceFailure;
+use crate::path::relay::{FromRelay, ToRelay};
 
 #[cfg(test)]
 mod tests;
@@ -69,6 +70,8 @@
     AskLists(ListStamps),
     /// Asks for a request out of the receiver's share of what an upstream takes.
     BorrowRoom(RoomLoan),
+    /// On a connection of its own: has the receiver pass bytes on to an upstream and back.
+    Relayed(ToRelay),
 }
 
 /// A request for room at an upstream that names a limit.
@@ -112,6 +115,9 @@
 /// The protocol level from which entries lend room at upstreams that name a limit.
 pub(crate) const ROOM_LEVEL: u8 = 6;
 
+/// The protocol level from which entries relay connections to upstreams.
+pub(crate) const RELAY_LEVEL: u8 = 6;
+
 /// The protocol level from which jobs carry the digest of their request, by which owners count the
 /// upstreams that terminate while they run it.
 pub(crate) const DIGESTS_LEVEL: u8 = 3;
@@ -128,6 +134,7 @@
             Self::SubmitToDomain(_, job) if level < SECTIONS_LEVEL => Some(Self::Submit(job)),
             Self::Borrow(_) if level < LOANS_LEVEL => None,
             Self::BorrowRoom(_) if level < ROOM_LEVEL => None,
+            Self::Relayed(_) if level < RELAY_LEVEL => None,
             Self::AskLists(_) if level < LOANS_LEVEL => Some(Self::SubscribeRelays),
             message => Some(message),
         }
@@ -169,6 +176,8 @@
     SectionBacklog(SectionBacklog),
     /// Whether the retries of a [`Loan`], or the room of a [`RoomLoan`], are lent.
     Lent(u64, bool),
+    /// The answers to [`ToOwner::Relayed`].
+    Relayed(FromRelay),
 }
 
 /// The backlog of a section as its owner sees it.
--- a/crates/gateway/src/batch/mod.rs
+++ b/crates/gateway/src/batch/mod.rs
@@ -7,7 +7,7 @@
 
 mod client;
 mod link;
-mod message;
+pub(crate) mod message;
 mod owner;
 pub mod queue;
 
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -216,8 +216,12 @@
             OwnerEvent::Message(_, ToOwner::BorrowRoom(loan), replies) => {
                 self.lend_room(&loan, &replies);
             }
-            // The connection's own task sends the lists.
-            OwnerEvent::Message(_, ToOwner::SubscribeRelays | ToOwner::AskLists(_), _) => {}
+            // The connection's own task handles these.
+            OwnerEvent::Message(
+                _,
+                ToOwner::SubscribeRelays | ToOwner::AskLists(_) | ToOwner::Relayed(_),
+                _,
+            ) => {}
             OwnerEvent::Disconnected(origin) => {
                 self.audience.remove(origin);
                 self.jobs.retain(|key, _| key.origin != origin);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crate::metrics::Metrics;
 use crate::partition::Partition;
 use crate::path::Paths;
+use crate::path::relay::RelayClient;
 use crate::quarantine::Quarantine;
 use crate::section::LinkRate;
 use crate::shared::Shared;
@@ -103,7 +104,8 @@
         let follower = Follower::spawn(follower, secret.clone());
         let quarantine =
             Quarantine::new(follower.quarantine(), follower.evidence(), config.address);
-        let paths = Arc::new(Paths::new(config.partition));
+        let relays = RelayClient::new(secret.clone(), hello.clone());
+        let paths = Arc::new(Paths::new(config.partition, relays));
         let shared = Shared::<D>::new(
             (config.address, paths),
             domain,
@@ -113,7 +115,7 @@
         );
         let shared = Arc::new(shared);
         let owner = Owner::spawn(OwnerConfig { shared: Arc::clone(&shared) });
-        tokio::spawn(accept(listener, owner.clone(), follower.state()));
+        tokio::spawn(accept(listener, Arc::clone(&shared), owner.clone(), follower.state()));
         let (relays, own) = (follower.relays(), config.address);
         let batches = BatchClient::new(Arc::clone(&shared), owner, secret, hello, own, relays);
         let batches = Arc::new(batches);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,6 +27,8 @@
     pub(crate) quarantined: IntGauge,
     /// The number of evacuated failure domains.
     pub(crate) evacuated: IntGauge,
+    /// Whether this entry reaches no upstream by itself.
+    pub(crate) cut_off: IntGauge,
 }
 
 impl Metrics {
@@ -60,6 +62,11 @@
                 "Failure domains whose upstreams get nothing new",
             )
             .map_err(fault)?,
+            cut_off: IntGauge::new(
+                "mothplank_gateway_cut_off",
+                "1 while the entry reaches no upstream by itself",
+            )
+            .map_err(fault)?,
         };
         registry.register(Box::new(it.requests.clone())).map_err(fault)?;
         registry.register(Box::new(it.calls.clone())).map_err(fault)?;
@@ -68,6 +75,7 @@
         registry.register(Box::new(it.version.clone())).map_err(fault)?;
         registry.register(Box::new(it.quarantined.clone())).map_err(fault)?;
         registry.register(Box::new(it.evacuated.clone())).map_err(fault)?;
+        registry.register(Box::new(it.cut_off.clone())).map_err(fault)?;
         Ok(it)
     }
 
--- a/crates/gateway/src/path.rs
+++ b/crates/gateway/src/path.rs
@@ -1,18 +1,22 @@
 //! The paths from this entry to upstreams.
 
+pub(crate) mod relay;
 pub mod state;
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
+use registry::EntryInfo;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
 use crate::partition::{Cut, Partition};
+use crate::upstream::ConnectError;
 
+use self::relay::{RelayClient, Relayed};
 use self::state::{Path, PathState};
 
 /// How often a debug build looks whether a connection is cut by an artificial partition.
@@ -25,12 +29,30 @@
     /// Notified when the entry's own path is suspected.
     suspected: Notify,
     partition: OnceLock<Partition>,
+    relays: OnceLock<RelayClient>,
 }
 
 impl Paths {
-    /// Creates the paths of an entry with an artificial partition.
-    pub(crate) fn new(partition: Partition) -> Self {
-        Self { partition: partition.into(), ..Self::default() }
+    /// Creates the paths of an entry with an artificial partition. Without `relays`, as by default,
+    /// upstreams are reached directly alone.
+    pub(crate) fn new(partition: Partition, relays: RelayClient) -> Self {
+        Self { partition: partition.into(), relays: relays.into(), ..Self::default() }
+    }
+
+    /// Sets the entries that may relay connections.
+    pub(crate) fn set_peers(&self, peers: &Arc<Vec<EntryInfo>>) {
+        if let Some(relays) = self.relays.get() {
+            relays.set_peers(peers);
+        }
+    }
+
+    /// Opens a connection to an upstream through another entry. Returns `None` if none relays it.
+    pub(crate) async fn open_relayed(
+        &self,
+        address: SocketAddr,
+        deadline: Instant,
+    ) -> Option<Result<Relayed, ConnectError>> {
+        self.relays.get()?.open(address, deadline).await
     }
 
     /// Returns what is known of the entry's own path.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::drain::Drain;
 use crate::metrics::Metrics;
 use crate::path::Paths;
+use crate::path::relay::RelayPermits;
 use crate::place::score;
 use crate::plan::Plan;
 use crate::prefill::PrefillTimes;
@@ -51,7 +52,8 @@
 pub(crate) struct Shared<D> {
     plan: ArcSwapOption<Plan>,
     directory: ArcSwap<Directory>,
-    paths: Arc<Paths>,
+    pub(crate) paths: Arc<Paths>,
+    pub(crate) relays: RelayPermits,
     peers: ArcSwap<Vec<EntryInfo>>,
     entries: AtomicUsize,
     /// Whether the list of entries has been received.
@@ -87,6 +89,7 @@
             plan: ArcSwapOption::empty(),
             directory: ArcSwap::from_pointee(Directory::new(Arc::clone(&paths))),
             paths,
+            relays: RelayPermits::default(),
             peers: ArcSwap::default(),
             entries: AtomicUsize::new(1),
             entries_known: AtomicBool::new(false),
@@ -276,7 +279,9 @@
                 "this entry was added to or removed from the list of entries");
         }
         self.entries.fetch_max(others.len() + 1, Ordering::Relaxed);
-        self.peers.store(Arc::new(others));
+        let others = Arc::new(others);
+        self.paths.set_peers(&others);
+        self.peers.store(others);
         if registry_state.entries_stamp > Stamp::default() {
             self.entries_known.store(true, Ordering::Relaxed);
         }
--- a/crates/gateway/src/shared/path.rs
+++ b/crates/gateway/src/shared/path.rs
@@ -34,10 +34,13 @@
             if self.reaches_any(CONFIRMING_PROBES).await || !self.paths.record_none_reached() {
                 continue;
             }
+            self.directory().all().for_each(|it| it.forget_path());
+            self.metrics.cut_off.set(1);
             while self.paths.path() == Path::CutOff {
                 sleep(PROBE_INTERVAL).await;
                 self.reaches_any(PROBES).await;
             }
+            self.metrics.cut_off.set(0);
         }
     }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -20,7 +20,7 @@
 use crate::place::score;
 use crate::quota::EntryList;
 
-pub(crate) use self::connections::{ConnectError, ConnectionShare, Lease};
+pub(crate) use self::connections::{ConnectError, ConnectionShare, Lease, configure};
 pub(crate) use self::running::{InUse, RunningRequest};
 
 use self::connections::Idle;
@@ -191,6 +191,13 @@
         incarnation
     }
 
+    /// Forgets failures and idle connections, as those of a path that is cut: they say nothing about the
+    /// upstream.
+    pub(crate) fn forget_path(&self) {
+        *self.health.lock().unwrap_or_else(PoisonError::into_inner) = Health::default();
+        self.close_idle(true);
+    }
+
     /// Records a success, which ends an ejection.
     pub(crate) fn record_success(&self) {
         let mut health = self.health.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -16,12 +16,16 @@
 
 use super::Upstream;
 use crate::partition::Cut;
-use crate::path::Paths;
+use crate::path::relay::RelayState;
+use crate::path::state::Path;
 
 /// The timeout for opening a connection. A lost SYN packet is sent again only after seconds, so a
 /// second try reaches the upstream sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long opening a connection through another entry may take, where several have to be asked.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(900);
+
 /// How long an idle connection is kept if the upstream announces no keep-alive time.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
@@ -41,11 +45,21 @@
 /// The request sender of an HTTP connection.
 pub(crate) type ConnectionSender = SendRequest<Full<Bytes>>;
 
-/// A connection that no request uses.
+type HttpConnection<T> = http1::Connection<T, Full<Bytes>>;
+
+/// An open connection.
 #[derive(Debug)]
-pub(super) struct Idle {
+struct Opened {
     sender: ConnectionSender,
     task: AbortHandle,
+    /// The state of the entry that relays it, if one does.
+    relay: Option<Arc<RelayState>>,
+}
+
+/// A connection that no request uses.
+#[derive(Debug)]
+pub(super) struct Idle {
+    opened: Opened,
     permit: OwnedSemaphorePermit,
     expires: Instant,
 }
@@ -96,13 +110,13 @@
         self: &Arc<Self>,
         deadline: Instant,
     ) -> Result<Lease, ConnectError> {
-        let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let by = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let permit = loop {
             if let Some(lease) = self.take_idle() {
                 return Ok(lease);
             }
             tokio::select! {
-                permit = timeout_at(deadline, Arc::clone(&self.permits).acquire_owned()) => {
+                permit = timeout_at(by, Arc::clone(&self.permits).acquire_owned()) => {
                     let Ok(Ok(permit)) = permit else { return Err(ConnectError::LimitReached) };
                     break permit;
                 }
@@ -113,31 +127,75 @@
         if let Some(lease) = self.take_idle() {
             return Ok(lease);
         }
-        let (sender, task) = self.open(deadline).await?;
-        Ok(Lease { upstream: Arc::clone(self), connection: Some((sender, task, permit)) })
+        let opened = self.open(by, deadline).await?;
+        Ok(Lease { upstream: Arc::clone(self), connection: Some((opened, permit)) })
     }
 
-    /// Opens a connection before `deadline`.
-    async fn open(
-        &self,
-        deadline: Instant,
-    ) -> Result<(ConnectionSender, AbortHandle), ConnectError> {
-        let opened = timeout_at(deadline, self.paths.dial(self.address)).await;
-        let stream = match opened {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(_)) => {
-                self.paths.record_failure(self.id_hash);
-                return Err(ConnectError::Refused);
+    /// Opens a connection: on the entry's own path before `by`, or through another entry before
+    /// `deadline` while this one is cut off.
+    async fn open(&self, by: Instant, deadline: Instant) -> Result<Opened, ConnectError> {
+        if self.paths.path() == Path::CutOff
+            && let Some(relayed) = self.open_relayed(deadline).await
+        {
+            return relayed;
+        }
+        let opened = self.open_directly(by).await;
+        match opened {
+            Err(why) if self.paths.path() != Path::Open => {
+                self.open_relayed(deadline).await.unwrap_or(Err(why))
             }
-            Err(_) => {
+            opened => opened,
+        }
+    }
+
+    async fn open_directly(&self, by: Instant) -> Result<Opened, ConnectError> {
+        let stream = match timeout_at(by, self.paths.dial(self.address)).await {
+            Ok(Ok(stream)) => stream,
+            failed => {
                 self.paths.record_failure(self.id_hash);
-                return Err(ConnectError::TimedOut);
+                return Err(match failed {
+                    Ok(_) => ConnectError::Refused,
+                    Err(_) => ConnectError::TimedOut,
+                });
             }
         };
         self.paths.record_success();
         configure(&stream).map_err(|_| ConnectError::Refused)?;
-        let handshake = timeout_at(deadline, start(stream, Arc::clone(&self.paths)));
-        handshake.await.unwrap_or(Err(ConnectError::TimedOut))
+        let (sender, connection) = timeout_at(by, start(TokioIo::new(stream)))
+            .await
+            .unwrap_or(Err(ConnectError::TimedOut))?;
+        let paths = Arc::clone(&self.paths);
+        let task = tokio::spawn(async move {
+            tokio::select! {
+                // The request sender reports the cause of an error.
+                _ = connection => {}
+                cut = paths.cut_open() => if cut == Cut::Hang {
+                    // As long as the kernel takes to give up a connection without a path.
+                    sleep(TCP_USER_TIMEOUT).await;
+                }
+            }
+        });
+        Ok(Opened { sender, task: task.abort_handle(), relay: None })
+    }
+
+    /// Opens a connection through another entry; returns `None` if no entry relays it.
+    async fn open_relayed(&self, deadline: Instant) -> Option<Result<Opened, ConnectError>> {
+        let deadline = deadline.min(Instant::now() + RELAY_TIMEOUT);
+        let relayed = match self.paths.open_relayed(self.address, deadline).await? {
+            Ok(relayed) => relayed,
+            Err(why) => return Some(Err(why)),
+        };
+        let started = timeout_at(deadline, start(TokioIo::new(relayed.stream))).await;
+        let (sender, connection) = match started.unwrap_or(Err(ConnectError::TimedOut)) {
+            Ok(started) => started,
+            Err(why) => return Some(Err(why)),
+        };
+        let task = tokio::spawn(async move {
+            // The request sender reports the cause of an error.
+            let _ = connection.await;
+        });
+        let opened = Opened { sender, task: task.abort_handle(), relay: Some(relayed.state) };
+        Some(Ok(opened))
     }
 
     /// Records that a connection was lost.
@@ -148,12 +206,15 @@
     fn take_idle(self: &Arc<Self>) -> Option<Lease> {
         let mut idle = self.lock_idle();
         let now = Instant::now();
+        let cut_off = self.paths.path() == Path::CutOff;
         while let Some(it) = idle.pop() {
-            if it.sender.is_ready() && now < it.expires {
-                let connection = Some((it.sender, it.task, it.permit));
+            // The own path is shorter than a relay's.
+            let relays = it.opened.relay.as_ref().is_none_or(|it| cut_off && it.is_usable());
+            if relays && it.opened.sender.is_ready() && now < it.expires {
+                let connection = Some((it.opened, it.permit));
                 return Some(Lease { upstream: Arc::clone(self), connection });
             }
-            it.task.abort();
+            it.opened.task.abort();
         }
         None
     }
@@ -167,9 +228,9 @@
         let mut idle = self.lock_idle();
         let now = Instant::now();
         idle.retain(|it| {
-            let keep = !all && now < it.expires && !it.sender.is_closed();
+            let keep = !all && now < it.expires && !it.opened.sender.is_closed();
             if !keep {
-                it.task.abort();
+                it.opened.task.abort();
             }
             keep
         });
@@ -177,7 +238,7 @@
 }
 
 /// Sets the socket options of a connection to an upstream.
-fn configure(stream: &TcpStream) -> std::io::Result<()> {
+pub(crate) fn configure(stream: &TcpStream) -> std::io::Result<()> {
     let keepalive =
         TcpKeepalive::new().with_time(TCP_USER_TIMEOUT).with_interval(KEEPALIVE_INTERVAL);
     let socket = SockRef::from(stream);
@@ -187,26 +248,12 @@
 }
 
 /// Starts HTTP on a connection.
-async fn start(
-    stream: TcpStream,
-    paths: Arc<Paths>,
-) -> Result<(ConnectionSender, AbortHandle), ConnectError> {
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(64 << 10)
-        .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|_| ConnectError::Refused)?;
-    let task = tokio::spawn(async move {
-        tokio::select! {
-            // The request sender reports the cause of an error.
-            _ = connection => {}
-            cut = paths.cut_open() => if cut == Cut::Hang {
-                // As long as the kernel takes to give up a connection without a path.
-                sleep(TCP_USER_TIMEOUT).await;
-            }
-        }
-    });
-    Ok((sender, task.abort_handle()))
+async fn start<T>(stream: T) -> Result<(ConnectionSender, HttpConnection<T>), ConnectError>
+where
+    T: hyper::rt::Read + hyper::rt::Write + Unpin,
+{
+    let started = http1::Builder::new().max_buf_size(64 << 10).handshake(stream).await;
+    started.map_err(|_| ConnectError::Refused)
 }
 
 /// A connection in use. If it is dropped before its answer has ended, it is closed, which makes the
@@ -214,18 +261,18 @@
 #[derive(Debug)]
 pub(crate) struct Lease {
     upstream: Arc<Upstream>,
-    connection: Option<(ConnectionSender, AbortHandle, OwnedSemaphorePermit)>,
+    connection: Option<(Opened, OwnedSemaphorePermit)>,
 }
 
 impl Lease {
     /// Returns the request sender of the connection.
     pub(crate) fn sender(&mut self) -> Option<&mut ConnectionSender> {
-        self.connection.as_mut().map(|it| &mut it.0)
+        self.connection.as_mut().map(|it| &mut it.0.sender)
     }
 
     /// Keeps the connection for later requests. To be called after the answer has ended properly.
     pub(crate) fn keep(mut self, keep_alive: Option<Duration>) {
-        let Some((mut sender, task, permit)) = self.connection.take() else { return };
+        let Some((mut opened, permit)) = self.connection.take() else { return };
         let upstream = Arc::clone(&self.upstream);
         let keep = match keep_alive {
             Some(it) => it.checked_sub(KEEP_ALIVE_MARGIN).unwrap_or(Duration::from_millis(300)),
@@ -233,13 +280,14 @@
         };
         tokio::spawn(async move {
             // Bytes after the answer are an error: the connection ends here and is not used again.
-            let keeps = upstream.is_open() && upstream.keeps_idle.load(Ordering::Relaxed);
-            if sender.ready().await.is_err() || !keeps {
-                task.abort();
+            let relays = opened.relay.as_ref().is_none_or(|it| it.is_usable());
+            let keeps = upstream.is_open() && upstream.keeps_idle.load(Ordering::Relaxed) && relays;
+            if opened.sender.ready().await.is_err() || !keeps {
+                opened.task.abort();
                 return;
             }
             let expires = Instant::now() + keep;
-            upstream.lock_idle().push(Idle { sender, task, permit, expires });
+            upstream.lock_idle().push(Idle { opened, permit, expires });
             upstream.idle_added.notify_one();
             sleep_until(expires).await;
             upstream.close_idle(false);
@@ -249,8 +297,8 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        if let Some((_, task, _)) = &self.connection {
-            task.abort();
+        if let Some((opened, _)) = &self.connection {
+            opened.task.abort();
         }
     }
 }
