Know the path to each service apart, so that a part of them may be cut off

Cause: the path was one for all upstreams. Change: it is known for each service; a service that is cut off has the others checked at once, so that a whole partition is found as soon as before. An entry relays for a service unless it is cut off from that one.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -168,6 +168,11 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the services with upstreams.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.services.keys()
+    }
+
     /// Returns whether a service has an upstream that may get new requests.
     pub(crate) fn has_open(&self, service: &str) -> bool {
         self.service(service).iter().any(|it| it.is_open())
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -124,7 +124,7 @@
         tokio::spawn(Arc::clone(&shared).follow_registry(follower.state()));
         let loads = Arc::clone(&shared).exchange_loads(follower.reports(), follower.total_loads());
         tokio::spawn(loads);
-        tokio::spawn(Arc::clone(&shared).watch_path());
+        tokio::spawn(Arc::clone(&shared).watch_paths());
         tokio::spawn(front::serve(callers, Arc::clone(&shared), streams));
         tokio::spawn(front::serve_ready(balancer, Arc::clone(&shared)));
         Ok(Self { shared, follower })
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -27,7 +27,7 @@
     pub(crate) quarantined: IntGauge,
     /// The number of evacuated failure domains.
     pub(crate) evacuated: IntGauge,
-    /// Whether this entry reaches no upstream by itself.
+    /// The number of services of which this entry reaches no upstream by itself.
     pub(crate) cut_off: IntGauge,
 }
 
@@ -63,8 +63,8 @@
             )
             .map_err(fault)?,
             cut_off: IntGauge::new(
-                "mothplank_gateway_cut_off",
-                "1 while the entry reaches no upstream by itself",
+                "mothplank_gateway_cut_off_services",
+                "Services of which the entry reaches no upstream by itself",
             )
             .map_err(fault)?,
         };
--- a/crates/gateway/src/path.rs
+++ b/crates/gateway/src/path.rs
@@ -3,8 +3,10 @@
 pub(crate) mod relay;
 pub mod state;
 
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -25,9 +27,12 @@
 /// The paths to upstreams, and what is known of them.
 #[derive(Debug, Default)]
 pub(crate) struct Paths {
-    state: Mutex<PathState>,
-    /// Notified when the entry's own path is suspected.
-    suspected: Notify,
+    services: Mutex<HashMap<Arc<str>, PathState>>,
+    /// The number of services to which the path is suspected or cut.
+    doubted: AtomicUsize,
+    /// The services whose path is suspected, until they are checked.
+    suspected: Mutex<Vec<Arc<str>>>,
+    suspicion: Notify,
     partition: OnceLock<Partition>,
     relays: OnceLock<RelayClient>,
 }
@@ -55,40 +60,70 @@
         self.relays.get()?.open(address, deadline).await
     }
 
-    /// Returns what is known of the entry's own path.
-    pub(crate) fn path(&self) -> Path {
-        self.lock().path()
+    /// Returns what is known of the entry's own path to a service.
+    pub(crate) fn path(&self, service: &str) -> Path {
+        if self.doubted.load(Ordering::Relaxed) == 0 {
+            return Path::Open;
+        }
+        lock(&self.services).get(service).map_or(Path::Open, PathState::path)
+    }
+
+    /// Records that the upstream of a service with this key could not be reached, or that a connection
+    /// to it was lost.
+    pub(crate) fn record_failure(&self, service: &Arc<str>, upstream: u64) {
+        let suspected = self.update(service, |it| it.record_failure(upstream, Instant::now()));
+        if suspected {
+            log::info!(service:% = service; "several upstreams could not be reached; trying others");
+            self.check_soon(service);
+        }
     }
 
-    /// Records that the upstream with this key could not be reached, or that a connection to it was
-    /// lost.
-    pub(crate) fn record_failure(&self, upstream: u64) {
-        if self.lock().record_failure(upstream, Instant::now()) {
-            log::info!("several upstreams could not be reached; trying others");
-            self.suspected.notify_one();
+    /// Has the path to a service checked, because that to another one is cut.
+    pub(crate) fn suspect(&self, service: &Arc<str>) {
+        if self.update(service, PathState::suspect) {
+            self.check_soon(service);
         }
     }
 
-    /// Records that an upstream was reached.
-    pub(crate) fn record_success(&self) {
-        if self.lock().record_success() {
-            log::warn!("this entry reaches upstreams again");
+    /// Records that an upstream of a service was reached.
+    pub(crate) fn record_success(&self, service: &Arc<str>) {
+        if self.update(service, PathState::record_success) {
+            log::warn!(service:% = service; "this entry reaches the upstreams of a service again");
         }
     }
 
-    /// Records that none of the upstreams that were tried could be reached; returns whether the entry
-    /// is cut off from now on.
-    pub(crate) fn record_none_reached(&self) -> bool {
-        let cut_off = self.lock().record_none_reached();
+    /// Records that none of the upstreams of a service that were tried could be reached; returns whether
+    /// the entry is cut off from the service from now on.
+    pub(crate) fn record_none_reached(&self, service: &Arc<str>) -> bool {
+        let cut_off = self.update(service, PathState::record_none_reached);
         if cut_off {
-            log::warn!("this entry reaches no upstream");
+            log::warn!(service:% = service; "this entry reaches no upstream of a service");
         }
         cut_off
     }
 
-    /// Waits until the entry's own path is suspected.
-    pub(crate) async fn suspicion(&self) {
-        self.suspected.notified().await;
+    /// Waits until the path to some service is suspected; returns all such services.
+    pub(crate) async fn suspicions(&self) -> Vec<Arc<str>> {
+        loop {
+            self.suspicion.notified().await;
+            let suspected = std::mem::take(&mut *lock(&self.suspected));
+            if !suspected.is_empty() {
+                return suspected;
+            }
+        }
+    }
+
+    fn check_soon(&self, service: &Arc<str>) {
+        lock(&self.suspected).push(Arc::clone(service));
+        self.suspicion.notify_one();
+    }
+
+    fn update(&self, service: &Arc<str>, act: impl FnOnce(&mut PathState) -> bool) -> bool {
+        let mut services = lock(&self.services);
+        let changed = act(services.entry(Arc::clone(service)).or_default());
+        let doubted = services.values().filter(|it| it.path() != Path::Open).count();
+        self.doubted.store(doubted, Ordering::Relaxed);
+        changed
     }
 
     /// Opens a socket to an upstream on the entry's own path.
@@ -118,8 +153,8 @@
     fn cut(&self) -> Cut {
         self.partition.get().map(Partition::cut).unwrap_or_default()
     }
+}
 
-    fn lock(&self) -> MutexGuard<'_, PathState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/src/path/relay/server.rs
+++ b/crates/gateway/src/path/relay/server.rs
@@ -78,19 +78,19 @@
     let Some(upstream) = shared.directory().holder(address).cloned() else {
         return Err(RelayFailure::Unable);
     };
-    if shared.drain.is_ending() || shared.paths.path() != Path::Open {
+    if shared.drain.is_ending() || shared.paths.path(&upstream.service) == Path::CutOff {
         return Err(RelayFailure::Unable);
     }
     let opened = timeout_at(Instant::now() + OPEN_TIMEOUT, shared.paths.dial(address)).await;
     let stream = match opened {
         Ok(Ok(stream)) => stream,
         failed => {
-            shared.paths.record_failure(upstream.id_hash);
+            shared.paths.record_failure(&upstream.service, upstream.id_hash);
             let refused = matches!(failed, Ok(Err(_)));
             return Err(if refused { RelayFailure::Refused } else { RelayFailure::TimedOut });
         }
     };
-    shared.paths.record_success();
+    shared.paths.record_success(&upstream.service);
     configure(&stream).map_err(|_| RelayFailure::Refused)?;
     Ok(stream)
 }
--- a/crates/gateway/src/path/state.rs
+++ b/crates/gateway/src/path/state.rs
@@ -1,4 +1,4 @@
-//! Decides whether this entry reaches upstreams over the network by itself.
+//! Decides whether this entry reaches the upstreams of a service over the network by itself.
 //!
 //! A single upstream that can't be reached has most likely ended. Several without one that can be
 //! reached between them make the entry suspect its own path; it then tries others at once. If these
@@ -14,7 +14,7 @@
 /// How long an upstream that could not be reached counts.
 const FAILURE_LIFETIME: Duration = Duration::from_secs(3);
 
-/// What this entry knows of its path to upstreams.
+/// What this entry knows of its path to the upstreams of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Path {
     /// Upstreams are reached.
@@ -26,7 +26,7 @@
     CutOff,
 }
 
-/// The evidence for and against the path of this entry.
+/// The evidence for and against the path to the upstreams of a service.
 #[derive(Debug, Default)]
 pub struct PathState {
     path: Path,
@@ -45,7 +45,12 @@
     pub fn record_failure(&mut self, upstream: u64, now: Instant) -> bool {
         self.failed.retain(|it| it.0 != upstream && now < it.1 + FAILURE_LIFETIME);
         self.failed.push((upstream, now));
-        let suspected = self.path == Path::Open && self.failed.len() >= SUSPECT_UPSTREAMS;
+        self.failed.len() >= SUSPECT_UPSTREAMS && self.suspect()
+    }
+
+    /// Suspects the path for another reason; returns whether it was not suspected before.
+    pub fn suspect(&mut self) -> bool {
+        let suspected = self.path == Path::Open;
         if suspected {
             self.path = Path::Suspected;
         }
--- a/crates/gateway/src/shared/path.rs
+++ b/crates/gateway/src/shared/path.rs
@@ -26,34 +26,48 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
 impl<D: Dialect> Shared<D> {
-    /// Confirms suspicions that this entry reaches no upstream, and notices when it does again. Runs
-    /// for as long as the process lives.
-    pub(crate) async fn watch_path(self: Arc<Self>) {
+    /// Checks suspicions that this entry reaches no upstream of a service, and notices when it does
+    /// again. Runs for as long as the process lives.
+    pub(crate) async fn watch_paths(self: Arc<Self>) {
         loop {
-            self.paths.suspicion().await;
-            if self.reaches_any(CONFIRMING_PROBES).await || !self.paths.record_none_reached() {
-                continue;
+            for service in self.paths.suspicions().await {
+                tokio::spawn(Arc::clone(&self).check_path(service));
             }
-            self.directory().all().for_each(|it| it.forget_path());
-            self.metrics.cut_off.set(1);
-            while self.paths.path() == Path::CutOff {
-                sleep(PROBE_INTERVAL).await;
-                self.reaches_any(PROBES).await;
-            }
-            self.metrics.cut_off.set(0);
         }
     }
 
-    /// Tries to connect to some upstreams; returns whether one could be reached.
-    async fn reaches_any(&self, count: usize) -> bool {
+    async fn check_path(self: Arc<Self>, service: Arc<str>) {
+        if self.reaches_any(&service, CONFIRMING_PROBES).await
+            || !self.paths.record_none_reached(&service)
+        {
+            return;
+        }
         let directory = self.directory();
-        let chosen: Vec<Arc<Upstream>> =
-            directory.all().filter(|it| it.is_open()).cloned().sample(&mut rand::rng(), count);
+        directory.service(&service).iter().for_each(|it| it.forget_path());
+        directory.services().for_each(|it| self.paths.suspect(it));
+        self.metrics.cut_off.inc();
+        while self.paths.path(&service) == Path::CutOff {
+            sleep(PROBE_INTERVAL).await;
+            self.reaches_any(&service, PROBES).await;
+        }
+        self.metrics.cut_off.dec();
+    }
+
+    /// Tries to connect to some upstreams of a service; returns whether one could be reached. A service
+    /// without upstreams counts as reached: nothing is to be reached there.
+    async fn reaches_any(&self, service: &Arc<str>, count: usize) -> bool {
+        let directory = self.directory();
+        let open = directory.service(service).iter().filter(|it| it.is_open());
+        let chosen: Vec<Arc<Upstream>> = open.cloned().sample(&mut rand::rng(), count);
+        if chosen.is_empty() {
+            self.paths.record_success(service);
+            return true;
+        }
         let probes = chosen.iter().map(|it| timeout(PROBE_TIMEOUT, self.paths.dial(it.address)));
         let mut probes: FuturesUnordered<_> = probes.collect();
         while let Some(probe) = probes.next().await {
             if let Ok(Ok(_)) = probe {
-                self.paths.record_success();
+                self.paths.record_success(service);
                 return true;
             }
         }
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -134,14 +134,14 @@
     /// Opens a connection: on the entry's own path before `by`, or through another entry before
     /// `deadline` while this one is cut off.
     async fn open(&self, by: Instant, deadline: Instant) -> Result<Opened, ConnectError> {
-        if self.paths.path() == Path::CutOff
+        if self.paths.path(&self.service) == Path::CutOff
             && let Some(relayed) = self.open_relayed(deadline).await
         {
             return relayed;
         }
         let opened = self.open_directly(by).await;
         match opened {
-            Err(why) if self.paths.path() != Path::Open => {
+            Err(why) if self.paths.path(&self.service) != Path::Open => {
                 self.open_relayed(deadline).await.unwrap_or(Err(why))
             }
             opened => opened,
@@ -152,14 +152,14 @@
         let stream = match timeout_at(by, self.paths.dial(self.address)).await {
             Ok(Ok(stream)) => stream,
             failed => {
-                self.paths.record_failure(self.id_hash);
+                self.paths.record_failure(&self.service, self.id_hash);
                 return Err(match failed {
                     Ok(_) => ConnectError::Refused,
                     Err(_) => ConnectError::TimedOut,
                 });
             }
         };
-        self.paths.record_success();
+        self.paths.record_success(&self.service);
         configure(&stream).map_err(|_| ConnectError::Refused)?;
         let (sender, connection) = timeout_at(by, start(TokioIo::new(stream)))
             .await
@@ -200,13 +200,13 @@
 
     /// Records that a connection was lost.
     pub(crate) fn record_lost_connection(&self) {
-        self.paths.record_failure(self.id_hash);
+        self.paths.record_failure(&self.service, self.id_hash);
     }
 
     fn take_idle(self: &Arc<Self>) -> Option<Lease> {
         let mut idle = self.lock_idle();
         let now = Instant::now();
-        let cut_off = self.paths.path() == Path::CutOff;
+        let cut_off = self.paths.path(&self.service) == Path::CutOff;
         while let Some(it) = idle.pop() {
             // The own path is shorter than a relay's.
             let relays = it.opened.relay.as_ref().is_none_or(|it| cut_off && it.is_usable());
