Check the path to an upstream whose kept connection is silent

Change: a call on a connection that was kept, with no answer for 500 ms, has its upstream connected to once in the background, twice a second and service at most; if that fails, others are tried. The same after a stream without events and after a call without an answer in time. A call on a new connection needs no check: its path was good a moment ago.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,7 @@
 //! Single calls of an upstream, and what a failed call proves: whether the request may have run.
 
 use std::fmt;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::dialect::{AnswerHead, Dialect, Handle, PieceAnswer, PieceCall, SpaceReport};
 use crate::upstream::{ConnectError, Lease, Upstream};
@@ -19,6 +20,9 @@
 /// The timeout of a call that frees results.
 const FREE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long a kept connection may bring no answer before the path to its upstream is checked.
+const SILENCE_TIME: Duration = Duration::from_millis(500);
+
 /// Why a call brought no answer that can be forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Cause {
@@ -104,11 +108,13 @@
     let mut request = request;
     loop {
         let mut lease = upstream.connect(deadline).await.map_err(Fault::unsent)?;
+        let is_kept = lease.is_kept();
         let Some(sender) = lease.sender() else {
             return Err(Fault::unsent(ConnectError::Refused));
         };
         let sent = Instant::now();
-        let response = match timeout_at(deadline, sender.try_send_request(request)).await {
+        let answer = timeout_at(deadline, sender.try_send_request(request));
+        let response = match watch_silence(upstream, is_kept, answer).await {
             Ok(Ok(response)) => response,
             Ok(Err(mut error)) => match error.take_message() {
                 // The upstream closed an idle connection before any byte was written; tries the
@@ -125,7 +131,10 @@
                     return Err(Fault::unknown(Cause::Lost));
                 }
             },
-            Err(_) => return Err(Fault::unknown(Cause::Timeout)),
+            Err(_) => {
+                upstream.check_path();
+                return Err(Fault::unknown(Cause::Timeout));
+            }
         };
         let head = D::decode_answer(response.status(), response.headers(), attempt);
         if let Some(left) = head.cold {
@@ -136,6 +145,25 @@
     }
 }
 
+/// Waits for an answer. If a kept connection brings none for [`SILENCE_TIME`], checks whether the
+/// upstream can still be reached: the kernel takes longer to give up a connection without a path.
+async fn watch_silence<T>(
+    upstream: &Arc<Upstream>,
+    is_kept: bool,
+    answer: impl Future<Output = T>,
+) -> T {
+    let mut answer = pin!(answer);
+    if !is_kept {
+        // The connection has just been opened.
+        return answer.await;
+    }
+    if let Ok(answered) = timeout(SILENCE_TIME, &mut answer).await {
+        return answered;
+    }
+    upstream.check_path();
+    answer.await
+}
+
 /// Sends a caller's request and waits for the head of its answer, which must repeat the attempt's
 /// id and bear the upstream's seal.
 pub(crate) async fn request<D: Dialect>(
--- a/crates/gateway/src/path.rs
+++ b/crates/gateway/src/path.rs
@@ -78,7 +78,14 @@
         }
     }
 
-    /// Has the path to a service checked, because that to another one is cut.
+    /// Returns whether the path to a service may be checked now because an upstream is silent, and if so,
+    /// counts that as done.
+    pub(crate) fn begin_check(&self, service: &Arc<str>) -> bool {
+        let now = Instant::now();
+        self.update(service, |it| it.begin_check(now))
+    }
+
+    /// Has the path to a service checked, because that to another one, or to one of its upstreams, is cut.
     pub(crate) fn suspect(&self, service: &Arc<str>) {
         if self.update(service, PathState::suspect) {
             self.check_soon(service);
--- a/crates/gateway/src/path/state.rs
+++ b/crates/gateway/src/path/state.rs
@@ -14,6 +14,10 @@
 /// How long an upstream that could not be reached counts.
 const FAILURE_LIFETIME: Duration = Duration::from_secs(3);
 
+/// The shortest time between two checks because of silent upstreams: engines are silent until the first
+/// event.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// What this entry knows of its path to the upstreams of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Path {
@@ -32,6 +36,8 @@
     path: Path,
     /// The keys of the upstreams that could not be reached since the last one that could, and when.
     failed: Vec<(u64, Instant)>,
+    /// When the path was last checked because an upstream was silent.
+    checked: Option<Instant>,
 }
 
 impl PathState {
@@ -57,6 +63,16 @@
         suspected
     }
 
+    /// Returns whether the path may be checked at `now` because an upstream is silent.
+    pub fn begin_check(&mut self, now: Instant) -> bool {
+        let recent = self.checked.is_some_and(|it| now < it + CHECK_INTERVAL);
+        let may_check = self.path == Path::Open && !recent;
+        if may_check {
+            self.checked = Some(now);
+        }
+        may_check
+    }
+
     /// Records that an upstream was reached. Returns whether the entry was cut off until now.
     pub fn record_success(&mut self) -> bool {
         self.failed.clear();
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -58,6 +58,7 @@
                 ForwardEnd::Late => "deadline passed",
                 ForwardEnd::Lost(why) => {
                     upstream.record_failure(false);
+                    upstream.check_path();
                     shared.quarantine.record_lost_run(self.request.digest(), &upstream, times);
                     match self.resume(&upstream.id, why).await {
                         Some(next) => {
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::Upstream;
 use crate::partition::Cut;
@@ -128,7 +128,8 @@
             return Ok(lease);
         }
         let opened = self.open(by, deadline).await?;
-        Ok(Lease { upstream: Arc::clone(self), connection: Some((opened, permit)) })
+        let connection = Some((opened, permit));
+        Ok(Lease { upstream: Arc::clone(self), connection, is_kept: false })
     }
 
     /// Opens a connection: on the entry's own path before `by`, or through another entry before
@@ -198,6 +199,24 @@
         Some(Ok(opened))
     }
 
+    /// Checks in the background whether the upstream can be reached on the entry's own path, and
+    /// suspects the path to its service if not.
+    pub(crate) fn check_path(self: &Arc<Self>) {
+        if !self.paths.begin_check(&self.service) {
+            return;
+        }
+        let upstream = Arc::clone(self);
+        tokio::spawn(async move {
+            let Self { paths, service, address, .. } = &*upstream;
+            if let Ok(Ok(_)) = timeout(CONNECT_TIMEOUT, paths.dial(*address)).await {
+                paths.record_success(service);
+                return;
+            }
+            paths.record_failure(service, upstream.id_hash);
+            paths.suspect(service);
+        });
+    }
+
     /// Records that a connection was lost.
     pub(crate) fn record_lost_connection(&self) {
         self.paths.record_failure(&self.service, self.id_hash);
@@ -212,7 +231,7 @@
             let relays = it.opened.relay.as_ref().is_none_or(|it| cut_off && it.is_usable());
             if relays && it.opened.sender.is_ready() && now < it.expires {
                 let connection = Some((it.opened, it.permit));
-                return Some(Lease { upstream: Arc::clone(self), connection });
+                return Some(Lease { upstream: Arc::clone(self), connection, is_kept: true });
             }
             it.opened.task.abort();
         }
@@ -262,6 +281,7 @@
 pub(crate) struct Lease {
     upstream: Arc<Upstream>,
     connection: Option<(Opened, OwnedSemaphorePermit)>,
+    is_kept: bool,
 }
 
 impl Lease {
@@ -270,6 +290,11 @@
         self.connection.as_mut().map(|it| &mut it.0.sender)
     }
 
+    /// Returns whether the connection was open before the request, on the entry's own path.
+    pub(crate) fn is_kept(&self) -> bool {
+        self.is_kept && self.connection.as_ref().is_some_and(|it| it.0.relay.is_none())
+    }
+
     /// Keeps the connection for later requests. To be called after the answer has ended properly.
     pub(crate) fn keep(mut self, keep_alive: Option<Duration>) {
         let Some((mut opened, permit)) = self.connection.take() else { return };
