Report no upstream as ended while the entry's own path to its service is cut

An entry whose path refuses connections takes upstreams for ended and reports what ran there as evidence; three such ends hold a sound request for 300 s everywhere. Change: the probe waits until a suspicion of the path has been checked, 20 ms if there is none, and proves nothing unless the path is open. Evidence: an_entry_without_a_path_reports_no_ends: four upstreams that refuse at once gave four ends before, none now; one that refuses gives one, as before. The quarantine's tests of real processes pass unchanged.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -5,20 +5,22 @@
 //! upstream after the other would go down, with everything that others had in flight there.
 
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use registry::RequestDigest;
 use registry::quarantine::{Admission, EndSeen, Evidence, QuarantineView, RunSeen};
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::path::state::Path;
 use crate::request::CallerRequest;
 use crate::upstream::Upstream;
 
+#[cfg(test)]
+mod tests;
+
 /// The delays after which the upstream of a lost call is probed: the first after the loss, the
 /// second after the first probe. A process that ends closes its connections and its port some
 /// milliseconds apart.
@@ -28,6 +30,12 @@
 /// cut.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long the probes of other upstreams, whose calls were lost at the same moment, may take longer.
+const OTHER_PROBES_TIME: Duration = Duration::from_millis(20);
+
+/// How long a suspicion that the entry has no path takes to be checked.
+const SUSPICION_TIME: Duration = Duration::from_millis(300);
+
 /// A run whose first event is older than this is not suspected: a request that terminates its
 /// upstream does so as it begins.
 const SUSPECT_WINDOW: Duration = Duration::from_secs(1);
@@ -180,7 +188,7 @@
     pub(crate) fn record_lost_run(
         &self,
         digest: RequestDigest,
-        upstream: &Upstream,
+        upstream: &Arc<Upstream>,
         times: RunTimes,
     ) {
         let now = Instant::now();
@@ -198,8 +206,7 @@
         drop(lost);
         if is_first {
             let probe = EndProbe {
-                upstream: Arc::clone(&upstream.id),
-                address: upstream.address,
+                upstream: Arc::clone(upstream),
                 start: self.start,
                 at: now,
                 lost: Arc::clone(&self.lost),
@@ -216,8 +223,7 @@
 
 /// Probes whether an upstream has terminated.
 struct EndProbe {
-    upstream: Arc<str>,
-    address: SocketAddr,
+    upstream: Arc<Upstream>,
     /// When the entry started.
     start: Instant,
     at: Instant,
@@ -230,31 +236,33 @@
         let mut ended = false;
         for delay in PROBE_DELAYS {
             sleep(delay).await;
-            ended = refuses_connections(self.address).await;
+            ended = self.upstream.refuses_connections(PROBE_TIMEOUT).await;
             if ended {
                 break;
             }
         }
-        let runs = lock(&self.lost).remove(&self.upstream).unwrap_or_default();
-        log::info!(upstream:% = self.upstream, ended, runs = runs.len();
+        ended = ended && self.has_path().await;
+        let runs = lock(&self.lost).remove(&self.upstream.id).unwrap_or_default();
+        log::info!(upstream:% = self.upstream.id, ended, runs = runs.len();
             "probed whether an upstream that lost calls has ended");
         if !ended {
             return;
         }
         let ago_ms = self.at.elapsed().as_millis() as u32;
-        let upstream = self.upstream.to_string();
+        let upstream = self.upstream.id.to_string();
         let seen = EndSeen { upstream, ago_ms, runs, clock: None };
         let at_ms = self.at.duration_since(self.start).as_millis() as u64;
         report(&self.evidence, Evidence::EndedAt(at_ms, seen));
     }
-}
 
-/// Returns whether connections to an address are refused because nothing listens there. A network
-/// path that is cut gives no answer, which proves nothing.
-async fn refuses_connections(address: SocketAddr) -> bool {
-    match timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
+    /// Returns whether this entry has a path to the service of the upstream. A path that is cut may
+    /// refuse all connections at the same moment, as if all upstreams had ended.
+    async fn has_path(&self) -> bool {
+        sleep(OTHER_PROBES_TIME).await;
+        if self.upstream.path() == Path::Suspected {
+            sleep(SUSPICION_TIME).await;
+        }
+        self.upstream.path() == Path::Open
     }
 }
 
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -1,5 +1,6 @@
 //! The connections of this entry to an upstream.
 
+use std::io::ErrorKind;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -217,6 +218,24 @@
         });
     }
 
+    /// Returns what is known of the entry's own path to the service of the upstream.
+    pub(crate) fn path(&self) -> Path {
+        self.paths.path(&self.service)
+    }
+
+    /// Returns whether the upstream refuses connections within `limit`, because nothing listens at its
+    /// address.
+    pub(crate) async fn refuses_connections(&self, limit: Duration) -> bool {
+        let refused = match timeout(limit, self.paths.dial(self.address)).await {
+            Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        };
+        if refused {
+            self.paths.record_failure(&self.service, self.id_hash);
+        }
+        refused
+    }
+
     /// Records that a connection was lost.
     pub(crate) fn record_lost_connection(&self) {
         self.paths.record_failure(&self.service, self.id_hash);
