--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -7,13 +7,12 @@
 //! what they had. An entry whose share is used up borrows from one that has some left.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
 use types::Rate;
 
-use crate::quota::EntryList;
+use crate::quota::{HeldShare, Sharing};
 
 /// The window over which an upstream counts requests.
 const COUNTED_WINDOW: Duration = Duration::from_secs(4);
@@ -47,15 +46,6 @@
     pub lasted: Duration,
 }
 
-/// The entries that an entry knows, and the key by which they divide the quota of one upstream.
-#[derive(Clone, Copy, Debug)]
-pub struct Sharing<'a> {
-    /// The entries.
-    pub entries: &'a Arc<EntryList>,
-    /// The hash of the upstream's id.
-    pub key: u64,
-}
-
 /// The limit that an upstream names, and what this entry sends to it.
 #[derive(Debug, Default)]
 pub struct LimitGate {
@@ -66,10 +56,7 @@
     heard: Option<Instant>,
     /// The requests of this entry within the last window, under a limit or not.
     sent: VecDeque<Instant>,
-    /// The shares of this entry since the start of the last window, and from when on each holds.
-    shares: VecDeque<(Instant, u32)>,
-    /// What the newest share was computed from.
-    basis: Option<(Rate, Arc<EntryList>)>,
+    share: HeldShare,
     /// Until when no other entry is asked for its room.
     borrow_after: Option<Instant>,
 }
@@ -111,7 +98,7 @@
         }
         let since = self.since.replace(now).unwrap_or(now);
         if limit.is_none() || self.named.is_none() {
-            (self.basis, self.shares) = Default::default();
+            self.share = HeldShare::default();
         }
         self.named = limit;
         Some(LimitChange { sent: self.count(now), lasted: now.duration_since(since) })
@@ -167,18 +154,8 @@
         Some(freed.map_or(borrowed, |it| it.min(borrowed)))
     }
 
-    /// Returns this entry's share of the quota: the least one of the last window.
     fn share(&mut self, limit: Rate, sharing: Sharing<'_>, now: Instant) -> u32 {
-        let known = self.basis.as_ref();
-        if known.is_none_or(|it| it.0 != limit || !Arc::ptr_eq(&it.1, sharing.entries)) {
-            let share = sharing.entries.share(sharing.key, quota(limit));
-            self.shares.push_back((now, share));
-            self.basis = Some((limit, Arc::clone(sharing.entries)));
-        }
-        while self.shares.get(1).is_some_and(|it| it.0 + LIMIT_WINDOW <= now) {
-            self.shares.pop_front();
-        }
-        self.shares.iter().map(|it| it.1).min().unwrap_or(0)
+        self.share.at(quota(limit), sharing, now, LIMIT_WINDOW)
     }
 
     /// Returns how many requests were sent in the window that ends at `now`.
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -4,7 +4,12 @@
 //! entry that is not listed has none. Where there are more entries than the quota has requests, a few
 //! entries, which all choose alike, have one request each, and the others may borrow from them.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
 
 use crate::place::{mix, score};
 
@@ -67,3 +72,37 @@
         others.map(|it| it.1.1).collect()
     }
 }
+
+/// The entries that an entry knows, and the key by which they divide the quota of one upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Sharing<'a> {
+    /// The entries.
+    pub entries: &'a Arc<EntryList>,
+    /// The hash of the upstream's id.
+    pub key: u64,
+}
+
+/// This entry's share of a quota while lists of entries and the quota change: the least one within a
+/// hold time. Until that is over, entries with the list before may still use what they had.
+#[derive(Debug, Default)]
+pub struct HeldShare {
+    /// The shares since the start of the hold time, and from when on each holds.
+    shares: VecDeque<(Instant, u32)>,
+    /// What the newest share was computed from.
+    basis: Option<(u32, Arc<EntryList>)>,
+}
+
+impl HeldShare {
+    /// Returns the share of `quota` at `now`; one that grows counts after `hold`.
+    pub fn at(&mut self, quota: u32, sharing: Sharing<'_>, now: Instant, hold: Duration) -> u32 {
+        let known = self.basis.as_ref();
+        if known.is_none_or(|it| it.0 != quota || !Arc::ptr_eq(&it.1, sharing.entries)) {
+            self.shares.push_back((now, sharing.entries.share(sharing.key, quota)));
+            self.basis = Some((quota, Arc::clone(sharing.entries)));
+        }
+        while self.shares.get(1).is_some_and(|it| it.0 + hold <= now) {
+            self.shares.pop_front();
+        }
+        self.shares.iter().map(|it| it.1).min().unwrap_or(0)
+    }
+}
--- a/crates/gateway/src/upstream/room.rs
+++ b/crates/gateway/src/upstream/room.rs
@@ -8,8 +8,8 @@
 
 use super::Upstream;
 use crate::cold::ColdGate;
-use crate::limit::{self, LimitChange, LimitGate, Sharing};
-use crate::quota::EntryList;
+use crate::limit::{self, LimitChange, LimitGate};
+use crate::quota::{EntryList, Sharing};
 
 impl Upstream {
     /// Marks the upstream as cold until `until`.
--- a/crates/gateway/tests/limit.rs
+++ b/crates/gateway/tests/limit.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gateway::limit::{LIMIT_WINDOW, LimitGate, Sharing};
-use gateway::quota::EntryList;
+use gateway::limit::{LIMIT_WINDOW, LimitGate};
+use gateway::quota::{EntryList, Sharing};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
