Bound how often all entries together are turned away by a brittle upstream

What callers saw: nothing yet. What was turned away in the last second, and what is so new that it may be, counts against the share; an upstream whose slots are used gets nothing to wait. An entry without a share borrows; the lender counts the request until the borrower has told that it was not turned away. Owners of sections keep the number among themselves. The same question shows for the limit: at 1 a second four entries hold one request each, and two of them were asked; up to four are now.

--- a/crates/gateway/src/batch/client/loan.rs
+++ b/crates/gateway/src/batch/client/loan.rs
@@ -7,10 +7,12 @@
 
 use rand::seq::IteratorRandom;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::BatchClient;
+use crate::batch::link::Link;
 use crate::batch::message::{FromOwner, Loan, RoomLoan, ToOwner};
+use crate::brittle::SETTLE_TIME;
 use crate::budget::Spender;
 use crate::dialect::Dialect;
 use crate::upstream::Upstream;
@@ -18,9 +20,12 @@
 /// How long a lender may take to answer, a new connection to it included.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(120);
 
-/// How many lenders are asked at most.
+/// How many lenders of retries are asked at most.
 const MAX_LENDERS_ASKED: usize = 2;
 
+/// How many lenders of room are asked at most. Few have some left where the limit is low.
+const MAX_ROOM_LENDERS_ASKED: usize = 4;
+
 impl<D: Dialect> BatchClient<D> {
     /// Takes `count` retries for a service, all or none; returns whether they may be sent.
     pub(crate) async fn take_retries(
@@ -73,17 +78,19 @@
         let now = Instant::now();
         let open = upstreams.iter().filter(|it| it.is_open() && !it.is_ejected(now));
         let open = open.filter(|it| !tried.contains(&it.id));
-        let limited = open.filter_map(|it| Some((it, it.borrowable_limit(now)?)));
-        let (upstream, limit) =
-            limited.min_by_key(|(it, _)| (it.total_running(), rand::random::<u16>()))?;
-        let holders = upstream.limit_holders(limit).into_iter();
-        let lenders = holders.sample(&mut rand::rng(), MAX_LENDERS_ASKED);
+        let in_need = open.filter_map(|it| Some((it, it.borrowable(now)?)));
+        let (upstream, (need, holders)) =
+            in_need.min_by_key(|(it, _)| (it.total_running(), rand::random::<u16>()))?;
+        let lenders = holders.into_iter().sample(&mut rand::rng(), MAX_ROOM_LENDERS_ASKED);
         for lender in lenders {
             let id = upstream.id.to_string();
-            let loan = |number| ToOwner::BorrowRoom(RoomLoan { id: number, upstream: id, limit });
+            let loan = |number| ToOwner::BorrowRoom(RoomLoan { id: number, upstream: id, need });
             if self.ask_loan(lender, loan).await == Some(true) {
-                log::info!(peer:% = lender, upstream:% = upstream.id, limit = limit.0;
-                    "another entry lent its room at an upstream that names a limit");
+                log::info!(peer:% = lender, upstream:% = upstream.id, need:? = need;
+                    "another entry lent its room at an upstream in need");
+                if need.brittle.is_some() {
+                    tokio::spawn(settle(self.link(lender), Arc::clone(upstream)));
+                }
                 return Some(Arc::clone(upstream));
             }
         }
@@ -113,3 +120,13 @@
         }
     }
 }
+
+/// Tells the lender of room at a brittle upstream once the request can no longer be turned away, unless
+/// the upstream has turned one of this entry's away meanwhile.
+async fn settle(lender: Arc<Link>, upstream: Arc<Upstream>) {
+    let before = upstream.rejections();
+    sleep(SETTLE_TIME).await;
+    if upstream.rejections() == before {
+        lender.send(ToOwner::SettleRoom(upstream.id.to_string()));
+    }
+}
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -233,7 +233,10 @@
                         ToOwner::Cancel(id) => {
                             left.remove(id);
                         }
-                        ToOwner::Free(_) | ToOwner::Borrow(_) | ToOwner::BorrowRoom(_) => {}
+                        ToOwner::Free(_)
+                        | ToOwner::Borrow(_)
+                        | ToOwner::BorrowRoom(_)
+                        | ToOwner::SettleRoom(_) => {}
                         ToOwner::Relayed(ToRelay::Open(address)) => {
                             return relay::serve(&shared, (sender, receiver), *address).await;
                         }
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -2,13 +2,13 @@
 
 use registry::{ListStamps, Relay, RequestDigest};
 use serde::{Deserialize, Serialize};
-use types::Rate;
 
 use crate::backlog::Backlog;
 use crate::batch::queue::RANKS;
 use crate::budget::Spender;
 use crate::dialect::PieceFailure;
 use crate::path::relay::{FromRelay, ToRelay};
+use crate::upstream::Need;
 
 #[cfg(test)]
 mod tests;
@@ -70,19 +70,22 @@
     AskLists(ListStamps),
     /// Asks for a request out of the receiver's share of what an upstream takes.
     BorrowRoom(RoomLoan),
+    /// Tells that the request for which the receiver lent room at the upstream with this id was not turned
+    /// away.
+    SettleRoom(String),
     /// On a connection of its own: has the receiver pass bytes on to an upstream and back.
     Relayed(ToRelay),
 }
 
-/// A request for room at an upstream that names a limit.
+/// A request for room at an upstream in need.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct RoomLoan {
     /// The number of the request, chosen by the sender; the answer repeats it.
     pub(crate) id: u64,
     /// The id of the upstream.
     pub(crate) upstream: String,
-    /// The limit that the upstream has named to the sender.
-    pub(crate) limit: Rate,
+    /// What the upstream has said to the sender.
+    pub(crate) need: Need,
 }
 
 /// A request for retries of requests or pieces of a service.
@@ -112,7 +115,7 @@
 /// The protocol level from which entries lend retries, and forward only lists that are newer.
 pub(crate) const LOANS_LEVEL: u8 = 5;
 
-/// The protocol level from which entries lend room at upstreams that name a limit.
+/// The protocol level from which entries lend room at upstreams in need.
 pub(crate) const ROOM_LEVEL: u8 = 6;
 
 /// The protocol level from which entries relay connections to upstreams.
@@ -133,7 +136,7 @@
             },
             Self::SubmitToDomain(_, job) if level < SECTIONS_LEVEL => Some(Self::Submit(job)),
             Self::Borrow(_) if level < LOANS_LEVEL => None,
-            Self::BorrowRoom(_) if level < ROOM_LEVEL => None,
+            Self::BorrowRoom(_) | Self::SettleRoom(_) if level < ROOM_LEVEL => None,
             Self::Relayed(_) if level < RELAY_LEVEL => None,
             Self::AskLists(_) if level < LOANS_LEVEL => Some(Self::SubscribeRelays),
             message => Some(message),
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -216,6 +216,11 @@
             OwnerEvent::Message(_, ToOwner::BorrowRoom(loan), replies) => {
                 self.lend_room(&loan, &replies);
             }
+            OwnerEvent::Message(_, ToOwner::SettleRoom(upstream), _) => {
+                if let Some(upstream) = self.shared.directory().upstream(&upstream) {
+                    upstream.record_settled();
+                }
+            }
             // The connection's own task handles these.
             OwnerEvent::Message(
                 _,
@@ -254,8 +259,8 @@
     fn lend_room(&self, loan: &RoomLoan, replies: &Replies) {
         let directory = self.shared.directory();
         let lent = directory.upstream(&loan.upstream).is_some_and(|it| {
-            it.take_limit_news(loan.limit);
-            it.is_open() && it.claim_room(Instant::now())
+            it.take_need_news(loan.need);
+            it.is_open() && it.lend_room(Instant::now())
         });
         // The borrower may have ended meanwhile.
         let _ = replies.send(FromOwner::Lent(loan.id, lent));
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -7,10 +7,10 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
-use types::Rate;
 
 pub use crate::incarnation::StartTime;
 use crate::plan::Plan;
+use crate::upstream::Need;
 
 /// A part of a prompt that several requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,8 +88,8 @@
     pub keep_alive: Option<Duration>,
     /// How much longer the upstream is cold, if it says so.
     pub cold: Option<Duration>,
-    /// The requests per second that the upstream takes from all callers together, if it names a limit.
-    pub limit: Option<Rate>,
+    /// What the upstream says of the requests that it takes from all callers together.
+    pub need: Need,
 }
 
 /// The name of a stage result, which includes the address at which it is kept.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -140,7 +140,10 @@
         if let Some(left) = head.cold {
             upstream.extend_cold(Instant::now() + left);
         }
-        upstream.record_limit(head.limit, sent);
+        upstream.record_need(head.need, sent);
+        if head.not_run && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            upstream.record_rejected();
+        }
         return Ok(Opened { response, lease, head });
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod backlog;
 mod batch;
 pub mod body_memory;
+pub mod brittle;
 pub mod budget;
 pub mod cold;
 pub mod dialect;
--- a/crates/gateway/src/limit.rs
+++ b/crates/gateway/src/limit.rs
@@ -129,12 +129,9 @@
         Some((quota(limit) / OWNERS).max(1).saturating_sub(self.count(now)))
     }
 
-    /// Returns the limit that keeps this entry from sending a request at `now`, if others may be asked
-    /// for their room.
-    pub fn borrowable(&mut self, sharing: Sharing<'_>, now: Instant) -> Option<Rate> {
-        let may_ask = self.borrow_after.is_none_or(|it| it <= now);
-        let used_up = self.room(sharing, now) == Some(0);
-        self.named.filter(|_| may_ask && used_up)
+    /// Returns whether other entries may be asked for their room at `now`.
+    pub fn may_borrow(&self, now: Instant) -> bool {
+        self.borrow_after.is_none_or(|it| it <= now)
     }
 
     /// Records that no other entry lent its room at `now`.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -13,17 +13,17 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
 
-use crate::cold::ColdGate;
 use crate::incarnation::{Incarnation, LatestIncarnation, StartTime};
-use crate::limit::LimitGate;
 use crate::path::Paths;
 use crate::place::score;
 use crate::quota::EntryList;
 
 pub(crate) use self::connections::{ConnectError, ConnectionShare, Lease, configure};
+pub use self::room::Need;
 pub(crate) use self::running::{InUse, RunningRequest};
 
 use self::connections::Idle;
+use self::room::Gates;
 
 /// The base of the backoff of an ejected upstream. The backoff is this times 2^n, where n is the
 /// number of failures in a row that count, up to 4.
@@ -67,8 +67,7 @@
     permits: Arc<Semaphore>,
     connection_limit: AtomicU32,
     keeps_idle: AtomicBool,
-    cold: Mutex<ColdGate>,
-    limit: Mutex<LimitGate>,
+    gates: Gates,
     /// The entries that share what a limit allows.
     entries: Arc<ArcSwap<EntryList>>,
     paths: Arc<Paths>,
@@ -112,8 +111,7 @@
             permits: Arc::new(Semaphore::new(connection_limit as usize)),
             connection_limit: AtomicU32::new(connection_limit),
             keeps_idle: AtomicBool::new(true),
-            cold: Mutex::default(),
-            limit: Mutex::default(),
+            gates: Gates::default(),
             entries: Arc::default(),
             paths: Arc::default(),
         }
--- a/crates/gateway/src/upstream/room.rs
+++ b/crates/gateway/src/upstream/room.rs
@@ -1,16 +1,35 @@
-//! What this entry may send to an upstream that is cold or names a limit.
+//! What this entry may send to an upstream that is cold, names a limit, or is brittle.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use types::Rate;
 
 use super::Upstream;
+use crate::brittle::{self, BrittleGate, SETTLE_TIME};
 use crate::cold::ColdGate;
 use crate::limit::{self, LimitChange, LimitGate};
 use crate::quota::{EntryList, Sharing};
 
+/// What an upstream has said of the requests that it takes from all entries together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Need {
+    /// The requests per second.
+    pub limit: Option<Rate>,
+    /// The requests per second that it may have to turn away.
+    pub brittle: Option<u32>,
+}
+
+/// What bounds the requests to an upstream.
+#[derive(Debug, Default)]
+pub(super) struct Gates {
+    cold: Mutex<ColdGate>,
+    limit: Mutex<LimitGate>,
+    brittle: Mutex<BrittleGate>,
+}
+
 impl Upstream {
     /// Marks the upstream as cold until `until`.
     pub fn extend_cold(&self, until: Instant) {
@@ -27,16 +46,26 @@
         self.cold().set_share(share, quota);
     }
 
-    /// Takes the limit that an answer names, if it names one, to a request that was sent at `sent`.
-    pub(crate) fn record_limit(&self, named: Option<Rate>, sent: Instant) {
-        let change = self.limit().record_answer(named, sent, Instant::now());
-        self.log_change(named, change, "answer");
+    /// Takes what an answer says of the upstream's need, to a request that was sent at `sent`.
+    pub(crate) fn record_need(&self, need: Need, sent: Instant) {
+        let now = Instant::now();
+        let change = self.limit().record_answer(need.limit, sent, now);
+        self.log_change(need.limit, change, "answer");
+        if self.brittle().record_answer(need.brittle, sent, now) {
+            log::info!(upstream:% = self.id, service:% = self.service, rejections = need.brittle;
+                "how brittle an upstream says that it is has changed");
+        }
     }
 
-    /// Takes the limit of which another entry tells.
-    pub(crate) fn take_limit_news(&self, named: Rate) {
-        let change = self.limit().take_news(named, Instant::now());
-        self.log_change(Some(named), change, "another entry");
+    /// Takes what another entry tells of the upstream's need.
+    pub(crate) fn take_need_news(&self, need: Need) {
+        if let Some(named) = need.limit {
+            let change = self.limit().take_news(named, Instant::now());
+            self.log_change(Some(named), change, "another entry");
+        }
+        if let Some(named) = need.brittle {
+            self.brittle().take_news(named);
+        }
     }
 
     fn log_change(&self, named: Option<Rate>, change: Option<LimitChange>, source: &str) {
@@ -46,43 +75,82 @@
             ms = change.lasted.as_millis() as u64; "the limit that an upstream names has changed");
     }
 
+    /// Returns what the upstream has said of its need.
+    pub(crate) fn need(&self) -> Need {
+        Need { limit: self.limit().named(), brittle: self.brittle().named() }
+    }
+
     /// Returns the limit that the upstream named last; `None` if it names none.
     pub fn limit_named(&self) -> Option<Rate> {
         self.limit().named()
     }
 
+    /// Records that the upstream turned a request away for want of room.
+    pub(crate) fn record_rejected(&self) {
+        self.brittle().record_rejected(Instant::now());
+    }
+
+    /// Returns how many requests of this entry the upstream has turned away for want of room.
+    pub(crate) fn rejections(&self) -> u64 {
+        self.brittle().rejections()
+    }
+
     /// Returns whether this entry may send it a request now.
     pub fn has_room(&self, now: Instant) -> bool {
-        self.has_cold_room(now)
-            && self.with_limit(|it, by| it.room(by, now)).is_none_or(|it| it > 0)
+        self.has_cold_room(now) && self.has_shared_room(now)
     }
 
     /// Returns when this entry may send it a request; `None` if it may now.
     pub fn next_room(&self, now: Instant) -> Option<Instant> {
-        let limited = self.with_limit(|it, by| it.next_room(by, now));
-        self.cold().next_room(now).max(limited)
+        let sharing = self.entries.load_full();
+        let by = Sharing { entries: &sharing, key: self.id_hash };
+        let limited = self.limit().next_room(by, now);
+        let brittle = match self.is_full_and_brittle() {
+            true => Some(now + SETTLE_TIME),
+            false => self.brittle().next_room(by, now),
+        };
+        self.cold().next_room(now).max(limited).max(brittle)
     }
 
     /// Counts a request that is sent now, if the upstream has room for it; returns whether it has.
     pub fn claim_room(&self, now: Instant) -> bool {
         let has_room = self.has_room(now);
         if has_room {
-            self.record_sent(now);
+            self.cold().record_sent(1, now);
+            self.limit().record_sent(now);
+            self.brittle().record_sent(now);
         }
         has_room
     }
 
-    /// Counts a request that is sent now.
-    pub(crate) fn record_sent(&self, now: Instant) {
-        self.cold().record_sent(1, now);
-        self.limit().record_sent(now);
+    /// Counts a request that another entry sends in this one's place, if there is room for it; returns
+    /// whether there is.
+    pub(crate) fn lend_room(&self, now: Instant) -> bool {
+        let has_room = self.has_room(now);
+        if has_room {
+            self.cold().record_sent(1, now);
+            self.limit().record_sent(now);
+            self.brittle().record_lent(now);
+        }
+        has_room
     }
 
-    /// Returns the limit that keeps this entry from sending a request now, if another entry may have
-    /// room left under it.
-    pub(crate) fn borrowable_limit(&self, now: Instant) -> Option<Rate> {
-        let limit = self.with_limit(|it, by| it.borrowable(by, now));
-        limit.filter(|_| self.has_cold_room(now))
+    /// Records that a request for which this entry lent room was not turned away.
+    pub(crate) fn record_settled(&self) {
+        self.brittle().record_settled();
+    }
+
+    /// Returns the need that keeps this entry from sending a request now, and the other entries that have
+    /// a share under it; `None` if it may send one, or no other entry may be asked.
+    pub(crate) fn borrowable(&self, now: Instant) -> Option<(Need, Vec<SocketAddr>)> {
+        let is_blocked = !self.has_cold_room(now) || self.is_full_and_brittle();
+        if is_blocked || self.has_shared_room(now) || !self.limit().may_borrow(now) {
+            return None;
+        }
+        let need = self.need();
+        let limits = [need.limit.map(limit::quota), need.brittle.map(brittle::quota)];
+        let quota = limits.into_iter().flatten().min()?;
+        Some((need, self.entries.load().holders(self.id_hash, quota)))
     }
 
     /// Records that no other entry has lent its room.
@@ -90,37 +158,51 @@
         self.limit().record_no_loan(now);
     }
 
-    /// Returns the other entries that have a share under the limit.
-    pub(crate) fn limit_holders(&self, named: Rate) -> Vec<SocketAddr> {
-        self.entries.load().holders(self.id_hash, limit::quota(named))
-    }
-
     /// Returns how many pieces the owner of its section may send it now; `None` for any number.
     pub fn owner_room(&self, now: Instant) -> Option<u32> {
-        let may_call = self.limit().owner_room(now).is_none_or(|it| it > 0);
-        if may_call { self.cold().owner_room(now) } else { Some(0) }
+        let limited = self.limit().owner_room(now) == Some(0);
+        let brittle = self.brittle().owner_room(now) == Some(0);
+        if limited || brittle { Some(0) } else { self.cold().owner_room(now) }
     }
 
     /// Counts a call with pieces that its owner sends now.
     pub fn record_call(&self, pieces: u32, now: Instant) {
         self.cold().record_sent(pieces, now);
         self.limit().record_sent(now);
+        self.brittle().record_sent(now);
     }
 
     fn has_cold_room(&self, now: Instant) -> bool {
         self.cold().room(now).is_none_or(|it| it > 0)
     }
 
-    fn with_limit<T>(&self, act: impl FnOnce(&mut LimitGate, Sharing<'_>) -> T) -> T {
+    /// Returns whether this entry has room left under the upstream's need.
+    fn has_shared_room(&self, now: Instant) -> bool {
         let entries: Arc<EntryList> = self.entries.load_full();
-        act(&mut self.limit(), Sharing { entries: &entries, key: self.id_hash })
+        let by = Sharing { entries: &entries, key: self.id_hash };
+        let limited = self.limit().room(by, now) == Some(0);
+        !limited && !self.is_full_and_brittle() && self.brittle().room(by, now) != Some(0)
+    }
+
+    /// Returns whether all its slots are used, as far as this entry knows, and it is brittle: it may not
+    /// even let requests wait.
+    fn is_full_and_brittle(&self) -> bool {
+        self.total_running() >= self.slots && self.brittle().named().is_some()
     }
 
     fn cold(&self) -> MutexGuard<'_, ColdGate> {
-        self.cold.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.gates.cold)
     }
 
     fn limit(&self) -> MutexGuard<'_, LimitGate> {
-        self.limit.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.gates.limit)
     }
+
+    fn brittle(&self) -> MutexGuard<'_, BrittleGate> {
+        lock(&self.gates.brittle)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
