Bear an upstream that is silent for a second

What callers saw: nothing yet. Ours was 1.5 s with the first probe after 1.5 s and the next look a second later: a connection whose first probe met the silence ended a second later, with its request, and the two retries that the code set counted for nothing. A stream was taken to another engine after 1.2 s. Change: the first probe goes out after 1 s, two before the timeout of 2.2 s (checked as the code compiles); a stream may stand for 1.5 s.

--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -15,9 +15,9 @@
 use crate::request::CallerRequest;
 
 /// A resumable stream that sends nothing for this long, or for [`STALL_PAUSES`] of its route's
-/// pauses if that is longer, is resumed at another engine. Callers give up after two seconds or
-/// eight such pauses.
-const STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// pauses if that is longer, is resumed at another engine. A sound engine may be silent for a second;
+/// callers give up after two seconds or eight such pauses.
+const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// See [`STALL_TIMEOUT`].
 const STALL_PAUSES: u32 = 3;
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -36,13 +36,16 @@
 
 /// How long sent bytes may stay unacknowledged before a connection counts as dead. A connection can
 /// go silent without a reset, and only the kernel's timer shows that to a task that waits for an
-/// answer.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// answer. A sound upstream may be silent for a second. With this timeout set, the kernel gives up on
+/// keep-alive probes after it too, whatever their number.
+const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2_200);
 
-/// The interval between two keep-alive probes of an idle connection; the kernel counts in whole
-/// seconds.
+/// The time before the first keep-alive probe of a silent connection, and between two of them; the
+/// kernel counts in whole seconds. Two probes go out before [`TCP_USER_TIMEOUT`] is over.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+const _: () = assert!(KEEPALIVE_INTERVAL.as_millis() * 2 < TCP_USER_TIMEOUT.as_millis());
+
 /// The request sender of an HTTP connection.
 pub(crate) type ConnectionSender = SendRequest<Full<Bytes>>;
 
@@ -278,7 +281,7 @@
 /// Sets the socket options of a connection to an upstream.
 pub(crate) fn configure(stream: &TcpStream) -> std::io::Result<()> {
     let keepalive =
-        TcpKeepalive::new().with_time(TCP_USER_TIMEOUT).with_interval(KEEPALIVE_INTERVAL);
+        TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     let socket = SockRef::from(stream);
     stream.set_nodelay(true)?;
     socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
