Space the tries of entries that are cut off by their number, and draw them

What callers saw: nothing; found on reading the diff. A service whose upstreams are all gone looks cut off to every entry, and each tried two of them every 300 ms: with 995 entries 6,600 connections a second, all of them at a service that has just come back. Change: the mean pause is at least 2 ms for each entry (2 s at 995, 300 ms up to 150), and drawn from half to one and a half of it. An entry that is cut off is served through others meanwhile, so that a later return costs a relay, not a request. Evidence: worked out, not played at that size; callers_of_entries_cut_off_from_upstreams_are_served_like_the_others passes.

--- a/crates/gateway/src/shared/path.rs
+++ b/crates/gateway/src/shared/path.rs
@@ -19,9 +19,13 @@
 /// How many upstreams are tried at once while the entry is cut off.
 const PROBES: usize = 2;
 
-/// The pause between two tries while the entry is cut off.
+/// The shortest mean pause between two tries of an entry that is cut off.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// The mean time between two tries of all entries together, where that makes the pause longer: a service
+/// whose upstreams are all gone seems cut off to every entry, and is met by all of them when it is back.
+const PROBE_SPACING: Duration = Duration::from_millis(2);
+
 /// How long opening a connection for a try may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -47,12 +51,19 @@
         directory.services().for_each(|it| self.paths.suspect(it));
         self.metrics.cut_off.inc();
         while self.paths.path(&service) == Path::CutOff {
-            sleep(PROBE_INTERVAL).await;
+            sleep(self.probe_pause()).await;
             self.reaches_any(&service, PROBES).await;
         }
         self.metrics.cut_off.dec();
     }
 
+    /// Returns the time to the next try, drawn so that entries which are cut off together don't try at the
+    /// same moments.
+    fn probe_pause(&self) -> Duration {
+        let mean = PROBE_INTERVAL.max(PROBE_SPACING * self.entries() as u32);
+        mean.mul_f64(rand::random_range(0.5..1.5))
+    }
+
     /// Tries to connect to some upstreams of a service; returns whether one could be reached. A service
     /// without upstreams counts as reached: nothing is to be reached there.
     async fn reaches_any(&self, service: &Arc<str>, count: usize) -> bool {
