Tell entries the software version of each upstream, and log it with each choice

The list's version of each upstream now travels to entries: in a message of its own before each message about upstreams (level 7; peers of earlier releases read lists without versions), and with lists that entries forward. A choice logs the version and the attempt that the caller resumes. No choice depends on it yet.

--- a/crates/gateway/examples/place_cost.rs
+++ b/crates/gateway/examples/place_cost.rs
@@ -24,6 +24,7 @@
         domain: format!("domain-{}", number % 4),
         slots: 64,
         health: registry::Health::Ready,
+        version: "v1".into(),
     };
     Arc::new(Upstream::new(&listed, 4))
 }
--- a/crates/gateway/src/batch/client/job.rs
+++ b/crates/gateway/src/batch/client/job.rs
@@ -52,6 +52,7 @@
             | FromOwner::Lent(..)
             | FromOwner::Relayed(_)
             | FromOwner::Relay(_)
+            | FromOwner::VersionedRelay(..)
             | FromOwner::Backlog(..)
             | FromOwner::SectionBacklog(_) => return None,
         };
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -41,6 +41,14 @@
     pub(crate) relayed: Arc<Notify>,
 }
 
+impl Sinks {
+    fn take_relay(&self, relay: Relay) {
+        // If the channel is full, the lists that wait in it are as recent.
+        let _ = self.relays.try_send(relay);
+        self.relayed.notify_one();
+    }
+}
+
 /// A connection to an owner.
 pub(crate) struct Link {
     sender: mpsc::UnboundedSender<ToOwner>,
@@ -126,11 +134,11 @@
                 self.sinks.backlogs.set(section, it.backlog);
                 return;
             }
-            FromOwner::Relay(relay) => {
-                // If the channel is full, the lists that wait in it are as recent.
-                let _ = self.sinks.relays.try_send(Relay::clone(relay));
-                self.sinks.relayed.notify_one();
-                return;
+            FromOwner::Relay(relay) => return self.sinks.take_relay(Relay::clone(relay)),
+            FromOwner::VersionedRelay(relay, versions) => {
+                let mut relay = Relay::clone(relay);
+                versions.fill(&mut relay.upstreams.upstreams);
+                return self.sinks.take_relay(relay);
             }
         };
         if let Some(job) = state.jobs.get(&id) {
@@ -249,7 +257,10 @@
                         ToOwner::AskLists(held) => {
                             let relay = registry_state.borrow().relay(*held);
                             // Answered without newer lists, too: the entry asks another one then.
-                            if sender.send(&FromOwner::Relay(Box::new(relay))).await.is_err() {
+                            let Some(relay) = FromOwner::relay(relay).at_level(sender.level()) else {
+                                continue;
+                            };
+                            if sender.send(&relay).await.is_err() {
                                 break;
                             }
                             continue;
@@ -267,7 +278,7 @@
             _ = heartbeat.tick(), if busy => FromOwner::Heartbeat,
             Ok(()) = registry_state.changed(), if subscription.is_active() => {
                 match subscription.next(&registry_state.borrow_and_update()) {
-                    Some(relay) => FromOwner::Relay(Box::new(relay)),
+                    Some(relay) => FromOwner::relay(relay),
                     None => continue,
                 }
             }
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -1,6 +1,6 @@
 //! The messages between entries and the owner of a service.
 
-use registry::{ListStamps, Relay, RequestDigest};
+use registry::{ListStamps, Relay, RequestDigest, VersionList};
 use serde::{Deserialize, Serialize};
 
 use crate::backlog::Backlog;
@@ -121,6 +121,9 @@
 /// The protocol level from which entries relay connections to upstreams.
 pub(crate) const RELAY_LEVEL: u8 = 6;
 
+/// The protocol level from which forwarded lists tell the versions of upstreams.
+pub(crate) const VERSIONS_LEVEL: u8 = 7;
+
 /// The protocol level from which jobs carry the digest of their request, by which owners count the
 /// upstreams that terminate while they run it.
 pub(crate) const DIGESTS_LEVEL: u8 = 3;
@@ -181,6 +184,8 @@
     Lent(u64, bool),
     /// The answers to [`ToOwner::Relayed`].
     Relayed(FromRelay),
+    /// The registry's lists, with the versions of the upstreams.
+    VersionedRelay(Box<Relay>, VersionList),
 }
 
 /// The backlog of a section as its owner sees it.
@@ -193,6 +198,12 @@
 }
 
 impl FromOwner {
+    /// Creates the message that forwards lists.
+    pub(crate) fn relay(relay: Relay) -> Self {
+        let versions = VersionList::of(&relay.upstreams.upstreams);
+        Self::VersionedRelay(Box::new(relay), versions)
+    }
+
     /// Converts the message to one that an entry of this level can read, if there is one. An entry
     /// that knows no sections only reads the waits of whole services.
     pub(crate) fn at_level(self, level: u8) -> Option<Self> {
@@ -200,6 +211,7 @@
             Self::SectionBacklog(it) if level < SECTIONS_LEVEL => {
                 it.domain.is_none().then_some(Self::Backlog(it.service, it.backlog.waits))
             }
+            Self::VersionedRelay(it, _) if level < VERSIONS_LEVEL => Some(Self::Relay(it)),
             message => Some(message),
         }
     }
--- a/crates/gateway/src/batch/message/tests.rs
+++ b/crates/gateway/src/batch/message/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the messages that are sent to earlier releases.
 
+use types::SoftwareVersion;
+
 use super::*;
 
 fn job() -> Job {
@@ -115,3 +117,43 @@
         assert_eq!(sent, case.sent, "{}", case.name);
     }
 }
+
+struct RelayCase {
+    name: &'static str,
+    level: u8,
+    with_versions: bool,
+}
+
+const RELAY_CASES: &[RelayCase] = &[
+    RelayCase { name: "to the release before", level: VERSIONS_LEVEL - 1, with_versions: false },
+    RelayCase { name: "to this release", level: VERSIONS_LEVEL, with_versions: true },
+];
+
+/// Guards against lists of upstreams without their versions, and against an entry of an earlier release
+/// that can't read them.
+#[test]
+fn forwarded_lists_tell_versions_to_entries_that_can_read_them() {
+    for RelayCase { name, level, with_versions } in RELAY_CASES {
+        let listed = registry::Upstream {
+            id: "u-1".to_owned(),
+            service: "s".to_owned(),
+            address: ([127, 0, 0, 1], 1).into(),
+            domain: "d".to_owned(),
+            slots: 1,
+            health: registry::Health::Ready,
+            version: "v2".into(),
+        };
+        let mut relay = Relay::default();
+        relay.upstreams.upstreams.push(listed.clone());
+        let sent = FromOwner::relay(relay).at_level(*level);
+        let versions = match &sent {
+            Some(FromOwner::Relay(_)) => VersionList::default(),
+            Some(FromOwner::VersionedRelay(_, versions)) => versions.clone(),
+            other => panic!("{name}: {other:?}"),
+        };
+        let mut received =
+            [registry::Upstream { version: SoftwareVersion::default(), ..listed.clone() }];
+        versions.fill(&mut received);
+        assert_eq!(received[0] == listed, *with_versions, "{name}");
+    }
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -56,6 +56,8 @@
     pub segments: Option<Segments>,
     /// The number of the last event of an interrupted stream that the caller has received.
     pub last_event: Option<u64>,
+    /// The caller's id of the attempt that brought the first event of an interrupted stream.
+    pub resumed: Option<String>,
 }
 
 /// What the entry adds to the head of a request to an upstream.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -71,7 +71,9 @@
         for it in registry_state.upstreams.iter() {
             let connection_share = connection_share(plan, &it.service, entries);
             let upstream = match self.by_id.get(it.id.as_str()) {
-                Some(known) if known.address == it.address => Arc::clone(known),
+                Some(known) if known.address == it.address && known.version == it.version => {
+                    Arc::clone(known)
+                }
                 _ => Arc::new(
                     Upstream::new(it, connection_share.most)
                         .with_lists(&self.in_use, &self.entries)
--- a/crates/gateway/src/directory/tests.rs
+++ b/crates/gateway/src/directory/tests.rs
@@ -15,6 +15,7 @@
         domain: "d".to_owned(),
         slots: 8,
         health: Health::Ready,
+        version: "v1".into(),
     };
     RegistryState {
         upstreams: Arc::new(ids.iter().map(listed).collect()),
--- a/crates/gateway/src/offers/tests.rs
+++ b/crates/gateway/src/offers/tests.rs
@@ -48,6 +48,7 @@
         domain: "d".to_owned(),
         slots: 1,
         health: Health::Ready,
+        version: "v1".into(),
     };
     let upstream = Upstream::new(&listed, 1);
     if ejected {
--- a/crates/gateway/src/quarantine/tests.rs
+++ b/crates/gateway/src/quarantine/tests.rs
@@ -20,6 +20,7 @@
         domain: "d".to_owned(),
         slots: 8,
         health: Health::Ready,
+        version: "v1".into(),
     };
     (Arc::new(Upstream::new(&listed, 4).with_paths(paths)), socket)
 }
--- a/crates/gateway/src/shared/tests.rs
+++ b/crates/gateway/src/shared/tests.rs
@@ -114,6 +114,7 @@
                 domain: "d".to_owned(),
                 slots: 1,
                 health: Health::Ready,
+                version: "v1".into(),
             };
             (registry_state.upstreams_stamp, registry_state.upstreams) =
                 (stamp, Arc::new(vec![upstream]));
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -146,7 +146,8 @@
                 running = upstream.total_running(), tokens = upstream.total_tokens(),
                 limit = upstream.limit_named().map(|it| it.0),
                 listed:% = self.shared.directory().listed(), inputs = handles.len(),
-                last = last_event, stages:% = phases,
+                version:% = upstream.version, last = last_event,
+                resumes = request.head.resumed.as_deref(), stages:% = phases,
                 age_ms = request.arrived.elapsed().as_millis() as u64; "chose an engine");
             let forward = request.forward::<D>(&upstream, handles, last_event);
             let fault = match open::<D>(request, &upstream, forward).await {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwap;
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::Instant;
+use types::SoftwareVersion;
 
 use crate::incarnation::{Incarnation, LatestIncarnation, StartTime};
 use crate::path::Paths;
@@ -51,6 +52,8 @@
     pub domain: Arc<str>,
     /// How many requests it runs at once.
     pub slots: u32,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     latest: LatestIncarnation,
     draining: AtomicBool,
     /// Whether its failure domain is evacuated.
@@ -98,6 +101,7 @@
             address: listed.address,
             domain: listed.domain.as_str().into(),
             slots: listed.slots,
+            version: listed.version.clone(),
             latest: LatestIncarnation::default(),
             draining: AtomicBool::new(listed.health == registry::Health::Draining),
             evacuated: AtomicBool::new(false),
--- a/crates/gateway/tests/gather.rs
+++ b/crates/gateway/tests/gather.rs
@@ -37,6 +37,7 @@
             domain: format!("d-{}", number % 5),
             slots: 64,
             health: registry::Health::Ready,
+            version: "v1".into(),
         };
         Arc::new(Upstream::new(&listed, 4))
     };
--- a/crates/gateway/tests/pure.rs
+++ b/crates/gateway/tests/pure.rs
@@ -122,6 +122,7 @@
             domain: format!("d-{}", number % 3),
             slots: 8,
             health: registry::Health::Ready,
+            version: "v1".into(),
         };
         Arc::new(Upstream::new(&listed, 4))
     };
--- a/crates/gateway/tests/section.rs
+++ b/crates/gateway/tests/section.rs
@@ -25,6 +25,7 @@
         domain: (*domain).to_owned(),
         slots: 1,
         health: Health::Ready,
+        version: "v1".into(),
     });
     listed.map(|it| Arc::new(Upstream::new(&it, 1))).collect()
 }
--- a/crates/registry/src/follow/lists.rs
+++ b/crates/registry/src/follow/lists.rs
@@ -7,7 +7,7 @@
 use super::state::State;
 use crate::content::{Held, Offer, Patch};
 use crate::difference::{Difference, NumberedList};
-use crate::message::{EntryInfo, Relay, Stamp, ToMember, Upstream, UpstreamList};
+use crate::message::{EntryInfo, Relay, Stamp, ToMember, Upstream, UpstreamList, VersionList};
 use crate::quarantine::Evidence;
 
 /// The last lists that a member sent.
@@ -18,11 +18,20 @@
     /// What this entry held, from whichever member, when this one offered its lists.
     held_entries: Arc<Vec<EntryInfo>>,
     held_upstreams: Arc<Vec<Upstream>>,
+    /// The versions of the upstreams in the member's next message.
+    versions: VersionList,
 }
 
 impl State {
-    pub(super) fn take_upstreams(&mut self, from: SocketAddr, next: NumberedList<Upstream>) {
-        self.lists_of(from).upstreams = next.clone();
+    /// Keeps the versions of upstreams until the message with these upstreams arrives.
+    pub(super) fn take_versions(&mut self, from: SocketAddr, versions: VersionList) {
+        self.lists_of(from).versions = versions;
+    }
+
+    pub(super) fn take_upstreams(&mut self, from: SocketAddr, mut next: NumberedList<Upstream>) {
+        let lists = self.lists_of(from);
+        std::mem::take(&mut lists.versions).fill(&mut next.list);
+        lists.upstreams = next.clone();
         self.handle_upstreams(from, UpstreamList { stamp: next.stamp, upstreams: next.list });
     }
 
@@ -34,7 +43,9 @@
     /// Answers the offer of a list of upstreams, and adopts its number if this entry holds it already.
     pub(super) fn answer_upstreams(&mut self, from: SocketAddr, offer: Offer) {
         let held = Arc::clone(&self.published.borrow().upstreams);
-        let answer = offer.answer(&held);
+        // Whole lists bring the versions of all upstreams; a member of an earlier release has told none.
+        let lacks_versions = held.iter().any(|it| !it.version.is_known());
+        let answer = if lacks_versions { Held::Nothing } else { offer.answer(&held) };
         log::info!(peer:% = from, listed:% = offer.stamp, upstreams = held.len(),
             same = answer == Held::Same; "a member offered its list of upstreams");
         if answer == Held::Same {
@@ -131,7 +142,11 @@
 
     fn set_upstreams(&self, list: UpstreamList) {
         self.published.send_if_modified(|state| {
-            let newer = list.stamp > state.upstreams_stamp;
+            let lacks = |list: &[Upstream]| list.iter().any(|it| !it.version.is_known());
+            let completes = list.stamp == state.upstreams_stamp
+                && lacks(&state.upstreams)
+                && !lacks(&list.upstreams);
+            let newer = list.stamp > state.upstreams_stamp || completes;
             if newer {
                 state.upstreams_stamp = list.stamp;
                 state.upstreams = Arc::new(list.upstreams);
--- a/crates/registry/src/follow/state.rs
+++ b/crates/registry/src/follow/state.rs
@@ -183,6 +183,7 @@
                 self.take_upstreams(from, NumberedList::new(list.stamp, list.upstreams));
             }
             ToEntry::UpstreamsChanged(difference) => self.change_upstreams(from, difference),
+            ToEntry::Versions(versions) => self.take_versions(from, versions),
             ToEntry::Loads(loads) => {
                 self.loads.send_replace(Arc::new(loads));
             }
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -41,6 +41,7 @@
 };
 pub use message::{
     EntryInfo, Health, ListStamps, LoadReport, Relay, Stamp, Upstream, UpstreamList, UpstreamLoad,
+    VersionList,
 };
 pub use reader::{ListSource, Listing, read_interval};
 pub use repair::{LEARNER_TIMEOUT, PeerView, RepairView, VOTER_TIMEOUT, next_membership};
--- a/crates/registry/src/lists.rs
+++ b/crates/registry/src/lists.rs
@@ -1,15 +1,17 @@
 //! The lists that a leader sends to entries, encoded once for all of them.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 
 use types::{StepError, StepResult};
 use wire::{Encoded, Sender};
 
 use crate::content::{Held, Offer, Patch, Summary, bucket_count};
-use crate::difference::{Listed, NumberedList};
+use crate::difference::{Difference, Listed, NumberedList};
 use crate::message::{
     DIFFERENCES_LEVEL, EntryInfo, LoadReport, OFFERS_LEVEL, Stamp, ToEntry, Upstream, UpstreamList,
+    VERSIONS_LEVEL, VersionList,
 };
 
 #[cfg(test)]
@@ -27,11 +29,11 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Published<T> {
     pub(crate) numbered: Arc<NumberedList<T>>,
-    whole: Option<Encoded<ToEntry>>,
+    whole: Option<EncodedList>,
     /// The lists before this one, the newest last.
     earlier: VecDeque<Arc<NumberedList<T>>>,
     /// The differences from earlier lists, each made for the first entry that needs it.
-    differences: Arc<Mutex<BTreeMap<Stamp, Encoded<ToEntry>>>>,
+    differences: Arc<Mutex<BTreeMap<Stamp, EncodedList>>>,
     /// Made for the first entry that is offered the list.
     summary: Arc<OnceLock<Summary>>,
 }
@@ -68,7 +70,7 @@
     /// # Errors
     /// Fails if the list is too large for a message; the previous one stays.
     pub(crate) fn publish(&mut self, next: NumberedList<T>) -> StepResult<()> {
-        self.whole = Some(encode(&next.whole_message())?);
+        self.whole = Some(EncodedList::new(&next.list, &next.whole_message())?);
         if self.earlier.len() == MAX_EARLIER_LISTS {
             self.earlier.pop_front();
         }
@@ -82,7 +84,7 @@
     ///
     /// # Errors
     /// Fails if the difference is too large for a message.
-    fn difference(&self, base: Stamp) -> StepResult<Option<Encoded<ToEntry>>> {
+    fn difference(&self, base: Stamp) -> StepResult<Option<EncodedList>> {
         let Some(earlier) = self.earlier.iter().find(|it| it.stamp == base) else {
             return Ok(None);
         };
@@ -90,7 +92,9 @@
         if let Some(known) = differences.get(&base) {
             return Ok(Some(known.clone()));
         }
-        let encoded = encode(&earlier.difference_message(&self.numbered))?;
+        let difference = earlier.difference(&self.numbered);
+        let updated = difference.updated.clone();
+        let encoded = EncodedList::new(&updated, &NumberedList::difference_message(difference))?;
         differences.insert(base, encoded.clone());
         Ok(Some(encoded))
     }
@@ -114,7 +118,7 @@
             return Ok(());
         }
         let Some(whole) = &self.whole else { return Ok(()) };
-        let offers = level >= OFFERS_LEVEL && whole.len() >= MIN_OFFERED_BYTES;
+        let offers = level >= OFFERS_LEVEL && whole.list.len() >= MIN_OFFERED_BYTES;
         // The difference from no list is as large as the whole list.
         let is_small = !offers || sent.stamp > Stamp::default();
         let takes_difference = level >= DIFFERENCES_LEVEL && is_small && !sent.needs_whole;
@@ -122,7 +126,7 @@
         match difference {
             Some(difference) => {
                 sent.stamp = newest;
-                sender.send_encoded(&difference).await
+                difference.send(sender).await
             }
             _ if offers && !sent.needs_whole => {
                 sent.offered = Some(newest);
@@ -130,7 +134,7 @@
             }
             _ => {
                 *sent = SentList { stamp: newest, ..SentList::default() };
-                sender.send_encoded(whole).await
+                whole.send(sender).await
             }
         }
     }
@@ -161,7 +165,9 @@
                 // Without a patch, the number of buckets has changed: the newer list is offered.
                 if let Some(patch) = self.summary().patch(&self.numbered, &held) {
                     sent.stamp = patch.offer.stamp;
-                    sender.send(&NumberedList::patch_message(patch)).await?;
+                    let elements = patch.elements.clone();
+                    let message = NumberedList::patch_message(patch);
+                    EncodedList::new(&elements, &message)?.send(sender).await?;
                 }
             }
         }
@@ -169,6 +175,34 @@
     }
 }
 
+/// A message with elements of a list, and the message that precedes it.
+#[derive(Clone, Debug)]
+struct EncodedList {
+    /// Sent first to an entry that can read it.
+    versions: Option<Encoded<ToEntry>>,
+    list: Encoded<ToEntry>,
+}
+
+impl EncodedList {
+    /// Encodes the message with these elements.
+    fn new<T>(elements: &[T], message: &ToEntry) -> StepResult<Self>
+    where
+        NumberedList<T>: ListMessages<Element = T>,
+    {
+        let versions = NumberedList::versions_message(elements);
+        let versions = versions.map(|it| encode(&it)).transpose()?;
+        Ok(Self { versions, list: encode(message)? })
+    }
+
+    async fn send(&self, sender: &Sender<ToEntry>) -> StepResult<()> {
+        if let Some(versions) = self.versions.as_ref().filter(|_| sender.level() >= VERSIONS_LEVEL)
+        {
+            sender.send_encoded(versions).await?;
+        }
+        sender.send_encoded(&self.list).await
+    }
+}
+
 fn encode(message: &ToEntry) -> StepResult<Encoded<ToEntry>> {
     Encoded::new(message).map_err(|e| StepError::new("encode list for entries", e))
 }
@@ -176,13 +210,20 @@
 /// Makes the messages that carry a list.
 pub(crate) trait ListMessages: Sized {
     /// The type of the list's elements.
-    type Element;
+    type Element: Listed;
 
     /// Returns the message with the whole list.
     fn whole_message(&self) -> ToEntry;
 
-    /// Returns the message with the difference from this list to `next`.
-    fn difference_message(&self, next: &Self) -> ToEntry;
+    /// Returns the message with the difference from one list to another.
+    fn difference_message(
+        difference: Difference<Self::Element, <Self::Element as Listed>::Key>,
+    ) -> ToEntry;
+
+    /// Returns the message that precedes one with these elements, if they need one.
+    fn versions_message(_elements: &[Self::Element]) -> Option<ToEntry> {
+        None
+    }
 
     /// Returns the message that offers a list.
     fn offer_message(offer: Offer) -> ToEntry;
@@ -198,8 +239,8 @@
         ToEntry::Entries(self.stamp, self.list.clone())
     }
 
-    fn difference_message(&self, next: &Self) -> ToEntry {
-        ToEntry::EntriesChanged(self.difference(next))
+    fn difference_message(difference: Difference<EntryInfo, SocketAddr>) -> ToEntry {
+        ToEntry::EntriesChanged(difference)
     }
 
     fn offer_message(offer: Offer) -> ToEntry {
@@ -218,8 +259,13 @@
         ToEntry::Upstreams(UpstreamList { stamp: self.stamp, upstreams: self.list.clone() })
     }
 
-    fn difference_message(&self, next: &Self) -> ToEntry {
-        ToEntry::UpstreamsChanged(self.difference(next))
+    fn difference_message(difference: Difference<Upstream, String>) -> ToEntry {
+        ToEntry::UpstreamsChanged(difference)
+    }
+
+    fn versions_message(elements: &[Upstream]) -> Option<ToEntry> {
+        let versions = VersionList::of(elements);
+        (!versions.is_empty()).then_some(ToEntry::Versions(versions))
     }
 
     fn offer_message(offer: Offer) -> ToEntry {
--- a/crates/registry/src/lists/tests.rs
+++ b/crates/registry/src/lists/tests.rs
@@ -15,6 +15,7 @@
         domain: "d".to_owned(),
         slots: 8 + u32::from((number as u64) < changes),
         health: Health::Ready,
+        version: "v1".into(),
     };
     let stamp = Stamp { term: 1, count: changes };
     NumberedList::new(stamp, (0..UPSTREAMS).map(upstream).collect())
@@ -47,7 +48,7 @@
     for case in CASES {
         let base = Stamp { term: 1, count: newest - case.behind };
         let difference = published.difference(base).expect("a difference that fits a message");
-        let size = difference.map(|it| it.len());
+        let size = difference.map(|it| it.list.len());
         assert_eq!(size.is_some(), case.most.is_some(), "{}", case.name);
         assert!(size <= case.most, "{}: {size:?} bytes", case.name);
     }
--- a/crates/registry/src/message.rs
+++ b/crates/registry/src/message.rs
@@ -1,11 +1,12 @@
 //! The messages between members, and between members and entries.
 
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::net::SocketAddr;
 
 use consensus::Message;
 use serde::{Deserialize, Serialize};
-use types::{LogIndex, NodeId, Version};
+use types::{LogIndex, NodeId, SoftwareVersion, Version};
 
 use crate::cold::ColdList;
 use crate::content::{Held, Offer, Patch};
@@ -133,6 +134,8 @@
     UpstreamsPatched(Patch<Upstream>),
     /// The difference between the leader's entries and those that the entry named.
     EntriesPatched(Patch<EntryInfo>),
+    /// The versions of the upstreams in the next message about upstreams.
+    Versions(VersionList),
 }
 
 /// The protocol level from which an entry accepts differences of lists.
@@ -147,6 +150,9 @@
 /// The protocol level from which entries answer offers of lists.
 pub const OFFERS_LEVEL: u8 = 5;
 
+/// The protocol level from which messages about upstreams come with the versions of their software.
+pub const VERSIONS_LEVEL: u8 = 7;
+
 /// The number of a list that a leader publishes. It orders the lists of successive leaders.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Stamp {
@@ -226,6 +232,42 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub health: Health,
+    /// The version of its software, which never changes. Peers of earlier releases read lists without
+    /// it, so it travels in a [`VersionList`].
+    #[serde(skip)]
+    pub version: SoftwareVersion,
+}
+
+/// The ids of upstreams, by the version of their software.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionList(BTreeMap<SoftwareVersion, Vec<String>>);
+
+impl VersionList {
+    /// Returns the versions of these upstreams, without those that are not known.
+    pub fn of(upstreams: &[Upstream]) -> Self {
+        let mut versions: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for it in upstreams.iter().filter(|it| it.version.is_known()) {
+            versions.entry(it.version.clone()).or_default().push(it.id.clone());
+        }
+        Self(versions)
+    }
+
+    /// Returns whether no version is known.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Sets the versions of the upstreams that are listed here.
+    pub fn fill(&self, upstreams: &mut [Upstream]) {
+        let known =
+            self.0.iter().flat_map(|(version, ids)| ids.iter().map(move |id| (id, version)));
+        let known: HashMap<_, _> = known.collect();
+        for upstream in upstreams {
+            if let Some(version) = known.get(&upstream.id) {
+                upstream.version = SoftwareVersion::clone(version);
+            }
+        }
+    }
 }
 
 /// The loads in flight at upstreams; upstreams without any are left out.
--- a/crates/registry/tests/content.rs
+++ b/crates/registry/tests/content.rs
@@ -16,6 +16,7 @@
         domain: format!("d-{}", number % 3),
         slots,
         health: Health::Ready,
+        version: "v1".into(),
     }
 }
 
--- a/crates/registry/tests/env/mod.rs
+++ b/crates/registry/tests/env/mod.rs
@@ -44,6 +44,7 @@
             domain: "d".to_owned(),
             slots: 1,
             health: Health::Ready,
+            version: "v1".into(),
         };
         Ok(Listing { upstreams: vec![upstream], ..Listing::default() })
     }
--- a/crates/registry/tests/late_level.rs
+++ b/crates/registry/tests/late_level.rs
@@ -30,6 +30,7 @@
             domain: "e".to_owned(),
             slots: 1,
             health: Health::Ready,
+            version: "v1".into(),
         };
         let cold = ColdUpstream { id: upstream.id.clone(), left_ms: 60_000 };
         Ok(Listing { upstreams: vec![upstream], cold: vec![cold], ..Listing::default() })
--- a/crates/registry/tests/leader_change.rs
+++ b/crates/registry/tests/leader_change.rs
@@ -48,6 +48,7 @@
         domain: format!("domain-{}", number % 5),
         slots: 64,
         health: Health::Ready,
+        version: "v1".into(),
     }
 }
 
--- a/crates/registry/tests/list_memory.rs
+++ b/crates/registry/tests/list_memory.rs
@@ -41,6 +41,7 @@
             domain: format!("domain-{}", number % 5),
             slots: 64,
             health: Health::Ready,
+            version: "v1".into(),
         };
         Ok(Listing { upstreams: (0..count).map(upstream).collect(), ..Listing::default() })
     }
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -108,6 +108,51 @@
     IdempotencyKey, "idempotency key", is_key;
 }
 
+/// The version of an upstream's software, as the platform lists it. The empty one, which is the default,
+/// is not known.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub struct SoftwareVersion(std::sync::Arc<str>);
+
+impl SoftwareVersion {
+    /// Returns whether the version is known.
+    pub fn is_known(&self) -> bool {
+        !self.0.is_empty()
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(if self.is_known() { &self.0 } else { "unknown" })
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = std::convert::Infallible;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(text.into())
+    }
+}
+
+impl From<&str> for SoftwareVersion {
+    fn from(text: &str) -> Self {
+        Self(text.into())
+    }
+}
+
+impl From<String> for SoftwareVersion {
+    fn from(text: String) -> Self {
+        Self(text.into())
+    }
+}
+
+impl From<SoftwareVersion> for String {
+    fn from(version: SoftwareVersion) -> Self {
+        version.0.as_ref().to_owned()
+    }
+}
+
 macro_rules! numbers {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,8 +13,8 @@
 pub use error::{StepError, StepResult};
 pub use id::{
     CallId, ChangeId, CustomerName, Fence, IdempotencyKey, Incarnation, LogIndex, ModelName,
-    NameError, NodeId, OperatorName, PipelineName, PoolName, RequestId, SiteName, StageName, Term,
-    UpstreamName, Version, VmName,
+    NameError, NodeId, OperatorName, PipelineName, PoolName, RequestId, SiteName, SoftwareVersion,
+    StageName, Term, UpstreamName, Version, VmName,
 };
 pub use load::{Digest, UpstreamAvailability, UpstreamLoad};
 pub use outcome::{Outcome, Refusal, RefusalReason};
