Resume streams within their answers at engines of the same version only

Callers saw events of two software versions in one answer. Cause: an entry that resumes a stream chose among all engines of the service.

A resumption now names the version at which the stream began, and choices, loans of room and waits for room are limited to engines of it. A stream whose version is not known is not resumed.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,6 +12,7 @@
 use http::{Response, StatusCode};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use types::SoftwareVersion;
 
 use crate::admission::{self, Forecast, Requirements, Verdict};
 use crate::batch::BatchClient;
@@ -29,7 +30,7 @@
 use crate::stages::{self, Inputs, StageFailure, StageRun};
 use crate::upstream::Upstream;
 
-use self::choice::Criteria;
+use self::choice::{Criteria, engines};
 use self::open::{AttachedStream, EngineAnswer, open};
 use self::pump::Pump;
 
@@ -48,6 +49,15 @@
     pub(crate) batches: Arc<BatchClient<D>>,
 }
 
+/// Where a stream goes on.
+#[derive(Clone, Debug)]
+struct Resumption {
+    /// The number of the last event that the caller has received.
+    last_event: Option<u64>,
+    /// The version at which the stream began.
+    version: SoftwareVersion,
+}
+
 /// The tries that a request has used up so far.
 struct Tries {
     offers: Offers,
@@ -102,14 +112,16 @@
         request: &CallerRequest,
         service: &Arc<str>,
         tries: &mut Tries,
-        last_event: Option<u64>,
+        resumption: Option<&Resumption>,
     ) -> Result<EngineAnswer, Refusal> {
+        let version = resumption.map(|it| &it.version);
+        let last_event = resumption.and_then(|it| it.last_event);
         let mut inputs: Option<Inputs<D>> = None;
         // The engine at which another entry has lent its room for the next try.
         let mut borrowed: Option<Arc<Upstream>> = None;
         loop {
             if inputs.is_none() {
-                inputs = Some(self.inputs(request, service, tries).await?);
+                inputs = Some(self.inputs(request, service, tries, version).await?);
             }
             let (handles, phases) = match &inputs {
                 Some(it) => (it.handles(), it.phases().clone()),
@@ -119,6 +131,7 @@
                 tried: tries.offers.tried(),
                 left: request.target().saturating_duration_since(Instant::now()),
                 domain: self.batches.domain_of(handles),
+                version,
             };
             let lent = borrowed.take();
             let has_loan = lent.is_some();
@@ -126,9 +139,11 @@
             // The request may have been quarantined while its stages ran.
             self.check_quarantine(request, tries)?;
             let Some(upstream) = upstream else {
-                borrowed = self.borrow_room(service, tries).await;
+                let directory = self.shared.directory();
+                let engines: Vec<_> = engines(&directory, service, version).cloned().collect();
+                borrowed = self.batches.borrow_room(&engines, tries.offers.tried()).await;
                 if borrowed.is_none() {
-                    self.wait_for_room(request, service, tries).await?;
+                    Self::wait_for_room(request, &engines, tries).await?;
                 }
                 continue;
             };
@@ -192,21 +207,13 @@
         }
     }
 
-    /// Borrows room at an engine for which this entry has none.
-    async fn borrow_room(&self, service: &Arc<str>, tries: &Tries) -> Option<Arc<Upstream>> {
-        let directory = self.shared.directory();
-        self.batches.borrow_room(directory.service(service), tries.offers.tried()).await
-    }
-
     /// Waits until a cold engine may get a request for which no engine could be chosen.
     async fn wait_for_room(
-        &self,
         request: &CallerRequest,
-        service: &Arc<str>,
+        engines: &[Arc<Upstream>],
         tries: &Tries,
     ) -> Result<(), Refusal> {
-        let directory = self.shared.directory();
-        let (engines, tried) = (directory.service(service), tries.offers.tried());
+        let tried = tries.offers.tried();
         let waited = room::wait_for_room(engines, tried, request.target()).await;
         waited.map_err(|refusal| if tries.runs > 0 { Refusal::Failed } else { refusal })
     }
@@ -224,7 +231,7 @@
     /// those whose callers gave up would be lost.
     fn admit(&self, request: &CallerRequest, service: &Arc<str>) -> Result<(), Refusal> {
         let Some(segments) = &request.head.segments else { return Ok(()) };
-        let run = self.stage_run(request, segments, service);
+        let run = self.stage_run(request, segments, service, None);
         let rank = request.rank();
         let section = |it: &Arc<str>| self.shared.section(it, None, rank);
         let backlogs = &self.shared.backlogs;
@@ -277,6 +284,7 @@
         request: &'a CallerRequest,
         segments: &'a Segments,
         service: &Arc<str>,
+        version: Option<&SoftwareVersion>,
     ) -> StageRun<'a> {
         let mut run = StageRun {
             plan: &request.plan,
@@ -298,7 +306,7 @@
         };
         let stages = stages::expected_time(&run, |_| Duration::ZERO);
         let left = request.target().saturating_duration_since(Instant::now() + stages);
-        let criteria = Criteria { tried: &[], left, domain: None };
+        let criteria = Criteria { tried: &[], left, domain: None, version };
         run.domain = self.choose(request, service, &criteria).map(|it| Arc::clone(&it.domain));
         run
     }
@@ -315,13 +323,14 @@
         request: &CallerRequest,
         service: &Arc<str>,
         tries: &mut Tries,
+        version: Option<&SoftwareVersion>,
     ) -> Result<Inputs<D>, Refusal> {
         let Some(segments) = &request.head.segments else {
             return Ok(Inputs::none(Arc::clone(&self.batches)));
         };
         loop {
             tries.stage_runs += 1;
-            let run = self.stage_run(request, segments, service);
+            let run = self.stage_run(request, segments, service, version);
             match stages::run(&self.batches, &run).await {
                 Ok(inputs) => {
                     self.shared.metrics.record_stages(inputs.phases());
--- a/crates/gateway/src/stream/choice.rs
+++ b/crates/gateway/src/stream/choice.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use types::SoftwareVersion;
 
 use super::Streams;
 use crate::dialect::{Dialect, PromptPart};
@@ -22,6 +23,19 @@
     pub(super) left: Duration,
     /// The failure domain that holds most of the inputs.
     pub(super) domain: Option<Arc<str>>,
+    /// The version at which the stream began, if it is resumed. What two versions write does not fit
+    /// together.
+    pub(super) version: Option<&'a SoftwareVersion>,
+}
+
+/// Returns the engines of a service, or those of one version.
+pub(super) fn engines<'a>(
+    directory: &'a Directory,
+    service: &str,
+    version: Option<&SoftwareVersion>,
+) -> impl Iterator<Item = &'a Arc<Upstream>> {
+    let fits = move |it: &&Arc<Upstream>| version.is_none_or(|version| it.version == *version);
+    directory.service(service).iter().filter(fits)
 }
 
 impl<D: Dialect> Streams<D> {
@@ -35,7 +49,7 @@
     ) -> Option<Arc<Upstream>> {
         let now = Instant::now();
         let directory = self.shared.directory();
-        let open = directory.service(service).iter();
+        let open = engines(&directory, service, criteria.version);
         let fits = |it: &&Arc<Upstream>| it.is_open() && it.has_room(now);
         let open = open.filter(|it| fits(it) && !criteria.tried.contains(&it.id)).cloned();
         let mut candidates: Vec<Arc<Upstream>> = open.collect();
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -8,11 +8,12 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
-use super::{AttachedStream, EngineAnswer, Streams, Tries};
+use super::{AttachedStream, EngineAnswer, Resumption, Streams, Tries};
 use crate::dialect::Dialect;
 use crate::events::Event;
 use crate::reply::Truncated;
 use crate::request::CallerRequest;
+use crate::upstream::Upstream;
 
 /// A resumable stream that sends nothing for this long, or for [`STALL_PAUSES`] of its route's
 /// pauses if that is longer, is resumed at another engine. A sound engine may be silent for a second;
@@ -60,7 +61,7 @@
                     upstream.record_failure(false);
                     upstream.check_path();
                     shared.quarantine.record_lost_run(self.request.digest(), &upstream, times);
-                    match self.resume(&upstream.id, why).await {
+                    match self.resume(&upstream, why).await {
                         Some(next) => {
                             attached = next;
                             continue;
@@ -136,8 +137,8 @@
         }
     }
 
-    /// Resumes the stream at another engine, if the route allows it.
-    async fn resume(&mut self, from: &str, why: &'static str) -> Option<AttachedStream> {
+    /// Resumes the stream at another engine of the same version, if the route allows it.
+    async fn resume(&mut self, from: &Upstream, why: &'static str) -> Option<AttachedStream> {
         let route = &self.request.route;
         self.tries.runs += 1;
         self.tries.reached_upstream = true;
@@ -145,14 +146,16 @@
             || self.request.is_trial()
             || self.tries.runs >= route.attempts
             || self.last_event.is_none()
+            || !from.version.is_known()
         {
             return None;
         }
-        log::info!(request = self.request.head.attempt.as_str(), upstream = from,
+        log::info!(request = self.request.head.attempt.as_str(), upstream:% = from.id, version:% = from.version,
             last = self.last_event, cause = why, digest:% = self.request.digest();
             "resuming a stream at another engine");
         let streams = Arc::clone(&self.streams);
-        let next = streams.attach(&self.request, &self.service, &mut self.tries, self.last_event);
+        let resumption = Resumption { last_event: self.last_event, version: from.version.clone() };
+        let next = streams.attach(&self.request, &self.service, &mut self.tries, Some(&resumption));
         let next = tokio::select! {
             next = next => next,
             () = self.events.closed() => return None,
