Let callers' streams go on at the version that began them, whichever entry they come to

Cause: a caller names in Resumes only the attempt that began its stream; no entry read that, and none but the one that had sent the first event could know the version.

Before a caller has an event, the entry now sends where the stream began (service and version) to four entries that all find alike by the attempt and the list of entries, and again until they confirm. An entry to which a stream is taken up asks eight of them, in datagrams: no leader and no connections, and a stream costs as many messages at 995 entries as at 6. Where no entry knows, or no upstream of the version takes new work, the request is refused before it runs. A caller that names no attempt goes on where only one version is listed.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use registry::{LoadReport, RegistryState, Stamp, UpstreamLoad};
 use tokio::time::Instant;
+use types::SoftwareVersion;
 
 use crate::cold::{ColdSpec, ColdTolerance};
 use crate::path::Paths;
@@ -180,6 +181,23 @@
         self.service(service).iter().any(|it| it.is_open())
     }
 
+    /// Returns whether a service has an upstream of a version that may get new requests.
+    pub(crate) fn has_open_at(&self, service: &str, version: &SoftwareVersion) -> bool {
+        self.service(service).iter().any(|it| it.is_open() && it.version == *version)
+    }
+
+    /// Returns the version of a service of which only one is listed.
+    pub(crate) fn only_version(&self, service: &str) -> Option<&SoftwareVersion> {
+        let (first, others) = self.service(service).split_first()?;
+        let only = others.iter().all(|it| it.version == first.version);
+        (only && first.version.is_known()).then_some(&first.version)
+    }
+
+    /// Returns the entries that are listed.
+    pub(crate) fn entry_list(&self) -> Arc<EntryList> {
+        self.entries.load_full()
+    }
+
     /// Returns the stamp of the list from which this directory was created.
     pub(crate) fn listed(&self) -> Stamp {
         self.listed
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -150,7 +150,12 @@
             "refused a quarantined request: upstreams terminated while they ran it");
         return Err(Refusal::Quarantined(it.after));
     }
-    let service = request.route.service(rand::random()).cloned().ok_or(Refusal::NoUpstream)?;
+    let origin = streams.origin(&request).await?;
+    let service = match &origin {
+        Some(origin) => Some(origin.service.as_str().into()),
+        None => request.route.service(rand::random()).cloned(),
+    };
+    let service = service.ok_or(Refusal::NoUpstream)?;
     shared.budget.record(&service, Spender::Entry, 1, arrived);
     if !can_be_served(&shared.directory(), &request, &service) {
         return Err(Refusal::NoUpstream);
@@ -162,8 +167,8 @@
     let version = request.plan.version;
     let run = async {
         match kind {
-            RouteKind::Stream => streams.run(request, &service).await,
-            _ if engine => streams.run(request, &service).await,
+            RouteKind::Stream => streams.run(request, &service, origin).await,
+            _ if engine => streams.run(request, &service, origin).await,
             _ => plain::run(shared, &streams.batches, &request, &service).await,
         }
     };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use crate::drain::Phase;
 use crate::front;
 use crate::metrics::Metrics;
+use crate::origin::exchange::Origins;
 use crate::partition::Partition;
 use crate::path::Paths;
 use crate::path::relay::RelayClient;
@@ -97,6 +98,7 @@
         };
         let hello = Hello { kind: Kind::Entry, vm: config.vm.clone(), node: rand::random() };
         let listener = Listener::bind(config.address, &secret, hello.clone()).await?;
+        let origins = Origins::open(config.address, &secret).await?;
         let callers = front::bind(config.front).await?;
         let balancer = front::bind(config.ready).await?;
         let seeds = config.seeds.clone();
@@ -120,7 +122,7 @@
         let batches = BatchClient::new(Arc::clone(&shared), owner, secret, hello, own, relays);
         let batches = Arc::new(batches);
         tokio::spawn(Arc::clone(&batches).ask_for_lists(follower.state()));
-        let streams = Arc::new(Streams { shared: Arc::clone(&shared), batches });
+        let streams = Arc::new(Streams { shared: Arc::clone(&shared), batches, origins });
         tokio::spawn(Arc::clone(&shared).follow_registry(follower.state()));
         let loads = Arc::clone(&shared).exchange_loads(follower.reports(), follower.total_loads());
         tokio::spawn(loads);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod limit;
 mod metrics;
 mod offers;
+pub mod origin;
 pub mod partition;
 pub mod path;
 mod phases;
--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -75,6 +75,11 @@
         None
     }
 
+    /// Returns whether requests of this route may be run by a service.
+    pub fn uses(&self, service: &str) -> bool {
+        self.split.iter().any(|(it, weight)| **it == *service && *weight > 0)
+    }
+
     /// Returns whether a request of this route may run again after it may have run.
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -148,6 +148,10 @@
     NoMemory,
     /// No upstream accepts the request.
     NoUpstream,
+    /// It takes up a stream, and no entry knows where that began.
+    NoOrigin,
+    /// It takes up a stream, and no upstream of the version that began it takes new work.
+    NoVersion,
     /// Its stages would take too long; it may be retried after this time.
     Overloaded(Duration),
     /// A stage failed.
@@ -176,6 +180,8 @@
             | Refusal::Ending
             | Refusal::NoMemory
             | Refusal::NoUpstream
+            | Refusal::NoOrigin
+            | Refusal::NoVersion
             | Refusal::Overloaded(_)
             | Refusal::StageFailed
             | Refusal::Quarantined(_)
@@ -197,6 +203,8 @@
             Refusal::SlowBody => "slow body",
             Refusal::NoMemory => "no room",
             Refusal::NoUpstream => "no upstream",
+            Refusal::NoOrigin => "origin of the stream unknown",
+            Refusal::NoVersion => "no upstream of the stream's version",
             Refusal::Overloaded(_) => "overloaded",
             Refusal::StageFailed => "no stage",
             Refusal::Quarantined(_) => "ends upstreams",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,6 +14,7 @@
 
 use crate::body_memory::Reservation;
 use crate::dialect::{Dialect, ForwardHead, Handle, RequestHead};
+use crate::origin::StreamKey;
 use crate::plan::{Customer, Plan, Route, RouteKind};
 use crate::reply::{Refusal, strip_hop_by_hop};
 use crate::upstream::Upstream;
@@ -43,6 +44,10 @@
 /// How much earlier than the caller's deadline the answer is sent, so that it arrives in time.
 const REPLY_MARGIN: Duration = Duration::from_millis(15);
 
+/// How much longer than its caller waits a stream's origin is kept, for what its attempts spend on the
+/// way.
+const RESUME_MARGIN: Duration = Duration::from_secs(2);
+
 /// A caller's request, after its head is checked and its body is read.
 pub(crate) struct CallerRequest {
     pub(crate) plan: Arc<Plan>,
@@ -132,6 +137,28 @@
         })
     }
 
+    /// Returns whether the caller takes up a stream of which it has events.
+    pub(crate) fn takes_up_stream(&self) -> bool {
+        let has_events = self.head.last_event.is_some_and(|it| it > 0);
+        self.route.resumable && (has_events || self.head.resumed.is_some())
+    }
+
+    /// Returns the key of the stream that one of the customer's attempts began.
+    pub(crate) fn stream_key(&self, attempt: &str) -> StreamKey {
+        StreamKey::new(self.customer.as_ref().map_or("", |it| &it.name), attempt)
+    }
+
+    /// Returns the key of the stream that the request begins or takes up.
+    pub(crate) fn own_stream_key(&self) -> StreamKey {
+        self.stream_key(self.head.resumed.as_ref().unwrap_or(&self.head.attempt))
+    }
+
+    /// Returns how long the caller may still take its stream up through another entry.
+    pub(crate) fn resumable_time(&self) -> Duration {
+        let patience = self.head.deadline.unwrap_or(DEFAULT_PATIENCE);
+        patience.saturating_sub(self.arrived.elapsed()) + RESUME_MARGIN
+    }
+
     /// Returns whether the request is sent as a trial, to see whether it still terminates
     /// upstreams.
     pub(crate) fn is_trial(&self) -> bool {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,6 +20,8 @@
 use crate::dialect::{Dialect, PieceFailure, Segments};
 use crate::exchange::Cause;
 use crate::offers::Offers;
+use crate::origin::Origin;
+use crate::origin::exchange::Origins;
 use crate::phases::Phases;
 use crate::plain::record_failed_call;
 use crate::quarantine::RunTimes;
@@ -47,6 +49,7 @@
 pub(crate) struct Streams<D: Dialect> {
     pub(crate) shared: Arc<Shared<D>>,
     pub(crate) batches: Arc<BatchClient<D>>,
+    pub(crate) origins: Arc<Origins>,
 }
 
 /// Where a stream goes on.
@@ -78,18 +81,64 @@
 }
 
 impl<D: Dialect> Streams<D> {
-    /// Serves a request.
+    /// Returns where the stream began that a request takes up; `None` if it takes up none.
+    ///
+    /// # Errors
+    /// Returns the refusal if the stream can't go on.
+    pub(crate) async fn origin(&self, request: &CallerRequest) -> Result<Option<Origin>, Refusal> {
+        if !request.takes_up_stream() {
+            return Ok(None);
+        }
+        let origin = match &request.head.resumed {
+            Some(began) => {
+                let entries = self.shared.directory().entry_list();
+                self.origins.find(request.stream_key(began), &entries).await
+            }
+            None => self.only_origin(request),
+        };
+        let directory = self.shared.directory();
+        let goes_on = |it: &Origin| {
+            request.route.uses(&it.service) && directory.has_open_at(&it.service, &it.version)
+        };
+        let refusal = match &origin {
+            None => Err(Refusal::NoOrigin),
+            Some(origin) if !goes_on(origin) => Err(Refusal::NoVersion),
+            Some(_) => Ok(()),
+        };
+        log::info!(request = request.head.attempt.as_str(), resumes = request.head.resumed.as_deref(),
+            service = origin.as_ref().map(|it| it.service.as_str()),
+            version = origin.as_ref().map(|it| it.version.to_string()), last = request.head.last_event,
+            refusal = refusal.err().map(Refusal::name),
+            age_ms = request.arrived.elapsed().as_millis() as u64; "a caller takes up a stream");
+        refusal.map(|()| origin)
+    }
+
+    /// Returns the origin of any stream of a request's route, if there is only one: a caller may not tell
+    /// which attempt began its stream.
+    fn only_origin(&self, request: &CallerRequest) -> Option<Origin> {
+        let directory = self.shared.directory();
+        let mut services = request.route.split.iter().filter(|it| it.1 > 0).map(|it| &it.0);
+        let service = services.next()?;
+        let version = directory.only_version(service)?.clone();
+        services.next().is_none().then(|| Origin { service: service.to_string(), version })
+    }
+
+    /// Serves a request, which takes up the stream that began at `origin` if there is one.
     pub(crate) async fn run(
         self: &Arc<Self>,
         request: CallerRequest,
         service: &Arc<str>,
+        origin: Option<Origin>,
     ) -> Result<Reply, Refusal> {
-        self.admit(&request, service)?;
+        let resumption = origin.map(|it| Resumption { last_event: None, version: it.version });
+        self.admit(&request, service, resumption.as_ref())?;
         let mut tries = Tries::new();
-        let attached = match self.attach(&request, service, &mut tries, None).await? {
+        let answer = self.attach(&request, service, &mut tries, resumption.as_ref()).await?;
+        let attached = match answer {
             EngineAnswer::Stream(attached) => attached,
             EngineAnswer::Answer(reply) => return Ok(reply),
         };
+        self.record_origin(&request, &attached.upstream).await;
         self.shared.metrics.first_byte.observe(request.arrived.elapsed().as_secs_f64());
         let (events, receiver) = mpsc::channel(MAX_BUFFERED_EVENTS);
         let mut reply = Response::new(ReplyBody::stream(receiver));
@@ -106,6 +155,17 @@
         Ok(reply)
     }
 
+    /// Records where a stream began, before its caller has an event of it.
+    async fn record_origin(&self, request: &CallerRequest, upstream: &Upstream) {
+        if !request.route.resumable || !upstream.version.is_known() {
+            return;
+        }
+        let (service, version) = (upstream.service.to_string(), upstream.version.clone());
+        let (key, time) = (request.own_stream_key(), request.resumable_time());
+        let entries = self.shared.directory().entry_list();
+        self.origins.record(key, Origin { service, version }, time, &entries).await;
+    }
+
     /// Runs the stages, and offers the request to engines until one sends a first event.
     async fn attach(
         &self,
@@ -229,9 +289,15 @@
     ///
     /// Without this, every request of a burst would queue, all would be late, and the work for
     /// those whose callers gave up would be lost.
-    fn admit(&self, request: &CallerRequest, service: &Arc<str>) -> Result<(), Refusal> {
+    fn admit(
+        &self,
+        request: &CallerRequest,
+        service: &Arc<str>,
+        resumption: Option<&Resumption>,
+    ) -> Result<(), Refusal> {
         let Some(segments) = &request.head.segments else { return Ok(()) };
-        let run = self.stage_run(request, segments, service, None);
+        let version = resumption.map(|it| &it.version);
+        let run = self.stage_run(request, segments, service, version);
         let rank = request.rank();
         let section = |it: &Arc<str>| self.shared.section(it, None, rank);
         let backlogs = &self.shared.backlogs;
--- a/crates/registry/src/digest.rs
+++ b/crates/registry/src/digest.rs
@@ -28,6 +28,11 @@
         digest.copy_from_slice(&whole[..16]);
         Self(digest)
     }
+
+    /// Returns the first bytes as a number.
+    pub fn short(self) -> u64 {
+        (u128::from_be_bytes(self.0) >> 64) as u64
+    }
 }
 
 impl fmt::Display for RequestDigest {
