Log the shared parts of a prompt where a call fails or a stream breaks off

Requests with one part in common ended engine after engine (BUDGET); the lines of failed calls named the digest of the whole request only, so that different requests with a part in common looked unrelated.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -2,6 +2,7 @@
 //! stages and the plan are encoded. This crate defines what it needs; an implementation translates
 //! and decides nothing.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +22,12 @@
     pub tokens: u32,
 }
 
+impl fmt::Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}:{}", self.id, self.tokens)
+    }
+}
+
 /// What a request asks of an engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Generation {
@@ -32,6 +39,13 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl Generation {
+    /// Returns the parts that other requests may share; the last one belongs to the request.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// What a request asks of its stages.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Segments {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -171,7 +171,7 @@
     shared.metrics.calls.with_label_values(&[outcome]).inc();
     log::info!(request = request.head.attempt.as_str(), upstream:% = upstream.id,
         service:% = upstream.service, cause:% = fault, digest:% = request.digest(),
-        path = request.uri.path(), age_ms = request.arrived.elapsed().as_millis() as u64;
+        path = request.uri.path(), parts = request.shared_parts_text(), age_ms = request.arrived.elapsed().as_millis() as u64;
         "a call of an upstream failed");
     if fault.unreachable || !fault.not_run {
         upstream.record_failure(fault.unreachable);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::body_memory::Reservation;
-use crate::dialect::{Dialect, ForwardHead, Handle, RequestHead};
+use crate::dialect::{Dialect, ForwardHead, Generation, Handle, RequestHead};
 use crate::origin::StreamKey;
 use crate::plan::{Customer, Plan, Route, RouteKind};
 use crate::reply::{Refusal, strip_hop_by_hop};
@@ -159,6 +159,12 @@
         patience.saturating_sub(self.arrived.elapsed()) + RESUME_MARGIN
     }
 
+    /// Returns the parts of the prompt that other requests may share, as the caller names them.
+    pub(crate) fn shared_parts_text(&self) -> String {
+        let parts = self.head.generation.as_ref().map_or(&[][..], Generation::shared_parts);
+        parts.iter().map(ToString::to_string).collect::<Vec<_>>().join(",")
+    }
+
     /// Returns whether the request is sent as a trial, to see whether it still terminates
     /// upstreams.
     pub(crate) fn is_trial(&self) -> bool {
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -71,7 +71,8 @@
                 }
             };
             log::info!(request = self.request.head.attempt.as_str(), upstream:% = upstream.id,
-                last = self.last_event, cause = why, digest:% = self.request.digest();
+                last = self.last_event, cause = why, digest:% = self.request.digest(),
+                parts = self.request.shared_parts_text();
                 "ended a stream before it was complete");
             // The stream is incomplete, so the caller's connection is closed without a proper end.
             let _ = self.events.send(Err(Truncated)).await;
@@ -151,7 +152,8 @@
             return None;
         }
         log::info!(request = self.request.head.attempt.as_str(), upstream:% = from.id, version:% = from.version,
-            last = self.last_event, cause = why, digest:% = self.request.digest();
+            last = self.last_event, cause = why, digest:% = self.request.digest(),
+            parts = self.request.shared_parts_text();
             "resuming a stream at another engine");
         let streams = Arc::clone(&self.streams);
         let resumption = Resumption { last_event: self.last_event, version: from.version.clone() };
