Hold the part of prompts that ends the upstreams that run requests with it

Cause: ends were counted by the digest of the whole request, and requests with the harmful part are all different, so each counted one end.

Entries now report at each end the shared parts of the prompts in flight (never the last one), and when a request with each completed last. The leader holds a part once different requests with it were in flight at ends at four moments and none with it completed in between; parts with which requests had completed before need six, and only if no other part explains the ends. The part goes into the list of held requests, so that what holds for those (late lists, new leaders, trials, operators) holds for parts. Sound requests with the same caller, route or other parts complete, which clears those. A sound stream that is in flight at several such ends is no longer suspected itself.

--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -147,7 +147,7 @@
             end.pieces.iter().filter_map(|it| it.request).collect();
         for request in requests {
             let times = RunTimes { sent, first: None };
-            self.shared.quarantine.record_lost_run(request, &end.upstream, times);
+            self.shared.quarantine.record_lost_run((request, &[]), &end.upstream, times);
         }
         for piece in &mut end.pieces {
             piece.lost_calls += 1;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -144,18 +144,14 @@
     let plan = shared.wait_for_plan().await.ok_or(Refusal::NoPlan)?;
     let request =
         CallerRequest::read::<D>(plan, request, arrived, shared.body_memory.reserve()).await?;
-    if let Err(it) = shared.quarantine.admit(&request).await {
-        log::info!(request = request.head.attempt.as_str(), digest:% = request.digest(),
-            after_ms = it.after.as_millis() as u64;
-            "refused a quarantined request: upstreams terminated while they ran it");
-        return Err(Refusal::Quarantined(it.after));
-    }
     let origin = streams.origin(&request).await?;
     let service = match &origin {
         Some(origin) => Some(origin.service.as_str().into()),
         None => request.route.service(rand::random()).cloned(),
     };
     let service = service.ok_or(Refusal::NoUpstream)?;
+    let admitted = shared.quarantine.admit(&request, &service).await;
+    admitted.map_err(|it| Refusal::Quarantined(it.after))?;
     shared.budget.record(&service, Spender::Entry, 1, arrived);
     if !can_be_served(&shared.directory(), &request, &service) {
         return Err(Refusal::NoUpstream);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -78,7 +78,7 @@
             }
             continue;
         };
-        if let Err(it) = shared.quarantine.check(request) {
+        if let Err(it) = shared.quarantine.check(request, service) {
             return if runs > 0 {
                 Err(Refusal::Failed)
             } else {
@@ -120,7 +120,7 @@
                 record_failed_call(shared, request, &upstream, &fault);
                 if fault.cause == Cause::Lost {
                     let times = RunTimes { sent: now, first: None };
-                    shared.quarantine.record_lost_run(request.digest(), &upstream, times);
+                    shared.quarantine.record_lost_run((request.digest(), &[]), &upstream, times);
                 }
                 if fault.not_run {
                     reached_upstream = reached_before || !fault.is_unsent();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use registry::RequestDigest;
-use registry::quarantine::{Admission, EndSeen, Evidence, QuarantineView, RunSeen};
+use registry::quarantine::{Admission, EndSeen, Evidence, PartSeen, QuarantineView, RunSeen};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -18,9 +18,14 @@
 use crate::request::CallerRequest;
 use crate::upstream::Upstream;
 
+mod parts;
 #[cfg(test)]
 mod tests;
 
+pub(crate) use self::parts::part_digests;
+
+use self::parts::PartHistory;
+
 /// The delays after which the upstream of a lost call is probed: the first after the loss, the
 /// second after the first probe. A process that ends closes its connections and its port some
 /// milliseconds apart.
@@ -71,7 +76,9 @@
     start: Instant,
     /// Runs lost at upstreams that may have terminated, until the probe of the upstream has
     /// finished.
-    lost: Arc<Mutex<HashMap<Arc<str>, Vec<RunSeen>>>>,
+    lost: Arc<Mutex<HashMap<Arc<str>, LostRuns>>>,
+    /// The parts of prompts with which requests have completed.
+    history: Arc<Mutex<PartHistory>>,
     /// The number of the last trial used of each request.
     trials: Mutex<HashMap<RequestDigest, u32>>,
 }
@@ -83,7 +90,8 @@
         own: SocketAddr,
     ) -> Self {
         let start = Instant::now();
-        Self { known, evidence, own, start, lost: Arc::default(), trials: Mutex::default() }
+        let (lost, history, trials) = Default::default();
+        Self { known, evidence, own, start, lost, history, trials }
     }
 
     /// Returns the number of requests in quarantine.
@@ -91,20 +99,37 @@
         self.known.borrow().count()
     }
 
-    /// Checks whether a request may be sent to an upstream now. A request sent as a trial already has
-    /// permission.
-    pub(crate) fn check(&self, request: &CallerRequest) -> Result<(), Quarantined> {
-        let known = self.known.borrow();
-        if known.is_empty() || request.is_trial() {
+    /// Checks whether a request may be sent to an upstream of a service now. A request sent as a trial
+    /// already has permission.
+    pub(crate) fn check(&self, request: &CallerRequest, service: &str) -> Result<(), Quarantined> {
+        if request.is_trial() {
             return Ok(());
         }
-        match known.admission(&request.digest(), Instant::now().into_std()) {
+        match self.strictest(request, service).1 {
             Admission::Allowed | Admission::Watched => Ok(()),
             Admission::Held(after) => Err(Quarantined { after }),
             Admission::TrialDue => Err(Quarantined { after: TRIAL_TIMEOUT }),
         }
     }
 
+    /// Returns how a request or one of the parts of its prompt is handled, whichever is handled most
+    /// strictly.
+    fn strictest(&self, request: &CallerRequest, service: &str) -> (RequestDigest, Admission) {
+        let known = self.known.borrow();
+        if known.is_empty() {
+            return (RequestDigest::default(), Admission::Allowed);
+        }
+        let suspects = [request.digest()].into_iter().chain(request.parts(service).iter().copied());
+        let admissions = suspects.map(|it| (it, self.admission(&known, &it)));
+        let strictest = admissions.max_by_key(|it| match it.1 {
+            Admission::Allowed => (0, Duration::ZERO),
+            Admission::Watched => (1, Duration::ZERO),
+            Admission::TrialDue => (2, Duration::ZERO),
+            Admission::Held(after) => (3, after),
+        });
+        strictest.unwrap_or_default()
+    }
+
     /// Returns whether a request may not be sent to upstreams now.
     pub(crate) fn is_quarantined(&self, digest: &RequestDigest) -> bool {
         let known = self.known.borrow();
@@ -126,23 +151,30 @@
     }
 
     /// Decides on an arriving request. One whose time in quarantine is over may become a trial.
-    pub(crate) async fn admit(&self, request: &CallerRequest) -> Result<(), Quarantined> {
-        let admission = {
-            let known = self.known.borrow();
-            if known.is_empty() {
-                return Ok(());
-            }
-            known.admission(&request.digest(), Instant::now().into_std())
-        };
-        match admission {
+    pub(crate) async fn admit(
+        &self,
+        request: &CallerRequest,
+        service: &str,
+    ) -> Result<(), Quarantined> {
+        let (digest, admission) = self.strictest(request, service);
+        let admitted = match admission {
             Admission::Allowed | Admission::Watched => Ok(()),
             Admission::Held(after) => Err(Quarantined { after }),
-            Admission::TrialDue => self.request_trial(request).await,
-        }
+            Admission::TrialDue => self.request_trial(request, digest).await,
+        };
+        admitted.inspect_err(|it| {
+            log::info!(request = request.head.attempt.as_str(), digest:% = digest,
+                parts = request.shared_parts_text(), after_ms = it.after.as_millis() as u64;
+                "refused a quarantined request: upstreams terminated while they ran it");
+        })
     }
 
-    async fn request_trial(&self, request: &CallerRequest) -> Result<(), Quarantined> {
-        let digest = request.digest();
+    /// Asks for the trial of a request, or of the part of its prompt, with this digest.
+    async fn request_trial(
+        &self,
+        request: &CallerRequest,
+        digest: RequestDigest,
+    ) -> Result<(), Quarantined> {
         self.report(Evidence::Try(digest));
         let mut known = self.known.clone();
         let granted = known.wait_for(|it| self.claim_trial(it, &digest));
@@ -184,25 +216,36 @@
         self.report(Evidence::Completed(digest));
     }
 
-    /// Records that a run lost its connection, and probes whether its upstream has terminated.
+    /// Records that a stream ended whole, so that the parts of its prompt terminate no upstream.
+    pub(crate) fn record_whole_stream(&self, request: &CallerRequest, service: &str) {
+        self.record_completed(request);
+        let parts = request.parts(service);
+        lock(&self.history).record(parts, Instant::now());
+        let known = self.known.borrow();
+        let suspected = |it: &&RequestDigest| self.admission(&known, it) != Admission::Allowed;
+        let suspected: Vec<RequestDigest> = parts.iter().filter(suspected).copied().collect();
+        drop(known);
+        suspected.into_iter().for_each(|it| self.report(Evidence::Completed(it)));
+    }
+
+    /// Records that a run lost its connection, and probes whether its upstream has terminated. `parts`
+    /// are the shared parts of the request's prompt.
     pub(crate) fn record_lost_run(
         &self,
-        digest: RequestDigest,
+        (digest, parts): (RequestDigest, &[RequestDigest]),
         upstream: &Arc<Upstream>,
         times: RunTimes,
     ) {
         let now = Instant::now();
         if times.first.is_some_and(|it| now.duration_since(it) > SUSPECT_WINDOW) {
+            lock(&self.history).record(parts, now);
             return;
         }
         let age = now.duration_since(times.sent);
         let run = RunSeen { digest, age_ms: age.as_millis() as u32 };
         let mut lost = lock(&self.lost);
         let is_first = !lost.contains_key(&upstream.id);
-        let runs = lost.entry(Arc::clone(&upstream.id)).or_default();
-        if runs.len() < MAX_RUNS {
-            runs.push(run);
-        }
+        lost.entry(Arc::clone(&upstream.id)).or_default().add(run, parts);
         drop(lost);
         if is_first {
             let probe = EndProbe {
@@ -210,6 +253,7 @@
                 start: self.start,
                 at: now,
                 lost: Arc::clone(&self.lost),
+                history: Arc::clone(&self.history),
                 evidence: self.evidence.clone(),
             };
             tokio::spawn(probe.run());
@@ -221,13 +265,47 @@
     }
 }
 
+/// The runs that were lost at one upstream.
+#[derive(Debug, Default)]
+struct LostRuns {
+    runs: Vec<RunSeen>,
+    /// The shared parts of their prompts, with the positions of the runs that have them.
+    parts: Vec<(RequestDigest, Vec<u8>)>,
+}
+
+impl LostRuns {
+    fn add(&mut self, run: RunSeen, parts: &[RequestDigest]) {
+        if self.runs.len() >= MAX_RUNS {
+            return;
+        }
+        let position = self.runs.len() as u8;
+        self.runs.push(run);
+        for part in parts {
+            match self.parts.iter_mut().find(|it| it.0 == *part) {
+                Some((_, runs)) => runs.push(position),
+                None => self.parts.push((*part, vec![position])),
+            }
+        }
+    }
+
+    /// Returns the parts with when requests with them completed last.
+    fn parts_seen(self, history: &PartHistory) -> Vec<PartSeen> {
+        let seen = |(part, runs)| {
+            let completed = history.since_completion(part, Instant::now());
+            PartSeen { part, runs, completed_ms: completed.map(|it| it.as_millis() as u32) }
+        };
+        self.parts.into_iter().map(seen).collect()
+    }
+}
+
 /// Probes whether an upstream has terminated.
 struct EndProbe {
     upstream: Arc<Upstream>,
     /// When the entry started.
     start: Instant,
     at: Instant,
-    lost: Arc<Mutex<HashMap<Arc<str>, Vec<RunSeen>>>>,
+    lost: Arc<Mutex<HashMap<Arc<str>, LostRuns>>>,
+    history: Arc<Mutex<PartHistory>>,
     evidence: mpsc::Sender<Evidence>,
 }
 
@@ -242,17 +320,19 @@
             }
         }
         ended = ended && self.has_path().await;
-        let runs = lock(&self.lost).remove(&self.upstream.id).unwrap_or_default();
-        log::info!(upstream:% = self.upstream.id, ended, runs = runs.len();
+        let mut lost = lock(&self.lost).remove(&self.upstream.id).unwrap_or_default();
+        let runs = std::mem::take(&mut lost.runs);
+        let parts = lost.parts_seen(&lock(&self.history));
+        log::info!(upstream:% = self.upstream.id, ended, runs = runs.len(), parts = parts.len();
             "probed whether an upstream that lost calls has ended");
         if !ended {
             return;
         }
         let ago_ms = self.at.elapsed().as_millis() as u32;
         let upstream = self.upstream.id.to_string();
-        let seen = EndSeen { upstream, ago_ms, runs, clock: None };
+        let seen = EndSeen { upstream, ago_ms, runs, clock: None, parts: Vec::new() };
         let at_ms = self.at.duration_since(self.start).as_millis() as u64;
-        report(&self.evidence, Evidence::EndedAt(at_ms, seen));
+        report(&self.evidence, Evidence::EndedWithParts(at_ms, seen, parts));
     }
 
     /// Returns whether this entry has a path to the service of the upstream. A path that is cut may
--- a/crates/gateway/src/quarantine/tests.rs
+++ b/crates/gateway/src/quarantine/tests.rs
@@ -51,7 +51,7 @@
         let upstreams: Vec<_> = (0..case.refusing).map(|it| ended_upstream(it, &paths)).collect();
         for (upstream, _) in &upstreams {
             let times = RunTimes { sent: Instant::now(), first: None };
-            quarantine.record_lost_run(RequestDigest::default(), upstream, times);
+            quarantine.record_lost_run((RequestDigest::default(), &[]), upstream, times);
         }
         sleep(REPORT_TIME).await;
         let mut reported = 0;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,6 +16,7 @@
 use crate::dialect::{Dialect, ForwardHead, Generation, Handle, RequestHead};
 use crate::origin::StreamKey;
 use crate::plan::{Customer, Plan, Route, RouteKind};
+use crate::quarantine::part_digests;
 use crate::reply::{Refusal, strip_hop_by_hop};
 use crate::upstream::Upstream;
 
@@ -68,6 +69,7 @@
     /// Whether an upstream may have run the request.
     pub(crate) may_have_run: Arc<AtomicBool>,
     digest: OnceLock<RequestDigest>,
+    parts: OnceLock<Vec<RequestDigest>>,
     trial: AtomicBool,
 }
 
@@ -114,6 +116,7 @@
             first_event_by,
             may_have_run,
             digest: OnceLock::new(),
+            parts: OnceLock::new(),
             trial: AtomicBool::new(false),
         })
     }
@@ -159,6 +162,13 @@
         patience.saturating_sub(self.arrived.elapsed()) + RESUME_MARGIN
     }
 
+    /// Returns the digests of the parts of the prompt that other requests may share, at the service that
+    /// runs the request.
+    pub(crate) fn parts(&self, service: &str) -> &[RequestDigest] {
+        let digests = |it: &Generation| part_digests(it, service);
+        self.parts.get_or_init(|| self.head.generation.as_ref().map(digests).unwrap_or_default())
+    }
+
     /// Returns the parts of the prompt that other requests may share, as the caller names them.
     pub(crate) fn shared_parts_text(&self) -> String {
         let parts = self.head.generation.as_ref().map_or(&[][..], Generation::shared_parts);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -197,7 +197,7 @@
             let has_loan = lent.is_some();
             let upstream = lent.or_else(|| self.choose(request, service, &criteria));
             // The request may have been quarantined while its stages ran.
-            self.check_quarantine(request, tries)?;
+            self.check_quarantine(request, service, tries)?;
             let Some(upstream) = upstream else {
                 let directory = self.shared.directory();
                 let engines: Vec<_> = engines(&directory, service, version).cloned().collect();
@@ -242,7 +242,8 @@
             record_failed_call(&self.shared, request, &upstream, &fault);
             if fault.cause == Cause::Lost {
                 let times = RunTimes { sent: now, first: None };
-                self.shared.quarantine.record_lost_run(request.digest(), &upstream, times);
+                let suspects = (request.digest(), request.parts(service));
+                self.shared.quarantine.record_lost_run(suspects, &upstream, times);
             }
             tries.reached_upstream |= !fault.is_unsent();
             if fault.not_run {
@@ -279,10 +280,15 @@
     }
 
     /// Checks whether a request may be sent to an upstream, and returns the refusal if not.
-    fn check_quarantine(&self, request: &CallerRequest, tries: &Tries) -> Result<(), Refusal> {
+    fn check_quarantine(
+        &self,
+        request: &CallerRequest,
+        service: &str,
+        tries: &Tries,
+    ) -> Result<(), Refusal> {
         let refusal =
             |after| if tries.runs > 0 { Refusal::Failed } else { Refusal::Quarantined(after) };
-        self.shared.quarantine.check(request).map_err(|it| refusal(it.after))
+        self.shared.quarantine.check(request, service).map_err(|it| refusal(it.after))
     }
 
     /// Refuses a request whose stages would take too long, before any work is done for it.
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -52,7 +52,12 @@
             let why = match self.forward_events(attached).await {
                 ForwardEnd::Whole => {
                     upstream.record_success();
-                    shared.quarantine.record_completed(&self.request);
+                    match self.last_event {
+                        Some(_) => {
+                            shared.quarantine.record_whole_stream(&self.request, &self.service)
+                        }
+                        None => shared.quarantine.record_completed(&self.request),
+                    }
                     return;
                 }
                 ForwardEnd::CallerLeft => return,
@@ -60,7 +65,8 @@
                 ForwardEnd::Lost(why) => {
                     upstream.record_failure(false);
                     upstream.check_path();
-                    shared.quarantine.record_lost_run(self.request.digest(), &upstream, times);
+                    let suspects = (self.request.digest(), self.request.parts(&self.service));
+                    shared.quarantine.record_lost_run(suspects, &upstream, times);
                     match self.resume(&upstream, why).await {
                         Some(next) => {
                             attached = next;
--- a/crates/registry/src/hub/quarantine.rs
+++ b/crates/registry/src/hub/quarantine.rs
@@ -54,6 +54,11 @@
                 observed.clock = Some(EntryClock { incarnation, at_ms });
                 quarantine.record_end(&observed, now)
             }
+            Evidence::EndedWithParts(at_ms, mut observed, parts) => {
+                observed.clock = Some(EntryClock { incarnation, at_ms });
+                observed.parts = parts;
+                quarantine.record_end(&observed, now)
+            }
             Evidence::Completed(digest) => quarantine.record_completion(digest),
             Evidence::Try(digest) => match self.address_of(incarnation) {
                 Some(entry) => quarantine.request_trial(digest, entry, now),
@@ -157,6 +162,11 @@
             log::warn!(digest:% = digest, ends;
                 "upstreams terminated while they ran a request; it is not sent any more");
         }
+        Decision::PartHeld(digest, ends) => {
+            log::warn!(digest:% = digest, ends;
+                "upstreams terminated while they ran requests with a part of their prompts in common; \
+                 requests with it are not sent any more");
+        }
         Decision::TrialFailed(digest, ends) => {
             log::warn!(digest:% = digest, ends;
                 "an upstream terminated during the trial of a request; it is held for longer");
--- a/crates/registry/src/quarantine.rs
+++ b/crates/registry/src/quarantine.rs
@@ -5,6 +5,7 @@
 //! requests to all entries.
 
 mod evidence;
+mod parts;
 mod table;
 mod view;
 
@@ -22,6 +23,9 @@
 /// The protocol level from which a leader understands timestamps by the entry's clock.
 const ENTRY_CLOCK_LEVEL: u8 = 3;
 
+/// The protocol level from which a leader understands parts of prompts.
+const PARTS_LEVEL: u8 = 7;
+
 /// A request that was in flight when its upstream terminated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunSeen {
@@ -31,6 +35,17 @@
     pub age_ms: u32,
 }
 
+/// A part of prompts that was in flight when an upstream terminated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartSeen {
+    /// The part, at the service of the upstream.
+    pub part: RequestDigest,
+    /// The positions, in the list of runs, of the requests that have it.
+    pub runs: Vec<u8>,
+    /// How long ago this entry last saw a request with it complete, in ms; `None` if it has not lately.
+    pub completed_ms: Option<u32>,
+}
+
 /// The termination of an upstream, as one entry observed it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndSeen {
@@ -43,6 +58,10 @@
     /// The time by the entry's own clock, if the entry reports it. Not part of the message.
     #[serde(skip)]
     pub clock: Option<EntryClock>,
+    /// The shared parts of the requests' prompts. Not part of the message, so that earlier releases can
+    /// read it.
+    #[serde(skip)]
+    pub parts: Vec<PartSeen>,
 }
 
 /// A time by an entry's own clock. It orders the observations of one entry however late its messages
@@ -68,12 +87,17 @@
     Known(Vec<Held>),
     /// An upstream terminated, this many ms after the entry started.
     EndedAt(u64, EndSeen),
+    /// The same, with the shared parts of the requests' prompts.
+    EndedWithParts(u64, EndSeen, Vec<PartSeen>),
 }
 
 impl Evidence {
     /// Returns the evidence in a form that a leader of this level can decode.
     pub(crate) fn at_level(self, level: u8) -> Self {
         match self {
+            Self::EndedWithParts(at_ms, seen, _) if level < PARTS_LEVEL => {
+                Self::EndedAt(at_ms, seen).at_level(level)
+            }
             Self::EndedAt(_, seen) if level < ENTRY_CLOCK_LEVEL => Self::Ended(seen),
             evidence => evidence,
         }
--- a/crates/registry/src/quarantine/evidence.rs
+++ b/crates/registry/src/quarantine/evidence.rs
@@ -62,10 +62,18 @@
     fn send(&mut self, now: Instant) -> Evidence {
         self.sent = true;
         let mut evidence = self.evidence.clone();
-        if let Evidence::Ended(observed) | Evidence::EndedAt(_, observed) = &mut evidence {
-            let kept = now.saturating_duration_since(self.at).as_millis() as u32;
+        let kept = now.saturating_duration_since(self.at).as_millis() as u32;
+        if let Evidence::Ended(observed)
+        | Evidence::EndedAt(_, observed)
+        | Evidence::EndedWithParts(_, observed, _) = &mut evidence
+        {
             observed.ago_ms = observed.ago_ms.saturating_add(kept);
         }
+        if let Evidence::EndedWithParts(_, _, parts) = &mut evidence {
+            for completed_ms in parts.iter_mut().filter_map(|it| it.completed_ms.as_mut()) {
+                *completed_ms = completed_ms.saturating_add(kept);
+            }
+        }
         evidence
     }
 }
--- a/crates/registry/src/quarantine/table.rs
+++ b/crates/registry/src/quarantine/table.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use super::parts::PartTable;
 use super::{EndSeen, EntryClock, Held, QuarantineList, Trial};
 use crate::digest::RequestDigest;
 use crate::message::Stamp;
@@ -74,6 +75,8 @@
 pub enum Decision {
     /// The request is not sent any more; this many upstreams terminated while they ran it.
     Held(RequestDigest, u32),
+    /// Requests with the part are not sent any more; this many upstreams terminated while they ran some.
+    PartHeld(RequestDigest, u32),
     /// An upstream terminated during the trial of a request; this many have by now.
     TrialFailed(RequestDigest, u32),
     /// An entry may send the request once.
@@ -137,6 +140,8 @@
     held: HashMap<RequestDigest, Record>,
     /// Suspected requests: entries report whether they complete.
     watched: HashSet<RequestDigest>,
+    /// The parts of prompts that were in flight at terminations.
+    parts: PartTable,
     last_number: u64,
     run_count: usize,
 }
@@ -161,7 +166,10 @@
                 self.update_watched(run.digest);
             }
         }
-        let known = seen.runs.iter().map(|it| it.digest).find(|it| self.held.contains_key(it));
+        self.parts.record_end(number, ended, seen, now);
+        let requests = seen.runs.iter().map(|it| it.digest);
+        let suspects = requests.chain(seen.parts.iter().map(|it| it.part));
+        let known = suspects.into_iter().find(|it| self.held.contains_key(it));
         if let Some(digest) = known {
             let is_new = self.ends[at].cause.is_none();
             self.ends[at].cause = Some(digest);
@@ -185,6 +193,9 @@
             if self.ends[at].cause.is_none() {
                 decisions.append(&mut self.decide_cause(at, now));
             }
+            if self.ends[at].cause.is_none() {
+                decisions.append(&mut self.decide_part(at, now));
+            }
         }
         decisions
     }
@@ -197,6 +208,7 @@
     /// Records that a request completed: it is not the cause of the terminations during its runs.
     pub fn record_completion(&mut self, digest: RequestDigest) -> Vec<Decision> {
         self.clear(digest);
+        self.parts.record_completion(digest);
         match self.held.remove(&digest) {
             Some(_) => vec![Decision::Released(digest)],
             None => Vec::new(),
@@ -257,7 +269,8 @@
     }
 
     fn watched(&self) -> Vec<RequestDigest> {
-        let watched = self.watched.iter().filter(|it| !self.held.contains_key(it)).copied();
+        let watched = self.watched.iter().copied().chain(self.parts.watched());
+        let watched = watched.filter(|it| !self.held.contains_key(it));
         let mut watched: Vec<RequestDigest> = watched.collect();
         watched.sort_unstable();
         watched.truncate(MAX_LISTED);
@@ -316,19 +329,38 @@
         if most < self.min_ends(digest) || (most < MIN_ENDS_AMBIGUOUS && !stands_out()) {
             return Vec::new();
         }
-        if self.held.len() >= MAX_LISTED {
-            self.drop_next_due();
-        }
         let ends = self.runs.get(&digest).map_or(0, Vec::len) as u32;
-        let until = now + FIRST_HOLD;
-        self.held.insert(digest, Record { ends, until, relapses: 0, trial: None, trials: 0 });
         for end in self.ends.iter_mut().filter(|it| it.runs.contains(&digest)) {
             end.cause = Some(digest);
         }
-        self.clear_bystanders(digest);
+        self.hold(digest, ends, now);
         vec![Decision::Held(digest, ends)]
     }
 
+    /// Holds the part of prompts that caused a termination and earlier ones, if the evidence is
+    /// sufficient.
+    fn decide_part(&mut self, at: usize, now: Instant) -> Vec<Decision> {
+        let Some((part, ends)) = self.parts.cause_of(self.ends[at].number) else {
+            return Vec::new();
+        };
+        let numbers = self.parts.ends_of(part);
+        for end in self.ends.iter_mut().filter(|it| numbers.contains(&it.number)) {
+            end.cause = Some(part);
+        }
+        self.hold(part, ends, now);
+        vec![Decision::PartHeld(part, ends)]
+    }
+
+    /// Holds the cause of some terminations.
+    fn hold(&mut self, cause: RequestDigest, ends: u32, now: Instant) {
+        if self.held.len() >= MAX_LISTED {
+            self.drop_next_due();
+        }
+        let until = now + FIRST_HOLD;
+        self.held.insert(cause, Record { ends, until, relapses: 0, trial: None, trials: 0 });
+        self.clear_bystanders(cause);
+    }
+
     /// Returns how many terminations are enough to hold a request.
     fn min_ends(&self, digest: RequestDigest) -> usize {
         let ends = || self.runs.get(&digest).into_iter().flatten().map(|it| it.ended);
@@ -360,7 +392,9 @@
                 && elsewhere
                 && count_sequential(runs, Duration::ZERO) >= MIN_ENDS_WATCHED
         };
-        self.ends.iter().filter(own).filter(|it| !it.runs.iter().any(explains)).count()
+        let own_ends = self.ends.iter().filter(own);
+        let unexplained = own_ends.filter(|it| !it.runs.iter().any(explains));
+        unexplained.filter(|it| !self.parts.explains(it.number, &numbers)).count()
     }
 
     /// Records another termination that a held request caused.
@@ -387,6 +421,7 @@
         let caused: Vec<_> = caused.map(others).collect();
         for (end, others) in caused {
             others.into_iter().for_each(|it| self.remove_run(it, end));
+            self.parts.remove_end(end, Some(cause));
         }
     }
 
@@ -425,6 +460,7 @@
         {
             let Some(end) = self.ends.pop_front() else { return };
             end.runs.into_iter().for_each(|it| self.remove_run(it, end.number));
+            self.parts.remove_end(end.number, None);
         }
     }
 
@@ -455,6 +491,6 @@
 }
 
 /// Returns the time `ms` before `now`, or `now` if the clock doesn't reach back that far.
-fn ms_before(now: Instant, ms: u32) -> Instant {
+pub(super) fn ms_before(now: Instant, ms: u32) -> Instant {
     now.checked_sub(Duration::from_millis(ms.into())).unwrap_or(now)
 }
--- a/crates/registry/src/quarantine/view.rs
+++ b/crates/registry/src/quarantine/view.rs
@@ -13,9 +13,10 @@
 const HANDOVER_TIME: Duration = Duration::from_secs(2);
 
 /// How an entry handles a request that has arrived.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Admission {
     /// It is sent like any other.
+    #[default]
     Allowed,
     /// It is sent, and the entry reports to the leader when it completes.
     Watched,
--- a/crates/registry/tests/quarantine.rs
+++ b/crates/registry/tests/quarantine.rs
@@ -25,7 +25,13 @@
 /// Returns the termination of an upstream with runs of these requests, each sent this many ms before.
 fn end(upstream: u32, runs: &[(u32, u32)]) -> EndSeen {
     let runs = runs.iter().map(|(it, age_ms)| RunSeen { digest: digest(*it), age_ms: *age_ms });
-    EndSeen { upstream: format!("u-{upstream}"), ago_ms: 0, runs: runs.collect(), clock: None }
+    EndSeen {
+        upstream: format!("u-{upstream}"),
+        ago_ms: 0,
+        runs: runs.collect(),
+        clock: None,
+        parts: vec![],
+    }
 }
 
 /// An event.
--- a/crates/registry/tests/quarantine_evidence.rs
+++ b/crates/registry/tests/quarantine_evidence.rs
@@ -12,13 +12,21 @@
 /// Returns the termination of an upstream while it ran the request.
 fn ended(upstream: u32) -> Evidence {
     let runs = vec![RunSeen { digest: digest(), age_ms: 100 }];
-    Evidence::Ended(EndSeen { upstream: format!("u-{upstream}"), ago_ms: 20, runs, clock: None })
+    Evidence::Ended(EndSeen {
+        upstream: format!("u-{upstream}"),
+        ago_ms: 20,
+        runs,
+        clock: None,
+        parts: vec![],
+    })
 }
 
 /// Returns the subject of each observation, and for terminations their age in ms.
 fn names(evidence: &[Evidence]) -> Vec<String> {
     let name = |it: &Evidence| match it {
-        Evidence::Ended(seen) | Evidence::EndedAt(_, seen) => {
+        Evidence::Ended(seen)
+        | Evidence::EndedAt(_, seen)
+        | Evidence::EndedWithParts(_, seen, _) => {
             format!("{} {}", seen.upstream, seen.ago_ms)
         }
         Evidence::Completed(_) => "completed".to_owned(),
--- a/crates/registry/tests/quarantine_fleet.rs
+++ b/crates/registry/tests/quarantine_fleet.rs
@@ -393,7 +393,8 @@
         by_entry.sort_by_key(|it| it.0);
         for (entry, runs) in by_entry {
             let upstream = format!("u-{upstream}-{incarnation}");
-            let seen = EndSeen { upstream, ago_ms: DETECTION_MS as u32, runs, clock: None };
+            let seen =
+                EndSeen { upstream, ago_ms: DETECTION_MS as u32, runs, clock: None, parts: vec![] };
             self.report(entry, Evidence::EndedAt(self.now, seen), DETECTION_MS);
         }
         self.schedule(RESTART_MS, Event::Restarted(upstream));
@@ -429,7 +430,7 @@
             }
             Evidence::Completed(digest) => self.leader.record_completion(digest),
             Evidence::Try(digest) => self.leader.request_trial(digest, address, now),
-            Evidence::Known(_) | Evidence::Ended(_) => Vec::new(),
+            Evidence::Known(_) | Evidence::Ended(_) | Evidence::EndedWithParts(..) => Vec::new(),
         };
         self.publish(&decisions);
     }
