Let an entry that callers crowd to borrow connections to upstreams from the others

An entry all of whose connections to the chosen upstream are in use now asks up to three others, of 24 that stay the same for it, for one of theirs.

--- a/crates/gateway/src/batch/client/loan.rs
+++ b/crates/gateway/src/batch/client/loan.rs
@@ -11,11 +11,12 @@
 
 use super::BatchClient;
 use crate::batch::link::Link;
-use crate::batch::message::{FromOwner, Loan, RoomLoan, ToOwner};
+use crate::batch::message::{ConnectionLoan, FromOwner, Loan, RoomLoan, ToOwner};
 use crate::brittle::SETTLE_TIME;
 use crate::budget::Spender;
 use crate::dialect::Dialect;
-use crate::upstream::Upstream;
+use crate::place::score;
+use crate::upstream::{Borrowed, Upstream};
 
 /// How long a lender may take to answer, a new connection to it included.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(120);
@@ -26,6 +27,16 @@
 /// How many lenders of room are asked at most. Few have some left where the limit is low.
 const MAX_ROOM_LENDERS_ASKED: usize = 4;
 
+/// From how many entries an entry borrows connections: enough for a crowd, and so few that the links to
+/// them cost little in a large fleet.
+const CONNECTION_LENDERS: u32 = 24;
+
+/// How many of them are asked for one request at most.
+const MAX_CONNECTION_LENDERS_ASKED: usize = 3;
+
+/// How much longer than its request a connection may be on loan, for the way back.
+const RETURN_TIME: Duration = Duration::from_secs(1);
+
 impl<D: Dialect> BatchClient<D> {
     /// Takes `count` retries for a service, all or none; returns whether they may be sent.
     pub(crate) async fn take_retries(
@@ -61,8 +72,9 @@
         spender: Spender,
         count: u32,
     ) -> bool {
-        let loan = |id| ToOwner::Borrow(Loan { id, service: service.to_string(), spender, count });
-        let lent = self.ask_loan(lender, loan).await;
+        let id = self.next_number();
+        let loan = Loan { id, service: service.to_string(), spender, count };
+        let lent = self.ask_loan(lender, id, ToOwner::Borrow(loan)).await;
         log::info!(peer:% = lender, service:% = service, count, lent = lent.unwrap_or(false),
             in_time = lent.is_some(); "asked another entry for retries");
         lent.unwrap_or(false)
@@ -83,9 +95,9 @@
             in_need.min_by_key(|(it, _)| (it.total_running(), rand::random::<u16>()))?;
         let lenders = holders.into_iter().sample(&mut rand::rng(), MAX_ROOM_LENDERS_ASKED);
         for lender in lenders {
-            let id = upstream.id.to_string();
-            let loan = |number| ToOwner::BorrowRoom(RoomLoan { id: number, upstream: id, need });
-            if self.ask_loan(lender, loan).await == Some(true) {
+            let number = self.next_number();
+            let loan = RoomLoan { id: number, upstream: upstream.id.to_string(), need };
+            if self.ask_loan(lender, number, ToOwner::BorrowRoom(loan)).await == Some(true) {
                 log::info!(peer:% = lender, upstream:% = upstream.id, need:? = need;
                     "another entry lent its room at an upstream in need");
                 if need.brittle.is_some() {
@@ -98,20 +110,52 @@
         None
     }
 
-    /// Sends an entry the message that `loan` makes of the request's number. Returns whether it lends
-    /// what is asked for, or `None` if it doesn't answer in time.
-    async fn ask_loan(
-        &self,
-        lender: SocketAddr,
-        loan: impl FnOnce(u64) -> ToOwner,
-    ) -> Option<bool> {
-        let id = self.next_id.fetch_add(1, Ordering::Relaxed) + 1;
+    /// Asks other entries for one of their connections to an upstream at which all of this entry's are in
+    /// use, and has the next request there use it. The connection is returned by `deadline`.
+    pub(crate) async fn borrow_connection(&self, upstream: &Arc<Upstream>, deadline: Instant) {
+        if upstream.has_connection() {
+            return;
+        }
+        let time = deadline.saturating_duration_since(Instant::now()) + RETURN_TIME;
+        let own = score(0, &self.own_address.to_string());
+        let lenders = self.shared.directory().entry_list().holders(own, CONNECTION_LENDERS);
+        let lenders = lenders.into_iter().sample(&mut rand::rng(), MAX_CONNECTION_LENDERS_ASKED);
+        for lender in lenders {
+            let (number, time_ms) = (self.next_number(), time.as_millis() as u64);
+            let loan = ConnectionLoan { id: number, upstream: upstream.id.to_string(), time_ms };
+            let lent = self.ask_loan(lender, number, ToOwner::BorrowConnection(loan)).await;
+            let link = self.link(lender);
+            if lent == Some(true) {
+                let (borrowed, when) = Borrowed::new();
+                upstream.add_borrowed(borrowed);
+                tokio::spawn(async move {
+                    // Closed when the connection is not used any more.
+                    let _ = when.await;
+                    link.send(ToOwner::ReturnConnection(number));
+                });
+                return;
+            }
+            if lent.is_none() {
+                // An answer that comes late must not keep the connection.
+                link.send(ToOwner::ReturnConnection(number));
+            }
+        }
+    }
+
+    /// Returns the number of the next message that is answered.
+    fn next_number(&self) -> u64 {
+        self.next_id.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Asks an entry for a loan, with the message that has the number `id`. Returns whether it lends what
+    /// is asked for, or `None` if it doesn't answer in time.
+    async fn ask_loan(&self, lender: SocketAddr, id: u64, loan: ToOwner) -> Option<bool> {
         let (replies, mut answers) = mpsc::unbounded_channel();
         let link = self.link(lender);
         if !link.register(id, replies) {
             return None;
         }
-        link.send(loan(id));
+        link.send(loan);
         let answer = timeout(LOAN_TIMEOUT, answers.recv()).await;
         link.forget(id);
         match answer {
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -244,7 +244,9 @@
                         ToOwner::Free(_)
                         | ToOwner::Borrow(_)
                         | ToOwner::BorrowRoom(_)
-                        | ToOwner::SettleRoom(_) => {}
+                        | ToOwner::SettleRoom(_)
+                        | ToOwner::BorrowConnection(_)
+                        | ToOwner::ReturnConnection(_) => {}
                         ToOwner::Relayed(ToRelay::Open(address)) => {
                             return relay::serve(&shared, (sender, receiver), *address).await;
                         }
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -75,6 +75,21 @@
     SettleRoom(String),
     /// On a connection of its own: has the receiver pass bytes on to an upstream and back.
     Relayed(ToRelay),
+    /// Asks for a connection out of the receiver's share of those to an upstream.
+    BorrowConnection(ConnectionLoan),
+    /// Returns the connection that was lent on the request with this number.
+    ReturnConnection(u64),
+}
+
+/// A request for a connection to an upstream.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct ConnectionLoan {
+    /// The number of the request, chosen by the sender; the answer repeats it.
+    pub(crate) id: u64,
+    /// The id of the upstream.
+    pub(crate) upstream: String,
+    /// After which time the receiver may use the connection again, returned or not, in ms.
+    pub(crate) time_ms: u64,
 }
 
 /// A request for room at an upstream in need.
@@ -121,6 +136,9 @@
 /// The protocol level from which entries relay connections to upstreams.
 pub(crate) const RELAY_LEVEL: u8 = 6;
 
+/// The protocol level from which entries lend connections.
+pub(crate) const CONNECTIONS_LEVEL: u8 = 7;
+
 /// The protocol level from which forwarded lists tell the versions of upstreams.
 pub(crate) const VERSIONS_LEVEL: u8 = 7;
 
@@ -141,6 +159,9 @@
             Self::Borrow(_) if level < LOANS_LEVEL => None,
             Self::BorrowRoom(_) | Self::SettleRoom(_) if level < ROOM_LEVEL => None,
             Self::Relayed(_) if level < RELAY_LEVEL => None,
+            Self::BorrowConnection(_) | Self::ReturnConnection(_) if level < CONNECTIONS_LEVEL => {
+                None
+            }
             Self::AskLists(_) if level < LOANS_LEVEL => Some(Self::SubscribeRelays),
             message => Some(message),
         }
@@ -180,7 +201,8 @@
     Relay(Box<Relay>),
     /// The backlog of a section.
     SectionBacklog(SectionBacklog),
-    /// Whether the retries of a [`Loan`], or the room of a [`RoomLoan`], are lent.
+    /// Whether the retries of a [`Loan`], the room of a [`RoomLoan`] or the connection of a
+    /// [`ConnectionLoan`] are lent.
     Lent(u64, bool),
     /// The answers to [`ToOwner::Relayed`].
     Relayed(FromRelay),
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -10,10 +10,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
-use crate::batch::message::{FromOwner, Loan, PiecesDone, RoomLoan, ToOwner};
+use crate::batch::message::{ConnectionLoan, FromOwner, Loan, PiecesDone, RoomLoan, ToOwner};
 use crate::batch::queue::{JobKey, NextCall, Piece, Queue, Target};
 use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, SpaceReport};
 use crate::exchange::{self, Fault};
@@ -116,6 +116,9 @@
     fetched_sent: bool,
 }
 
+/// The longest time for which a connection is lent.
+const MAX_LOAN_TIME: Duration = Duration::from_secs(60);
+
 struct State<D> {
     shared: Arc<Shared<D>>,
     events: mpsc::UnboundedSender<OwnerEvent>,
@@ -131,6 +134,8 @@
     released: HashMap<std::net::SocketAddr, Vec<Handle>>,
     releases_sent: Instant,
     audience: Audience,
+    /// The connections that are lent, by the request for each.
+    lent: HashMap<JobKey, oneshot::Sender<()>>,
     /// Results that are sent at the end of the step, with those of one job in one message.
     outbox: HashMap<JobKey, (Replies, PiecesDone)>,
     /// Whether waiting jobs were returned to their entries because this entry is shutting down.
@@ -153,6 +158,7 @@
             last_call: 0,
             released: HashMap::new(),
             releases_sent: Instant::now(),
+            lent: HashMap::new(),
             audience: Audience::default(),
             outbox: HashMap::new(),
             jobs_returned: false,
@@ -221,6 +227,13 @@
                     upstream.record_settled();
                 }
             }
+            OwnerEvent::Message(origin, ToOwner::BorrowConnection(loan), replies) => {
+                self.lend_connection(origin, &loan, &replies);
+            }
+            OwnerEvent::Message(origin, ToOwner::ReturnConnection(id), _) => {
+                // Its task ends the loan.
+                self.lent.remove(&JobKey { origin, id });
+            }
             // The connection's own task handles these.
             OwnerEvent::Message(
                 _,
@@ -266,6 +279,25 @@
         let _ = replies.send(FromOwner::Lent(loan.id, lent));
     }
 
+    /// Lends another entry one of this entry's connections to an upstream, until that one returns it or its
+    /// time is over.
+    fn lend_connection(&mut self, origin: u64, loan: &ConnectionLoan, replies: &Replies) {
+        let directory = self.shared.directory();
+        let lent = directory.upstream(&loan.upstream).and_then(Upstream::lend_connection);
+        // The borrower may have ended meanwhile.
+        let _ = replies.send(FromOwner::Lent(loan.id, lent.is_some()));
+        let Some(lent) = lent else { return };
+        let (returned, when) = oneshot::channel::<()>();
+        self.lent.retain(|_, it| !it.is_closed());
+        self.lent.insert(JobKey { origin, id: loan.id }, returned);
+        let time = Duration::from_millis(loan.time_ms).min(MAX_LOAN_TIME);
+        tokio::spawn(async move {
+            // Ends when it is returned, too.
+            let _ = timeout(time, when).await;
+            drop(lent);
+        });
+    }
+
     fn release(&mut self, handles: Vec<String>) {
         for handle in handles.into_iter().map(Handle::from) {
             if let Some(address) = D::holder(&handle) {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -92,6 +92,7 @@
             shared.metrics.calls.with_label_values(&["no budget"]).inc();
             break;
         }
+        batches.borrow_connection(&upstream, request.deadline).await;
         let now = Instant::now();
         offers.add(&upstream, now);
         let reached_before = reached_upstream;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -216,6 +216,8 @@
                 self.shared.metrics.calls.with_label_values(&["no budget"]).inc();
                 return Err(if tries.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
             }
+            self.batches.borrow_connection(&upstream, request.deadline).await;
+            let now = Instant::now();
             tries.offers.add(&upstream, now);
             log::info!(request = request.head.attempt.as_str(), upstream:% = upstream.id,
                 running = upstream.total_running(), tokens = upstream.total_tokens(),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,6 +1,7 @@
 //! One incarnation of an upstream: its connections, its load from this entry, and its health.
 
 mod connections;
+mod lending;
 mod room;
 mod running;
 
@@ -20,10 +21,12 @@
 use crate::quota::EntryList;
 
 pub(crate) use self::connections::{ConnectError, ConnectionShare, Lease, configure};
+pub(crate) use self::lending::Borrowed;
 pub use self::room::Need;
 pub(crate) use self::running::{InUse, RunningRequest};
 
 use self::connections::Idle;
+use self::lending::Lending;
 use self::room::Gates;
 
 /// The base of the backoff of an ejected upstream. The backoff is this times 2^n, where n is the
@@ -70,6 +73,7 @@
     permits: Arc<Semaphore>,
     connection_limit: AtomicU32,
     keeps_idle: AtomicBool,
+    lending: Lending,
     gates: Gates,
     /// The entries that share what a limit allows.
     entries: Arc<ArcSwap<EntryList>>,
@@ -115,6 +119,7 @@
             permits: Arc::new(Semaphore::new(connection_limit as usize)),
             connection_limit: AtomicU32::new(connection_limit),
             keeps_idle: AtomicBool::new(true),
+            lending: Lending::default(),
             gates: Gates::default(),
             entries: Arc::default(),
             paths: Arc::default(),
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::Upstream;
+use super::lending::Permit;
 use crate::partition::Cut;
 use crate::path::relay::RelayState;
 use crate::path::state::Path;
@@ -106,7 +107,14 @@
 
     /// Returns whether this entry may send a request without waiting for one of its connections.
     pub(crate) fn has_connection(&self) -> bool {
-        self.running() < self.connection_limit.load(Ordering::Relaxed)
+        self.running() + self.lent_connections() < self.connection_limit.load(Ordering::Relaxed)
+    }
+
+    /// Closes an idle connection; returns the permit that it had.
+    pub(super) fn release_idle(&self) -> Option<OwnedSemaphorePermit> {
+        let idle = self.lock_idle().pop()?;
+        idle.opened.task.abort();
+        Some(idle.permit)
     }
 
     /// Returns an idle connection, or opens a new one before `deadline`.
@@ -115,14 +123,18 @@
         deadline: Instant,
     ) -> Result<Lease, ConnectError> {
         let by = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+        let mut borrowed = self.take_borrowed();
         let permit = loop {
             if let Some(lease) = self.take_idle() {
                 return Ok(lease);
             }
+            if let Some(borrowed) = borrowed.take() {
+                break Permit::Borrowed(borrowed);
+            }
             tokio::select! {
                 permit = timeout_at(by, Arc::clone(&self.permits).acquire_owned()) => {
                     let Ok(Ok(permit)) = permit else { return Err(ConnectError::LimitReached) };
-                    break permit;
+                    break Permit::Own(permit);
                 }
                 // The connection of a request that has just ended keeps its permit.
                 () = self.idle_added.notified() => {}
@@ -252,7 +264,7 @@
             // The own path is shorter than a relay's.
             let relays = it.opened.relay.as_ref().is_none_or(|it| cut_off && it.is_usable());
             if relays && it.opened.sender.is_ready() && now < it.expires {
-                let connection = Some((it.opened, it.permit));
+                let connection = Some((it.opened, Permit::Own(it.permit)));
                 return Some(Lease { upstream: Arc::clone(self), connection, is_kept: true });
             }
             it.opened.task.abort();
@@ -302,7 +314,7 @@
 #[derive(Debug)]
 pub(crate) struct Lease {
     upstream: Arc<Upstream>,
-    connection: Option<(Opened, OwnedSemaphorePermit)>,
+    connection: Option<(Opened, Permit)>,
     is_kept: bool,
 }
 
@@ -320,6 +332,11 @@
     /// Keeps the connection for later requests. To be called after the answer has ended properly.
     pub(crate) fn keep(mut self, keep_alive: Option<Duration>) {
         let Some((mut opened, permit)) = self.connection.take() else { return };
+        let Permit::Own(permit) = permit else {
+            // It goes back to the entry that lent it.
+            opened.task.abort();
+            return;
+        };
         let upstream = Arc::clone(&self.upstream);
         let keep = match keep_alive {
             Some(it) => it.checked_sub(KEEP_ALIVE_MARGIN).unwrap_or(Duration::from_millis(300)),
