Close new connections unread while a crowd of callers overloads one entry

An entry that is handed the new connections of a whole region reads more requests than its processor can serve, and all of them are late, while the entries beside it are idle. While due tasks run 100 ms late and the entry has three times its share of the work, new connections are closed unread, so that their callers try other entries at once. Where all entries are overloaded, or one is slow with its share, nothing changes. Decisions only are tested (a table of cases); no crowd of that size was played.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -217,6 +217,16 @@
         LoadReport { upstreams_stamp: self.listed, loads }
     }
 
+    /// Returns the number of requests that this entry runs.
+    pub(crate) fn own_running(&self) -> u64 {
+        self.in_use.upstreams().iter().map(|it| u64::from(it.running())).sum()
+    }
+
+    /// Returns the number of requests that all entries run, as far as this one knows.
+    pub(crate) fn total_running(&self) -> u64 {
+        self.ordered.iter().map(|it| u64::from(it.total_running())).sum()
+    }
+
     /// Sets the load of other entries at each upstream: the total in `total`, less this entry's own
     /// share in `own`. `previous` is the total that was applied last; only upstreams in either total
     /// are visited while the list stays the same. Returns whether `total` refers to this list.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -127,6 +127,7 @@
         let loads = Arc::clone(&shared).exchange_loads(follower.reports(), follower.total_loads());
         tokio::spawn(loads);
         tokio::spawn(Arc::clone(&shared).watch_paths());
+        tokio::spawn(Arc::clone(&shared).watch_crowd());
         tokio::spawn(front::serve(callers, Arc::clone(&shared), streams));
         tokio::spawn(front::serve_ready(balancer, Arc::clone(&shared)));
         Ok(Self { shared, follower })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod brittle;
 pub mod budget;
 pub mod cold;
+pub mod crowd;
 pub mod dialect;
 mod directory;
 mod drain;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,6 +15,7 @@
 use crate::body_memory::{BODY_MEMORY_BYTES, MemoryBudget};
 use crate::budget::{Budget, Share};
 use crate::cold::ColdTolerance;
+use crate::crowd::{CHECK_INTERVAL, Crowd, Load, MAX_LAG};
 use crate::dialect::Dialect;
 use crate::directory::{ColdRules, Directory};
 use crate::drain::Drain;
@@ -74,6 +75,7 @@
     pub(crate) prefill_times: PrefillTimes,
     pub(crate) body_memory: MemoryBudget,
     pub(crate) quarantine: Quarantine,
+    pub(crate) crowd: Crowd,
     dialect: PhantomData<D>,
 }
 
@@ -107,6 +109,7 @@
             prefill_times: PrefillTimes::default(),
             body_memory: MemoryBudget::new(BODY_MEMORY_BYTES),
             quarantine,
+            crowd: Crowd::default(),
             dialect: PhantomData,
         }
     }
@@ -228,6 +231,31 @@
         }
     }
 
+    /// Watches whether a crowd of callers overloads the entry, for as long as the process lives.
+    pub(crate) async fn watch_crowd(self: Arc<Self>) {
+        loop {
+            let due = Instant::now() + CHECK_INTERVAL;
+            sleep_until(due).await;
+            let lag = due.elapsed();
+            if lag < MAX_LAG && !self.crowd.is_crowded() {
+                continue;
+            }
+            let directory = self.directory();
+            let total = self.knows_loads().then(|| directory.total_running());
+            let load = Load {
+                lag,
+                own: directory.own_running(),
+                total,
+                entries: self.peers().len() as u64 + 1,
+            };
+            if let Some(crowded) = self.crowd.update(&load) {
+                log::warn!(crowded, lag_ms = load.lag.as_millis() as u64, own = load.own,
+                    total = load.total, entries = load.entries;
+                    "the entry starts or ends to close new connections unread");
+            }
+        }
+    }
+
     /// Exchanges loads with the other entries for as long as the process lives.
     pub(crate) async fn exchange_loads(
         self: Arc<Self>,
