--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -10,36 +10,22 @@
 use std::time::Duration;
 
 use registry::RequestDigest;
-use registry::quarantine::{Admission, EndSeen, Evidence, PartSeen, QuarantineView, RunSeen};
+use registry::quarantine::{Admission, Evidence, QuarantineView, RunSeen};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, timeout};
 
-use crate::path::state::Path;
 use crate::request::CallerRequest;
 use crate::upstream::Upstream;
 
 mod parts;
+mod probe;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use self::parts::part_digests;
 
 use self::parts::PartHistory;
-
-/// The delays after which the upstream of a lost call is probed: the first after the loss, the
-/// second after the first probe. A process that ends closes its connections and its port some
-/// milliseconds apart.
-const PROBE_DELAYS: [Duration; 2] = [Duration::from_millis(20), Duration::from_millis(130)];
-
-/// How long a probe waits for an answer. No answer proves nothing, because the network path may be
-/// cut.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// How long the probes of other upstreams, whose calls were lost at the same moment, may take longer.
-const OTHER_PROBES_TIME: Duration = Duration::from_millis(20);
-
-/// How long a suspicion that the entry has no path takes to be checked.
-const SUSPICION_TIME: Duration = Duration::from_millis(300);
+use self::probe::{EndProbe, LostRuns};
 
 /// A run whose first event is older than this is not suspected: a request that terminates its
 /// upstream does so as it begins.
@@ -48,9 +34,6 @@
 /// How long a request waits for the leader to grant a trial.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The maximum number of runs that are reported with one termination of an upstream.
-const MAX_RUNS: usize = 64;
-
 /// The times of a run at an upstream that matter if the upstream ends.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunTimes {
@@ -265,87 +248,6 @@
     }
 }
 
-/// The runs that were lost at one upstream.
-#[derive(Debug, Default)]
-struct LostRuns {
-    runs: Vec<RunSeen>,
-    /// The shared parts of their prompts, with the positions of the runs that have them.
-    parts: Vec<(RequestDigest, Vec<u8>)>,
-}
-
-impl LostRuns {
-    fn add(&mut self, run: RunSeen, parts: &[RequestDigest]) {
-        if self.runs.len() >= MAX_RUNS {
-            return;
-        }
-        let position = self.runs.len() as u8;
-        self.runs.push(run);
-        for part in parts {
-            match self.parts.iter_mut().find(|it| it.0 == *part) {
-                Some((_, runs)) => runs.push(position),
-                None => self.parts.push((*part, vec![position])),
-            }
-        }
-    }
-
-    /// Returns the parts with when requests with them completed last.
-    fn parts_seen(self, history: &PartHistory) -> Vec<PartSeen> {
-        let seen = |(part, runs)| {
-            let completed = history.since_completion(part, Instant::now());
-            PartSeen { part, runs, completed_ms: completed.map(|it| it.as_millis() as u32) }
-        };
-        self.parts.into_iter().map(seen).collect()
-    }
-}
-
-/// Probes whether an upstream has terminated.
-struct EndProbe {
-    upstream: Arc<Upstream>,
-    /// When the entry started.
-    start: Instant,
-    at: Instant,
-    lost: Arc<Mutex<HashMap<Arc<str>, LostRuns>>>,
-    history: Arc<Mutex<PartHistory>>,
-    evidence: mpsc::Sender<Evidence>,
-}
-
-impl EndProbe {
-    async fn run(self) {
-        let mut ended = false;
-        for delay in PROBE_DELAYS {
-            sleep(delay).await;
-            ended = self.upstream.refuses_connections(PROBE_TIMEOUT).await;
-            if ended {
-                break;
-            }
-        }
-        ended = ended && self.has_path().await;
-        let mut lost = lock(&self.lost).remove(&self.upstream.id).unwrap_or_default();
-        let runs = std::mem::take(&mut lost.runs);
-        let parts = lost.parts_seen(&lock(&self.history));
-        log::info!(upstream:% = self.upstream.id, ended, runs = runs.len(), parts = parts.len();
-            "probed whether an upstream that lost calls has ended");
-        if !ended {
-            return;
-        }
-        let ago_ms = self.at.elapsed().as_millis() as u32;
-        let upstream = self.upstream.id.to_string();
-        let seen = EndSeen { upstream, ago_ms, runs, clock: None, parts: Vec::new() };
-        let at_ms = self.at.duration_since(self.start).as_millis() as u64;
-        report(&self.evidence, Evidence::EndedWithParts(at_ms, seen, parts));
-    }
-
-    /// Returns whether this entry has a path to the service of the upstream. A path that is cut may
-    /// refuse all connections at the same moment, as if all upstreams had ended.
-    async fn has_path(&self) -> bool {
-        sleep(OTHER_PROBES_TIME).await;
-        if self.upstream.path() == Path::Suspected {
-            sleep(SUSPICION_TIME).await;
-        }
-        self.upstream.path() == Path::Open
-    }
-}
-
 fn report(sender: &mpsc::Sender<Evidence>, evidence: Evidence) {
     if let Err(error) = sender.try_send(evidence) {
         log::warn!(cause:% = error;
--- a/crates/gateway/src/quarantine/tests.rs
+++ b/crates/gateway/src/quarantine/tests.rs
@@ -3,6 +3,8 @@
 use registry::Health;
 use tokio::net::TcpSocket;
 
+use tokio::time::sleep;
+
 use super::*;
 use crate::path::Paths;
 
