--- a/crates/gateway/src/upstream/lending.rs
+++ b/crates/gateway/src/upstream/lending.rs
@@ -20,7 +20,9 @@
 
 /// The right to a connection that another entry has lent. It is returned when this is dropped.
 #[derive(Debug)]
-pub(crate) struct Borrowed(#[expect(dead_code, reason = "its end tells")] oneshot::Sender<()>);
+pub(crate) struct Borrowed(
+    #[expect(dead_code, reason = "the receiver notices when it is dropped")] oneshot::Sender<()>,
+);
 
 impl Borrowed {
     /// Creates the right, and the receiver that is closed when it is returned.
--- a/crates/registry/src/hub/quarantine.rs
+++ b/crates/registry/src/hub/quarantine.rs
@@ -164,8 +164,7 @@
         }
         Decision::PartHeld(digest, ends) => {
             log::warn!(digest:% = digest, ends;
-                "upstreams terminated while they ran requests with a part of their prompts in common; \
-                 requests with it are not sent any more");
+                "requests with a part in common terminated upstreams; they are not sent any more");
         }
         Decision::TrialFailed(digest, ends) => {
             log::warn!(digest:% = digest, ends;
