Log what the budget for sending again grants, and requests that wait long for a connection

Callers saw a service get more repeats than the whole fleet may send, and no log told from what an entry's grants came. The line tells the share of the burst and the entries that it was divided among, what is used of what is allowed, the requests counted and the age of the process: it tells a window that is too short (used falls within ten seconds), a start (a young process with few entries) and other lists (entries, rank) apart. A wait of 250 ms and more between the choice and the send has a line too. No logic is changed.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -141,6 +141,9 @@
             if granted {
                 account.bucket_mut(bucket).2 += count;
             }
+            let age_ms = now.duration_since(self.start).as_millis() as u64;
+            log::info!(service:%, spender:?, count, granted, used = retries, allowed, requests,
+                share:?, age_ms; "asked the retry budget");
             granted
         })
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,6 +23,9 @@
 /// How long a kept connection may bring no answer before the path to its upstream is checked.
 const SILENCE_TIME: Duration = Duration::from_millis(500);
 
+/// How long a request may wait for its connection without a line in the log.
+const LONG_CONNECT_TIME: Duration = Duration::from_millis(250);
+
 /// Why a call brought no answer that can be forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Cause {
@@ -107,7 +110,13 @@
 ) -> Result<Opened, Fault> {
     let mut request = request;
     loop {
+        let begun = Instant::now();
         let mut lease = upstream.connect(deadline).await.map_err(Fault::unsent)?;
+        let waited = begun.elapsed();
+        if waited >= LONG_CONNECT_TIME {
+            log::info!(request = attempt, upstream:% = upstream.id,
+                ms = waited.as_millis() as u64; "a request waited long for its connection");
+        }
         let is_kept = lease.is_kept();
         let Some(sender) = lease.sender() else {
             return Err(Fault::unsent(ConnectError::Refused));
