Count a retry for the whole window, also the last moment of its first bucket

Callers: at engines that fail in waves about ten seconds apart all entries together sent more again than the budget allows. Cause: ten buckets of a second were kept with the one that is being filled, so a retry counted for nine to ten seconds, and what was used at the end of a bucket was free again nine seconds later. Change: the bucket at the far edge is kept too. Still over: restarts, late connections, callers that move, all at once; other causes. A retry now counts for up to eleven seconds: the rate over a long time falls by a tenth at most.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -163,7 +163,8 @@
         let bucket = (now.duration_since(self.start).as_millis() / bucket_ms) as u64;
         let mut accounts = self.accounts.lock().unwrap_or_else(PoisonError::into_inner);
         let account = accounts.entry(key).or_default();
-        account.buckets.retain(|it| it.0 + u64::from(BUCKETS) > bucket);
+        // The oldest bucket may hold retries of the last moment before the window.
+        account.buckets.retain(|it| it.0 + u64::from(BUCKETS) >= bucket);
         act(account, bucket)
     }
 }
