Let what requests earn for sending again expire, and lend the rest of a retry

Callers: where traffic moves between entries while engines fail, all entries together sent more again than allowed. Cause: each entry looked back over a window of its own; the entries that had the callers and those that got them each spent a whole window's ratio within one window of the users'. Change: a request earns 0.8 of the ratio, and that expires after a quarter of a window, so what is spent in any window was earned in one and a quarter of it, at whichever entry: 0.8 x 1.25 = 1. The burst is counted by the time of each retry instead of by buckets. An entry with a part of a retry borrows the rest alone (message level 8; a lender of the release before lends a whole one), from three of the lenders; 0.9 of the burst is used instead of 0.8.

--- a/crates/gateway/src/batch/client/loan.rs
+++ b/crates/gateway/src/batch/client/loan.rs
@@ -11,9 +11,9 @@
 
 use super::BatchClient;
 use crate::batch::link::Link;
-use crate::batch::message::{ConnectionLoan, FromOwner, Loan, RoomLoan, ToOwner};
+use crate::batch::message::{ConnectionLoan, FromOwner, Loan, RestLoan, RoomLoan, ToOwner};
 use crate::brittle::SETTLE_TIME;
-use crate::budget::Spender;
+use crate::budget::{Retries, Spender};
 use crate::dialect::Dialect;
 use crate::place::score;
 use crate::upstream::{Borrowed, Upstream};
@@ -22,7 +22,7 @@
 const LOAN_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// How many lenders of retries are asked at most.
-const MAX_LENDERS_ASKED: usize = 2;
+const MAX_LENDERS_ASKED: usize = 3;
 
 /// How many lenders of room are asked at most. Few have some left where the limit is low.
 const MAX_ROOM_LENDERS_ASKED: usize = 4;
@@ -38,44 +38,51 @@
 const RETURN_TIME: Duration = Duration::from_secs(1);
 
 impl<D: Dialect> BatchClient<D> {
-    /// Takes `count` retries for a service, all or none; returns whether they may be sent.
+    /// Takes `count` retries for a service, all or none; returns whether they may be sent. What this entry
+    /// is missing it borrows.
     pub(crate) async fn take_retries(
         &self,
         service: &Arc<str>,
         spender: Spender,
         count: u32,
     ) -> bool {
-        let share = self.shared.budget_share(service);
-        if self.shared.budget.take(service, spender, count, share, Instant::now()) {
-            return true;
-        }
+        let whole = Retries(count.into());
+        let Err(missing) = self.take_own(service, spender, whole) else { return true };
         let Some(lenders) = self.shared.budget.lenders(spender, self.shared.entries()) else {
             return false;
         };
         let mut lenders = self.shared.first_entries(service, lenders);
         lenders.retain(|it| *it != self.own_address);
-        let start = rand::random_range(0..lenders.len().max(1));
-        for lender in lenders.iter().cycle().skip(start).take(MAX_LENDERS_ASKED.min(lenders.len()))
-        {
-            if self.borrow(*lender, service, spender, count).await {
-                return true;
+        let asked = lenders.into_iter().sample(&mut rand::rng(), MAX_LENDERS_ASKED);
+        for lender in asked {
+            let id = self.next_number();
+            let loan = Loan { id, service: service.to_string(), spender, count };
+            if self.borrow(lender, loan, missing).await {
+                let rest = Retries(whole.0 - missing.0);
+                // Another request may have taken it meanwhile.
+                return self.take_own(service, spender, rest).is_ok();
             }
         }
         false
     }
 
-    /// Asks an entry for retries; returns whether it lends them.
-    async fn borrow(
+    /// Takes retries from this entry's own budget.
+    fn take_own(
         &self,
-        lender: SocketAddr,
         service: &Arc<str>,
         spender: Spender,
-        count: u32,
-    ) -> bool {
-        let id = self.next_number();
-        let loan = Loan { id, service: service.to_string(), spender, count };
-        let lent = self.ask_loan(lender, id, ToOwner::Borrow(loan)).await;
-        log::info!(peer:% = lender, service:% = service, count, lent = lent.unwrap_or(false),
+        amount: Retries,
+    ) -> Result<(), Retries> {
+        let share = self.shared.budget_share(service);
+        self.shared.budget.take(service, spender, amount, share, Instant::now())
+    }
+
+    /// Asks an entry for what is missing of retries; returns whether it lends that.
+    async fn borrow(&self, lender: SocketAddr, loan: Loan, missing: Retries) -> bool {
+        let (id, service) = (loan.id, loan.service.clone());
+        let loan = RestLoan { loan, missing: (missing.0 * 1e3).ceil() as u32 };
+        let lent = self.ask_loan(lender, id, ToOwner::BorrowRest(loan)).await;
+        log::info!(peer:% = lender, service:% = service, missing:%, lent = lent.unwrap_or(false),
             in_time = lent.is_some(); "asked another entry for retries");
         lent.unwrap_or(false)
     }
--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -243,6 +243,7 @@
                         }
                         ToOwner::Free(_)
                         | ToOwner::Borrow(_)
+                        | ToOwner::BorrowRest(_)
                         | ToOwner::BorrowRoom(_)
                         | ToOwner::SettleRoom(_)
                         | ToOwner::BorrowConnection(_)
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -79,6 +79,17 @@
     BorrowConnection(ConnectionLoan),
     /// Returns the connection that was lent on the request with this number.
     ReturnConnection(u64),
+    /// Asks for what is missing of retries out of the receiver's budget.
+    BorrowRest(RestLoan),
+}
+
+/// A request for what is missing of retries of requests or pieces of a service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct RestLoan {
+    /// The retries that the sender wants. One that knows no parts lends them whole.
+    pub(crate) loan: Loan,
+    /// How much of them is missing, in thousandths of a retry.
+    pub(crate) missing: u32,
 }
 
 /// A request for a connection to an upstream.
@@ -139,6 +150,9 @@
 /// The protocol level from which entries lend connections.
 pub(crate) const CONNECTIONS_LEVEL: u8 = 7;
 
+/// The protocol level from which entries lend parts of retries.
+pub(crate) const PARTS_LEVEL: u8 = 8;
+
 /// The protocol level from which forwarded lists tell the versions of upstreams.
 pub(crate) const VERSIONS_LEVEL: u8 = 7;
 
@@ -156,6 +170,7 @@
                 None => Some(Self::Submit(it.job)),
             },
             Self::SubmitToDomain(_, job) if level < SECTIONS_LEVEL => Some(Self::Submit(job)),
+            Self::BorrowRest(it) if level < PARTS_LEVEL => Self::Borrow(it.loan).at_level(level),
             Self::Borrow(_) if level < LOANS_LEVEL => None,
             Self::BorrowRoom(_) | Self::SettleRoom(_) if level < ROOM_LEVEL => None,
             Self::Relayed(_) if level < RELAY_LEVEL => None,
--- a/crates/gateway/src/batch/message/tests.rs
+++ b/crates/gateway/src/batch/message/tests.rs
@@ -77,6 +77,10 @@
     let loan = || Loan { id: 7, service: "s".to_owned(), spender: Spender::Entry, count: 1 };
     assert!(ToOwner::Borrow(loan()).at_level(LOANS_LEVEL - 1).is_none());
     assert!(matches!(ToOwner::Borrow(loan()).at_level(LOANS_LEVEL), Some(ToOwner::Borrow(_))));
+    let rest = || ToOwner::BorrowRest(RestLoan { loan: loan(), missing: 400 });
+    assert!(rest().at_level(LOANS_LEVEL - 1).is_none());
+    assert!(matches!(rest().at_level(PARTS_LEVEL - 1), Some(ToOwner::Borrow(_))));
+    assert!(matches!(rest().at_level(PARTS_LEVEL), Some(ToOwner::BorrowRest(_))));
 }
 
 struct Case {
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -15,6 +15,7 @@
 
 use crate::batch::message::{ConnectionLoan, FromOwner, Loan, PiecesDone, RoomLoan, ToOwner};
 use crate::batch::queue::{JobKey, NextCall, Piece, Queue, Target};
+use crate::budget::Retries;
 use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, SpaceReport};
 use crate::exchange::{self, Fault};
 use crate::section::Section;
@@ -218,7 +219,12 @@
                 self.queues.values_mut().for_each(|it| it.cancel(key));
             }
             OwnerEvent::Message(_, ToOwner::Free(handles), _) => self.release(handles),
-            OwnerEvent::Message(_, ToOwner::Borrow(loan), replies) => self.lend(&loan, &replies),
+            OwnerEvent::Message(_, ToOwner::Borrow(loan), replies) => {
+                self.lend(&loan, Retries(loan.count.into()), &replies);
+            }
+            OwnerEvent::Message(_, ToOwner::BorrowRest(it), replies) => {
+                self.lend(&it.loan, Retries(f64::from(it.missing) / 1e3), &replies);
+            }
             OwnerEvent::Message(_, ToOwner::BorrowRoom(loan), replies) => {
                 self.lend_room(&loan, &replies);
             }
@@ -258,14 +264,13 @@
         }
     }
 
-    /// Lends another entry retries of the budget that this entry holds for all.
-    fn lend(&self, loan: &Loan, replies: &Replies) {
+    /// Lends another entry retries of the budget, or a part of one.
+    fn lend(&self, loan: &Loan, amount: Retries, replies: &Replies) {
         let service: Arc<str> = loan.service.as_str().into();
         let share = self.shared.budget_share(&service);
-        let lent =
-            self.shared.budget.take(&service, loan.spender, loan.count, share, Instant::now());
+        let taken = self.shared.budget.take(&service, loan.spender, amount, share, Instant::now());
         // The borrower may have ended meanwhile.
-        let _ = replies.send(FromOwner::Lent(loan.id, lent));
+        let _ = replies.send(FromOwner::Lent(loan.id, taken.is_ok()));
     }
 
     /// Lends another entry a request out of this entry's share of what an upstream takes.
--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -10,7 +10,7 @@
 use super::{CallEnd, InFlightCall, State};
 use crate::batch::message::{FromOwner, PiecesDone};
 use crate::batch::queue::{JobKey, Piece};
-use crate::budget::{Share, Spender};
+use crate::budget::{Retries, Share, Spender};
 use crate::dialect::{Dialect, PieceFailure, PieceResult};
 use crate::exchange::Cause;
 use crate::incarnation::Incarnation;
@@ -65,7 +65,9 @@
             return false;
         }
         let owners = Share::Equal(self.shared.directory().sections(&section.service).len());
-        if !self.shared.budget.take(&section.service, Spender::Owner, 1, owners, now) {
+        let taken =
+            self.shared.budget.take(&section.service, Spender::Owner, Retries(1.0), owners, now);
+        if taken.is_err() {
             log::info!(request = &*piece.attempt, section:% = section, sends = piece.sends;
                 "a piece is not sent again: the retry budget is used up");
             return false;
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -1,22 +1,25 @@
 //! The retry budget: how many requests all entries together may send again to a service.
 //!
-//! Each entry may use a fixed share of the burst, and the ratio of its own requests. The shares of
-//! all entries add up to no more than the whole budget, whether or not the control plane is
-//! reachable. Pieces have budgets of their own, since an owner repeats the pieces of all entries.
+//! Each request earns its entry a part of a retry, which expires soon, so that requests at one entry and
+//! retries at another can't fall into two windows. Beyond that, each entry may use a share of the burst in
+//! a window. What all entries use adds up to no more than the whole budget, whether or not the control plane
+//! is reachable. Pieces have budgets of their own, since an owner repeats the pieces of all entries.
 //!
 //! The load is that of single failures, anywhere in a fleet of any size. Once there are more entries
 //! than retries in the burst, an equal share is less than one retry, and no entry could use it. Then a
 //! few entries, which all choose alike, hold the whole burst and lend it to the others.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-/// The number of buckets in which a window is counted.
-const BUCKETS: u32 = 10;
+use self::account::Account;
+
+mod account;
 
 /// The limits of the retry budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -29,6 +32,16 @@
     pub burst: f64,
 }
 
+/// A number of retries; of one that an entry has earned in part, it borrows the rest.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Retries(pub f64);
+
+impl fmt::Display for Retries {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.3}", self.0)
+    }
+}
+
 /// Who sends something again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Spender {
@@ -91,15 +104,12 @@
     (each < 1.0).then(|| (burst as usize).clamp(1, MAX_LENDERS).min(entries))
 }
 
-/// The share of the budget that is used. The rest covers what several entries count differently,
-/// because their windows slide from bucket to bucket.
-const USABLE_SHARE: f64 = 0.8;
+/// The share of the ratio that is used. With a request's credit that lasts for a quarter of a window, what
+/// is spent in a window was earned in one and a quarter: together no more than the ratio.
+const USABLE_RATIO: f64 = 0.8;
 
-/// The buckets of a service: the number of the bucket, its requests and its retries.
-#[derive(Debug, Default)]
-struct Account {
-    buckets: Vec<(u64, u32, u32)>,
-}
+/// The share of the burst that is used. The rest covers what entries with different lists use twice.
+const USABLE_BURST: f64 = 0.9;
 
 /// One entry's retry budget for all services.
 #[derive(Debug)]
@@ -117,64 +127,48 @@
 
     /// Counts requests or pieces that were sent, or will be, to a service.
     pub fn record(&self, service: &Arc<str>, spender: Spender, count: u32, now: Instant) {
-        let key = (Arc::clone(service), spender);
-        self.with_account(key, now, |account, bucket| account.bucket_mut(bucket).1 += count);
+        let earned = USABLE_RATIO * self.spec.part(spender).ratio * f64::from(count);
+        let window = self.spec.window;
+        self.with_account(service, spender, |account| account.earn(earned, window, now));
     }
 
-    /// Takes `count` retries for a service from the budget, all or none, and returns whether they
-    /// were granted.
+    /// Takes retries, or a part of one, for a service from the budget, all or nothing.
+    ///
+    /// # Errors
+    /// Returns how much is missing.
     pub fn take(
         &self,
         service: &Arc<str>,
         spender: Spender,
-        count: u32,
+        amount: Retries,
         share: Share,
         now: Instant,
-    ) -> bool {
-        let spec = self.spec.part(spender);
-        self.with_account((Arc::clone(service), spender), now, |account, bucket| {
-            let requests: u32 = account.buckets.iter().map(|it| it.1).sum();
-            let retries: u32 = account.buckets.iter().map(|it| it.2).sum();
-            let burst = share.of(USABLE_SHARE * spec.burst);
-            let allowed = USABLE_SHARE * spec.ratio * f64::from(requests) + burst;
-            let granted = f64::from(retries + count) <= allowed;
-            if granted {
-                account.bucket_mut(bucket).2 += count;
-            }
-            let age_ms = now.duration_since(self.start).as_millis() as u64;
-            log::info!(service:%, spender:?, count, granted, used = retries, allowed, requests,
-                share:?, age_ms; "asked the retry budget");
-            granted
-        })
+    ) -> Result<(), Retries> {
+        let burst = share.of(USABLE_BURST * self.spec.part(spender).burst);
+        let window = self.spec.window;
+        let (balance, taken) = self.with_account(service, spender, |account| {
+            let balance = account.balance(window, now);
+            (balance, account.take(amount.0, burst, window, now))
+        });
+        log::info!(service:%, spender:?, amount:%, granted = taken.is_ok(),
+            earned = balance.earned, spent = balance.spent, burst, share:?,
+            age_ms = now.duration_since(self.start).as_millis() as u64;
+            "asked the retry budget");
+        taken.map_err(Retries)
     }
 
     /// Returns how many of `entries` lend the burst to the others; `None` if each has its own share.
     pub fn lenders(&self, spender: Spender, entries: usize) -> Option<usize> {
-        lenders(USABLE_SHARE * self.spec.part(spender).burst, entries)
+        lenders(USABLE_BURST * self.spec.part(spender).burst, entries)
     }
 
     fn with_account<T>(
         &self,
-        key: (Arc<str>, Spender),
-        now: Instant,
-        act: impl FnOnce(&mut Account, u64) -> T,
+        service: &Arc<str>,
+        spender: Spender,
+        act: impl FnOnce(&mut Account) -> T,
     ) -> T {
-        let bucket_ms = (self.spec.window / BUCKETS).as_millis().max(1);
-        let bucket = (now.duration_since(self.start).as_millis() / bucket_ms) as u64;
         let mut accounts = self.accounts.lock().unwrap_or_else(PoisonError::into_inner);
-        let account = accounts.entry(key).or_default();
-        // The oldest bucket may hold retries of the last moment before the window.
-        account.buckets.retain(|it| it.0 + u64::from(BUCKETS) >= bucket);
-        act(account, bucket)
-    }
-}
-
-impl Account {
-    fn bucket_mut(&mut self, bucket: u64) -> &mut (u64, u32, u32) {
-        if self.buckets.last().is_none_or(|it| it.0 != bucket) {
-            self.buckets.push((bucket, 0, 0));
-        }
-        let last = self.buckets.len() - 1;
-        &mut self.buckets[last]
+        act(accounts.entry((Arc::clone(service), spender)).or_default())
     }
 }
--- a/crates/gateway/tests/pure.rs
+++ b/crates/gateway/tests/pure.rs
@@ -5,7 +5,7 @@
 
 use gateway::Upstream;
 use gateway::body_memory::MemoryBudget;
-use gateway::budget::{Budget, BudgetSpec, Share, Spender};
+use gateway::budget::{Budget, BudgetSpec, Retries, Share, Spender};
 use gateway::dialect::{Generation, PromptPart};
 use gateway::events::EventSplitter;
 use gateway::guard::HeadScanner;
@@ -14,6 +14,9 @@
 use gateway::prefill::PrefillTimes;
 use tokio::time::Instant;
 
+/// One retry.
+const ONE: Retries = Retries(1.0);
+
 struct EventCase {
     name: &'static str,
     reads: &'static [&'static str],
@@ -269,13 +272,16 @@
     for _ in 0..100 {
         budget.record(&service, Spender::Entry, 1, start);
     }
-    let granted =
-        (0..100).filter(|_| budget.take(&service, Spender::Entry, 1, share, start)).count();
+    let granted = (0..100)
+        .filter(|_| budget.take(&service, Spender::Entry, ONE, share, start).is_ok())
+        .count();
     // A fifth of 100 requests, and an eighth of the burst.
     assert!(granted <= 25, "{granted} retries");
     assert!(granted >= 18, "{granted} retries");
     let later = start + Duration::from_secs(11);
-    let again = (0..100).filter(|_| budget.take(&service, Spender::Entry, 1, share, later)).count();
+    let again = (0..100)
+        .filter(|_| budget.take(&service, Spender::Entry, ONE, share, later).is_ok())
+        .count();
     assert!(again <= 5, "{again} retries without requests");
 }
 
@@ -291,7 +297,7 @@
     let spec = BudgetSpec { ratio: 0.2, window: Duration::from_secs(10), burst: 218.0 };
     let service: Arc<str> = "s".into();
     let granted = |budget: &Budget, spender, share| {
-        (0..10_000).filter(|_| budget.take(&service, spender, 1, share, start)).count()
+        (0..10_000).filter(|_| budget.take(&service, spender, ONE, share, start).is_ok()).count()
     };
     let owner = Budget::new(spec, start);
     owner.record(&service, Spender::Owner, ENTRIES * PIECES, start);
@@ -333,7 +339,7 @@
         let budgets: Vec<Budget> = (0..case.entries).map(|_| Budget::new(spec, start)).collect();
         let take = |rank: usize| {
             let share = Share::Ranked { entries: case.entries, rank };
-            budgets[rank].take(&service, Spender::Entry, 1, share, start)
+            budgets[rank].take(&service, Spender::Entry, ONE, share, start).is_ok()
         };
         let lenders = budgets[0].lenders(Spender::Entry, case.entries).unwrap_or(0);
         let borrowed = |rank| take(rank) || (0..lenders).any(take);
--- a/crates/gateway/tests/retry_fleet/fleet.rs
+++ b/crates/gateway/tests/retry_fleet/fleet.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gateway::budget::{Budget, BudgetSpec, Share, Spender};
+use gateway::budget::{Budget, BudgetSpec, Retries, Share, Spender};
 use gateway::quota::EntryHash;
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
@@ -38,7 +38,7 @@
 const A_WINDOW_LATER: std::ops::Range<usize> = 180..205;
 
 /// How many lenders an entry asks.
-const ASKED: usize = 2;
+const ASKED: usize = 3;
 
 /// What may happen beside the waves of failures.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -96,9 +96,9 @@
         }
     }
 
-    fn take(&self, service: &Arc<str>, now: Instant) -> bool {
+    fn take(&self, service: &Arc<str>, amount: Retries, now: Instant) -> Result<(), Retries> {
         let share = Share::Ranked { entries: self.most_known, rank: self.before };
-        self.budget.take(service, Spender::Entry, 1, share, now)
+        self.budget.take(service, Spender::Entry, amount, share, now)
     }
 }
 
@@ -326,15 +326,8 @@
         let now = self.at(step);
         self.record.asked += 1;
         let process = self.entries[at].process.as_ref().expect("a process");
-        let mut granted = process.take(&self.service, now);
-        if !granted {
-            let lenders = process.lenders.iter().copied().filter(|it| *it != at);
-            for lender in lenders.sample(&mut self.random, ASKED) {
-                let entry = &self.entries[lender];
-                let lending = entry.process.as_ref().filter(|_| !entry.still);
-                granted = granted || lending.is_some_and(|it| it.take(&self.service, now));
-            }
-        }
+        let taken = process.take(&self.service, Retries(1.0), now);
+        let granted = taken.is_ok() || taken.is_err_and(|missing| self.borrow(at, missing, now));
         if granted {
             self.record.granted += 1;
             self.record.sent_again[step.max(self.stuck_until)] += 1;
@@ -343,6 +336,21 @@
     }
 }
 
+impl Fleet<'_> {
+    /// Has an entry borrow what is missing of a retry; returns whether it may send it.
+    fn borrow(&mut self, at: usize, missing: Retries, now: Instant) -> bool {
+        let process = self.entries[at].process.as_ref().expect("a process");
+        let lenders = process.lenders.iter().copied().filter(|it| *it != at);
+        let lends = |lender: &usize| {
+            let entry = &self.entries[*lender];
+            let lending = entry.process.as_ref().filter(|_| !entry.still);
+            lending.is_some_and(|it| it.take(&self.service, missing, now).is_ok())
+        };
+        let lent = lenders.sample(&mut self.random, ASKED).iter().any(lends);
+        lent && process.take(&self.service, Retries(1.0 - missing.0), now).is_ok()
+    }
+}
+
 impl Record {
     /// Returns the requests and the requests sent again in the window that begins with a step.
     fn window(counts: &[usize], from: usize) -> usize {
