Divide the burst among all entries listed in the last hour, and give a process that starts again none for a while

Callers: amid restarts, and while entries saw different lists, all entries together sent more again than allowed. Cause: the account ends with its process, and the next one had a whole share at once, of as many entries as it had heard of: one before the first list, a part of the fleet after a change of the leader. In large fleets an entry that saw a part of the list took itself for one of the lenders, and new lenders got the whole burst while that of those before them still counted. Change: an entry counts all entries that were listed in the last hour, since those that are gone may be cut off and use their shares; a share that grows holds after one and a half windows, and so does the first share of a process, unless the whole deployment starts for the first time. Until then it has what its requests earn, and borrows: in small fleets, too, an entry whose share is used up asks others. What remains: while a part of the entries is cut off for longer than one and a half windows, those that start again meanwhile don't know of it, and count without it.

--- a/crates/gateway/src/batch/client/loan.rs
+++ b/crates/gateway/src/batch/client/loan.rs
@@ -13,7 +13,7 @@
 use crate::batch::link::Link;
 use crate::batch::message::{ConnectionLoan, FromOwner, Loan, RestLoan, RoomLoan, ToOwner};
 use crate::brittle::SETTLE_TIME;
-use crate::budget::{Retries, Spender};
+use crate::budget::{Retries, Share, Spender};
 use crate::dialect::Dialect;
 use crate::place::score;
 use crate::upstream::{Borrowed, Upstream};
@@ -48,11 +48,7 @@
     ) -> bool {
         let whole = Retries(count.into());
         let Err(missing) = self.take_own(service, spender, whole) else { return true };
-        let Some(lenders) = self.shared.budget.lenders(spender, self.shared.entries()) else {
-            return false;
-        };
-        let mut lenders = self.shared.first_entries(service, lenders);
-        lenders.retain(|it| *it != self.own_address);
+        let lenders = self.shared.budget.lenders(spender);
         let asked = lenders.into_iter().sample(&mut rand::rng(), MAX_LENDERS_ASKED);
         for lender in asked {
             let id = self.next_number();
@@ -73,8 +69,7 @@
         spender: Spender,
         amount: Retries,
     ) -> Result<(), Retries> {
-        let share = self.shared.budget_share(service);
-        self.shared.budget.take(service, spender, amount, share, Instant::now())
+        self.shared.budget.take(service, spender, amount, Share::OfEntries, Instant::now())
     }
 
     /// Asks an entry for what is missing of retries; returns whether it lends that.
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -15,7 +15,7 @@
 
 use crate::batch::message::{ConnectionLoan, FromOwner, Loan, PiecesDone, RoomLoan, ToOwner};
 use crate::batch::queue::{JobKey, NextCall, Piece, Queue, Target};
-use crate::budget::Retries;
+use crate::budget::{Retries, Share};
 use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, SpaceReport};
 use crate::exchange::{self, Fault};
 use crate::section::Section;
@@ -267,8 +267,8 @@
     /// Lends another entry retries of the budget, or a part of one.
     fn lend(&self, loan: &Loan, amount: Retries, replies: &Replies) {
         let service: Arc<str> = loan.service.as_str().into();
-        let share = self.shared.budget_share(&service);
-        let taken = self.shared.budget.take(&service, loan.spender, amount, share, Instant::now());
+        let (budget, now) = (&self.shared.budget, Instant::now());
+        let taken = budget.take(&service, loan.spender, amount, Share::OfEntries, now);
         // The borrower may have ended meanwhile.
         let _ = replies.send(FromOwner::Lent(loan.id, taken.is_ok()));
     }
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -5,21 +5,26 @@
 //! a window. What all entries use adds up to no more than the whole budget, whether or not the control plane
 //! is reachable. Pieces have budgets of their own, since an owner repeats the pieces of all entries.
 //!
-//! The load is that of single failures, anywhere in a fleet of any size. Once there are more entries
-//! than retries in the burst, an equal share is less than one retry, and no entry could use it. Then a
-//! few entries, which all choose alike, hold the whole burst and lend it to the others.
+//! The load is that of single failures, anywhere in a fleet of any size. An entry whose share is used up, or
+//! that has none yet, borrows from others. Once there are more entries than retries in the burst, an equal
+//! share is less than one retry, and a few entries, which all choose alike, hold the whole of it.
 
 use std::collections::HashMap;
 use std::fmt;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+pub use self::roster::Start;
+
 use self::account::Account;
+use self::roster::Roster;
 
 mod account;
+mod roster;
 
 /// The limits of the retry budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -67,41 +72,13 @@
     }
 }
 
-/// How many entries hold the burst at most once an equal share is less than one retry.
-const MAX_LENDERS: usize = 8;
-
 /// How the burst is divided among the spenders of a kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Share {
     /// Equally among this number of spenders.
     Equal(usize),
-    /// Equally among this number of entries while each gets a whole retry, else among lenders.
-    Ranked {
-        /// The number of entries.
-        entries: usize,
-        /// The rank of this entry, by which all entries choose the lenders alike.
-        rank: usize,
-    },
-}
-
-impl Share {
-    /// Returns this spender's share of `burst` retries.
-    fn of(self, burst: f64) -> f64 {
-        match self {
-            Self::Equal(sharers) => burst / sharers.max(1) as f64,
-            Self::Ranked { entries, rank } => match lenders(burst, entries) {
-                None => burst / entries.max(1) as f64,
-                Some(lenders) if rank < lenders => burst / lenders as f64,
-                Some(_) => 0.0,
-            },
-        }
-    }
-}
-
-/// Returns how many of `entries` hold the burst; `None` if each has a share of its own.
-fn lenders(burst: f64, entries: usize) -> Option<usize> {
-    let each = burst / entries.max(1) as f64;
-    (each < 1.0).then(|| (burst as usize).clamp(1, MAX_LENDERS).min(entries))
+    /// Among the entries.
+    OfEntries,
 }
 
 /// The share of the ratio that is used. With a request's credit that lasts for a quarter of a window, what
@@ -115,14 +92,35 @@
 #[derive(Debug)]
 pub struct Budget {
     spec: BudgetSpec,
-    start: Instant,
+    roster: Mutex<Roster>,
     accounts: Mutex<HashMap<(Arc<str>, Spender), Account>>,
 }
 
 impl Budget {
-    /// Creates a budget that counts from `now`.
-    pub fn new(spec: BudgetSpec, now: Instant) -> Self {
-        Self { spec, start: now, accounts: Mutex::default() }
+    /// Creates the budget of the entry at `own`, which starts `now`.
+    pub fn new(spec: BudgetSpec, own: SocketAddr, start: Start, now: Instant) -> Self {
+        let roster = Mutex::new(Roster::new(own, start, spec.window, now));
+        Self { spec, roster, accounts: Mutex::default() }
+    }
+
+    /// Takes a list of the entries among which the burst is divided.
+    pub fn learn(&self, entries: impl Iterator<Item = SocketAddr>, now: Instant) {
+        self.roster().learn(entries, now);
+    }
+
+    fn roster(&self) -> MutexGuard<'_, Roster> {
+        self.roster.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns this entry's share of the burst of a kind of spender.
+    fn burst(&self, spender: Spender, share: Share, now: Instant) -> f64 {
+        let burst = USABLE_BURST * self.spec.part(spender).burst;
+        let mut roster = self.roster();
+        match share {
+            Share::OfEntries => roster.share(burst, now),
+            Share::Equal(_) if roster.is_new(now) => 0.0,
+            Share::Equal(sharers) => burst / sharers.max(1) as f64,
+        }
     }
 
     /// Counts requests or pieces that were sent, or will be, to a service.
@@ -144,7 +142,7 @@
         share: Share,
         now: Instant,
     ) -> Result<(), Retries> {
-        let burst = share.of(USABLE_BURST * self.spec.part(spender).burst);
+        let burst = self.burst(spender, share, now);
         let window = self.spec.window;
         let (balance, taken) = self.with_account(service, spender, |account| {
             let balance = account.balance(window, now);
@@ -152,14 +150,14 @@
         });
         log::info!(service:%, spender:?, amount:%, granted = taken.is_ok(),
             earned = balance.earned, spent = balance.spent, burst, share:?,
-            age_ms = now.duration_since(self.start).as_millis() as u64;
+            entries = self.roster().entries();
             "asked the retry budget");
         taken.map_err(Retries)
     }
 
-    /// Returns how many of `entries` lend the burst to the others; `None` if each has its own share.
-    pub fn lenders(&self, spender: Spender, entries: usize) -> Option<usize> {
-        lenders(USABLE_BURST * self.spec.part(spender).burst, entries)
+    /// Returns the other entries that lend retries of a kind of spender.
+    pub fn lenders(&self, spender: Spender) -> Vec<SocketAddr> {
+        self.roster().lenders(USABLE_BURST * self.spec.part(spender).burst)
     }
 
     fn with_account<T>(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use wire::{Hello, Kind, Listener, Secret};
 
 use crate::batch::{BatchClient, Owner, OwnerConfig, accept};
-use crate::budget::{Budget, BudgetSpec};
+use crate::budget::{Budget, BudgetSpec, Start};
 use crate::cold::ColdTolerance;
 use crate::dialect::Dialect;
 use crate::drain::Phase;
@@ -66,6 +66,8 @@
     pub link: LinkRate,
     /// The retry budget of the deployment.
     pub budget: BudgetSpec,
+    /// Whether the entry may have run before.
+    pub start: Start,
     /// How far the limit of cold upstreams may be exceeded.
     pub cold: ColdTolerance,
     /// The artificial partition from upstreams, for tests.
@@ -88,7 +90,7 @@
         secret: Secret,
         metrics: &prometheus::Registry,
     ) -> StepResult<Self> {
-        let budget = Budget::new(config.budget, Instant::now());
+        let budget = Budget::new(config.budget, config.address, config.start, Instant::now());
         let metrics = Metrics::open(metrics)?;
         let domain: Arc<str> = config.domain.as_str().into();
         let entry = EntryInfo {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -13,7 +13,7 @@
 
 use crate::backlog::Backlogs;
 use crate::body_memory::{BODY_MEMORY_BYTES, MemoryBudget};
-use crate::budget::{Budget, Share};
+use crate::budget::Budget;
 use crate::cold::ColdTolerance;
 use crate::crowd::{CHECK_INTERVAL, Crowd, Load, MAX_LAG};
 use crate::dialect::Dialect;
@@ -22,11 +22,9 @@
 use crate::metrics::Metrics;
 use crate::path::Paths;
 use crate::path::relay::RelayPermits;
-use crate::place::score;
 use crate::plan::Plan;
 use crate::prefill::PrefillTimes;
 use crate::quarantine::Quarantine;
-use crate::quota::EntryHash;
 use crate::section::{self, LinkRate, Section};
 
 mod path;
@@ -183,26 +181,6 @@
         self.entries.load(Ordering::Relaxed)
     }
 
-    /// Returns this entry's share of the retry budget of a service.
-    pub(crate) fn budget_share(&self, service: &str) -> Share {
-        let key = score(0, service);
-        let own = EntryHash::from(self.own).rank(key);
-        let peers = self.peers();
-        let before = peers.iter().filter(|it| EntryHash::from(it.address).rank(key) < own);
-        Share::Ranked { entries: self.entries(), rank: before.count() }
-    }
-
-    /// Returns the `count` entries that come first in rank for a service, the same at every entry.
-    pub(crate) fn first_entries(&self, service: &str, count: usize) -> Vec<SocketAddr> {
-        let key = score(0, service);
-        let peers = self.peers();
-        let mut all: Vec<SocketAddr> = peers.iter().map(|it| it.address).collect();
-        all.push(self.own);
-        all.sort_by_cached_key(|it| EntryHash::from(*it).rank(key));
-        all.truncate(count);
-        all
-    }
-
     /// Returns whether the entry may get new connections.
     pub(crate) fn is_ready(&self) -> bool {
         self.is_initialized() && !self.drain.is_ending()
@@ -307,10 +285,16 @@
                 "this entry was added to or removed from the list of entries");
         }
         self.entries.fetch_max(others.len() + 1, Ordering::Relaxed);
+        let is_known = registry_state.entries_stamp > Stamp::default();
+        let is_first = !self.entries_known.load(Ordering::Relaxed);
+        if is_known && (is_first || **self.peers.load() != others) {
+            let listed = registry_state.entries.iter().map(|it| it.address);
+            self.budget.learn(listed, Instant::now());
+        }
         let others = Arc::new(others);
         self.paths.set_peers(&others);
         self.peers.store(others);
-        if registry_state.entries_stamp > Stamp::default() {
+        if is_known {
             self.entries_known.store(true, Ordering::Relaxed);
         }
         if let Some((version, text)) = &registry_state.plan {
--- a/crates/gateway/src/shared/tests.rs
+++ b/crates/gateway/src/shared/tests.rs
@@ -7,7 +7,7 @@
 use types::Version;
 
 use super::*;
-use crate::budget::BudgetSpec;
+use crate::budget::{BudgetSpec, Start};
 use crate::cold::ColdTolerance;
 use crate::dialect::{
     AnswerHead, ForwardHead, Handle, PieceAnswer, PieceCall, RequestHead, SpaceReport,
@@ -64,7 +64,7 @@
     let (_, known) = watch::channel(Arc::new(QuarantineView::default()));
     let (evidence, _) = mpsc::channel(1);
     let spec = BudgetSpec { ratio: 0.2, window: Duration::from_secs(10), burst: 1.0 };
-    let budget = Budget::new(spec, Instant::now());
+    let budget = Budget::new(spec, own, Start::First, Instant::now());
     let metrics = Metrics::open(&telemetry::open_registry()).expect("metrics");
     let quarantine = Quarantine::new(known, evidence, own);
     Shared::new(
--- a/crates/mothplank/src/commands/gateway.rs
+++ b/crates/mothplank/src/commands/gateway.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use eyre::{OptionExt, Result};
-use gateway::budget::BudgetSpec;
+use gateway::budget::{BudgetSpec, Start};
 use gateway::cold::ColdTolerance;
 use gateway::partition::Partition;
 use gateway::section::LinkRate;
@@ -36,6 +36,7 @@
             window: settings.retry_window,
             burst: settings.retry_burst,
         },
+        start: if settings.bootstrap { Start::First } else { Start::Again },
         partition: Partition::beside(&path),
         cold: ColdTolerance { overrun: settings.cold_overrun, slack: settings.cold_slack },
     };
