Count a retry from its grant until a window after it was sent

Callers: while a path was cut, retries waited for a connection and were sent together when it was whole again; all entries together sent more again than allowed. Cause: a retry was counted at its grant, up to seconds before it was sent, and had left the count when it arrived. Change: a grant is a permit. It counts while the request waits, is settled when the request is written, and counts for a window and half a second of transit from then on. One that is dropped unsent is given back: a request that finds no connection cost the budget a retry before. Pieces keep their permit from the moment they are queued again until their call is written; a job that is submitted again counts until it has ended. A lent retry may be sent for a second after it was asked for, and counts at its lender from the end of that. The tests of the decisions send what they are granted.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -18,7 +18,7 @@
 use crate::batch::link::{HEARTBEAT_INTERVAL, Link, Sinks};
 use crate::batch::message::{Submission, ToOwner};
 use crate::batch::owner::{LOCAL_ORIGIN, Owner, OwnerEvent};
-use crate::budget::Spender;
+use crate::budget::{RetryPermit, Spender};
 use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput};
 use crate::place::score;
 use crate::section::Section;
@@ -139,16 +139,25 @@
         let now = Instant::now();
         self.shared.budget.record(&spec.service, Spender::Submitter, spec.pieces, now);
         let mut resubmitted = false;
+        let mut permit: Option<Arc<RetryPermit>> = None;
         let mut owners = 0;
         while owners < MAX_OWNERS {
             let last = owners + 1 == MAX_OWNERS;
             let section = self.shared.section(&spec.service, spec.domain.as_deref(), spec.rank);
             let Some(address) = self.owner_of(&section, last) else { break };
             let count = progress.left.len() as u32;
-            if resubmitted && !self.take_retries(&spec.service, Spender::Submitter, count).await {
-                break;
+            if resubmitted && permit.is_none() {
+                permit = self.take_retries(&spec.service, Spender::Submitter, count).await;
+                if permit.is_none() {
+                    break;
+                }
+            }
+            let end = self.run_at(address, section, spec, resubmitted, &mut progress).await;
+            // An owner that can't be reached sends nothing. Others send pieces for as long as the job runs.
+            if let Some(permit) = permit.take_if(|_| !matches!(end, JobEnd::Unreachable)) {
+                permit.begin_send(Instant::now());
             }
-            match self.run_at(address, section, spec, resubmitted, &mut progress).await {
+            match end {
                 JobEnd::Done => {
                     let done = std::mem::take(&mut progress.done);
                     let first = progress.first.unwrap_or_else(Instant::now);
--- a/crates/gateway/src/batch/client/loan.rs
+++ b/crates/gateway/src/batch/client/loan.rs
@@ -13,7 +13,7 @@
 use crate::batch::link::Link;
 use crate::batch::message::{ConnectionLoan, FromOwner, Loan, RestLoan, RoomLoan, ToOwner};
 use crate::brittle::SETTLE_TIME;
-use crate::budget::{Retries, Share, Spender};
+use crate::budget::{LOAN_TIME, Retries, RetryPermit, Share, Spender};
 use crate::dialect::Dialect;
 use crate::place::score;
 use crate::upstream::{Borrowed, Upstream};
@@ -38,28 +38,31 @@
 const RETURN_TIME: Duration = Duration::from_secs(1);
 
 impl<D: Dialect> BatchClient<D> {
-    /// Takes `count` retries for a service, all or none; returns whether they may be sent. What this entry
-    /// is missing it borrows.
+    /// Takes `count` retries for a service, all or none. What this entry is missing it borrows.
     pub(crate) async fn take_retries(
         &self,
         service: &Arc<str>,
         spender: Spender,
         count: u32,
-    ) -> bool {
+    ) -> Option<Arc<RetryPermit>> {
         let whole = Retries(count.into());
-        let Err(missing) = self.take_own(service, spender, whole) else { return true };
+        let missing = match self.take_own(service, spender, whole) {
+            Ok(permit) => return Some(Arc::new(permit)),
+            Err(missing) => missing,
+        };
         let lenders = self.shared.budget.lenders(spender);
         let asked = lenders.into_iter().sample(&mut rand::rng(), MAX_LENDERS_ASKED);
         for lender in asked {
             let id = self.next_number();
             let loan = Loan { id, service: service.to_string(), spender, count };
+            let valid_until = Instant::now() + LOAN_TIME;
             if self.borrow(lender, loan, missing).await {
-                let rest = Retries(whole.0 - missing.0);
-                // Another request may have taken it meanwhile.
-                return self.take_own(service, spender, rest).is_ok();
+                // Another request may have taken the rest meanwhile.
+                let rest = self.take_own(service, spender, Retries(whole.0 - missing.0)).ok()?;
+                return Some(Arc::new(rest.lent_until(valid_until)));
             }
         }
-        false
+        None
     }
 
     /// Takes retries from this entry's own budget.
@@ -68,7 +71,7 @@
         service: &Arc<str>,
         spender: Spender,
         amount: Retries,
-    ) -> Result<(), Retries> {
+    ) -> Result<RetryPermit, Retries> {
         self.shared.budget.take(service, spender, amount, Share::OfEntries, Instant::now())
     }
 
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -15,7 +15,7 @@
 
 use crate::batch::message::{ConnectionLoan, FromOwner, Loan, PiecesDone, RoomLoan, ToOwner};
 use crate::batch::queue::{JobKey, NextCall, Piece, Queue, Target};
-use crate::budget::{Retries, Share};
+use crate::budget::{Retries, RetryPermit};
 use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, SpaceReport};
 use crate::exchange::{self, Fault};
 use crate::section::Section;
@@ -267,10 +267,9 @@
     /// Lends another entry retries of the budget, or a part of one.
     fn lend(&self, loan: &Loan, amount: Retries, replies: &Replies) {
         let service: Arc<str> = loan.service.as_str().into();
-        let (budget, now) = (&self.shared.budget, Instant::now());
-        let taken = budget.take(&service, loan.spender, amount, Share::OfEntries, now);
+        let lent = self.shared.budget.lend(&service, loan.spender, amount, Instant::now());
         // The borrower may have ended meanwhile.
-        let _ = replies.send(FromOwner::Lent(loan.id, taken.is_ok()));
+        let _ = replies.send(FromOwner::Lent(loan.id, lent));
     }
 
     /// Lends another entry a request out of this entry's share of what an upstream takes.
@@ -429,7 +428,9 @@
     let start = Instant::now();
     let calls: Vec<_> = next.pieces.iter().map(|it| it.to_call(start)).collect();
     let by = start + next.expected * TIMEOUT_FACTOR + TIMEOUT_SLACK;
-    let outcome = exchange::pieces::<D>(&upstream, &calls, by).await;
+    let permits: Vec<Arc<RetryPermit>> =
+        next.pieces.iter().filter_map(|it| it.permit.clone()).collect();
+    let outcome = exchange::pieces::<D>(&upstream, &calls, &permits, by).await;
     let took = start.elapsed();
     let end = CallEnd { section, upstream, call, pieces: next.pieces, took, outcome };
     // The owner's task ends only with the process.
--- a/crates/gateway/src/batch/owner/jobs.rs
+++ b/crates/gateway/src/batch/owner/jobs.rs
@@ -130,5 +130,6 @@
         request: None,
         isolated: false,
         lost_calls: 0,
+        permit: None,
     })
 }
--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -65,15 +65,14 @@
             return false;
         }
         let owners = Share::Equal(self.shared.directory().sections(&section.service).len());
-        let taken =
-            self.shared.budget.take(&section.service, Spender::Owner, Retries(1.0), owners, now);
-        if taken.is_err() {
+        let (budget, one) = (&self.shared.budget, Retries(1.0));
+        let Ok(permit) = budget.take(&section.service, Spender::Owner, one, owners, now) else {
             log::info!(request = &*piece.attempt, section:% = section, sends = piece.sends;
                 "a piece is not sent again: the retry budget is used up");
             return false;
-        }
+        };
         if let Some(queue) = self.queues.get_mut(&section) {
-            queue.push(piece.clone());
+            queue.push(Piece { permit: Some(Arc::new(permit)), ..piece.clone() });
         }
         true
     }
--- a/crates/gateway/src/batch/queue/piece.rs
+++ b/crates/gateway/src/batch/queue/piece.rs
@@ -6,6 +6,7 @@
 use registry::RequestDigest;
 use tokio::time::Instant;
 
+use crate::budget::RetryPermit;
 use crate::dialect::{PieceCall, PieceInput};
 
 /// How much later a piece counts as due for each rank below the first.
@@ -56,6 +57,8 @@
     pub isolated: bool,
     /// How many calls with this piece lost their connection.
     pub lost_calls: u32,
+    /// The permit by which it is sent again.
+    pub permit: Option<Arc<RetryPermit>>,
 }
 
 impl Piece {
--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -9,7 +9,6 @@
 //! that has none yet, borrows from others. Once there are more entries than retries in the burst, an equal
 //! share is less than one retry, and a few entries, which all choose alike, hold the whole of it.
 
-use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,12 +17,14 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+pub use self::permit::RetryPermit;
 pub use self::roster::Start;
 
-use self::account::Account;
+use self::permit::Accounts;
 use self::roster::Roster;
 
 mod account;
+mod permit;
 mod roster;
 
 /// The limits of the retry budget.
@@ -88,19 +89,22 @@
 /// The share of the burst that is used. The rest covers what entries with different lists use twice.
 const USABLE_BURST: f64 = 0.9;
 
+/// How long after it was asked for a retry that another entry lent may be sent.
+pub const LOAN_TIME: Duration = Duration::from_secs(1);
+
 /// One entry's retry budget for all services.
 #[derive(Debug)]
 pub struct Budget {
     spec: BudgetSpec,
     roster: Mutex<Roster>,
-    accounts: Mutex<HashMap<(Arc<str>, Spender), Account>>,
+    accounts: Arc<Accounts>,
 }
 
 impl Budget {
     /// Creates the budget of the entry at `own`, which starts `now`.
     pub fn new(spec: BudgetSpec, own: SocketAddr, start: Start, now: Instant) -> Self {
         let roster = Mutex::new(Roster::new(own, start, spec.window, now));
-        Self { spec, roster, accounts: Mutex::default() }
+        Self { spec, roster, accounts: Arc::default() }
     }
 
     /// Takes a list of the entries among which the burst is divided.
@@ -127,7 +131,7 @@
     pub fn record(&self, service: &Arc<str>, spender: Spender, count: u32, now: Instant) {
         let earned = USABLE_RATIO * self.spec.part(spender).ratio * f64::from(count);
         let window = self.spec.window;
-        self.with_account(service, spender, |account| account.earn(earned, window, now));
+        self.accounts.with((service, spender), |it| it.earn(earned, window, now));
     }
 
     /// Takes retries, or a part of one, for a service from the budget, all or nothing.
@@ -141,10 +145,10 @@
         amount: Retries,
         share: Share,
         now: Instant,
-    ) -> Result<(), Retries> {
+    ) -> Result<RetryPermit, Retries> {
         let burst = self.burst(spender, share, now);
         let window = self.spec.window;
-        let (balance, taken) = self.with_account(service, spender, |account| {
+        let (balance, taken) = self.accounts.with((service, spender), |account| {
             let balance = account.balance(window, now);
             (balance, account.take(amount.0, burst, window, now))
         });
@@ -152,21 +156,25 @@
             earned = balance.earned, spent = balance.spent, burst, share:?,
             entries = self.roster().entries();
             "asked the retry budget");
-        taken.map_err(Retries)
+        let charge = taken.map_err(Retries)?;
+        Ok(RetryPermit::new(&self.accounts, service, spender, charge))
     }
 
-    /// Returns the other entries that lend retries of a kind of spender.
-    pub fn lenders(&self, spender: Spender) -> Vec<SocketAddr> {
-        self.roster().lenders(USABLE_BURST * self.spec.part(spender).burst)
-    }
-
-    fn with_account<T>(
+    /// Lends retries, or a part of one, to another entry, which may send them for [`LOAN_TIME`]; returns
+    /// whether it does.
+    pub fn lend(
         &self,
         service: &Arc<str>,
         spender: Spender,
-        act: impl FnOnce(&mut Account) -> T,
-    ) -> T {
-        let mut accounts = self.accounts.lock().unwrap_or_else(PoisonError::into_inner);
-        act(accounts.entry((Arc::clone(service), spender)).or_default())
+        amount: Retries,
+        now: Instant,
+    ) -> bool {
+        let taken = self.take(service, spender, amount, Share::OfEntries, now);
+        taken.is_ok_and(|it| it.begin_send(now + LOAN_TIME))
+    }
+
+    /// Returns the other entries that lend retries of a kind of spender.
+    pub fn lenders(&self, spender: Spender) -> Vec<SocketAddr> {
+        self.roster().lenders(USABLE_BURST * self.spec.part(spender).burst)
     }
 }
--- a/crates/gateway/src/budget/account.rs
+++ b/crates/gateway/src/budget/account.rs
@@ -12,6 +12,9 @@
 /// The number of steps in which a credit's lifetime is counted.
 const LIFETIME_STEPS: u32 = 10;
 
+/// How much longer than the window a retry counts from when it is sent: its way to the upstream.
+const TRANSIT_TIME: Duration = Duration::from_millis(500);
+
 /// Amounts below this are errors of rounding.
 const ROUNDING: f64 = 1e-6;
 
@@ -20,8 +23,17 @@
 pub(super) struct Account {
     /// The credits, with the start of the step in which they were earned.
     credits: VecDeque<(Instant, f64)>,
-    /// What was taken from the burst, and when.
-    spent: VecDeque<(Instant, f64)>,
+    /// What was taken from the burst for retries that have not been sent yet.
+    pending: f64,
+    /// What was taken from the burst for retries that were sent, and when.
+    spent: Vec<(Instant, f64)>,
+}
+
+/// From what retries were taken.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Charge {
+    earned: f64,
+    burst: f64,
 }
 
 /// What is available to spend.
@@ -29,7 +41,7 @@
 pub(super) struct Balance {
     /// What requests have earned.
     pub(super) earned: f64,
-    /// What was spent of the burst in the window.
+    /// What was spent of the burst in the window, and is about to be.
     pub(super) spent: f64,
 }
 
@@ -49,9 +61,7 @@
         while self.credits.front().is_some_and(|it| it.0 + lifetime <= now) {
             self.credits.pop_front();
         }
-        while self.spent.front().is_some_and(|it| it.0 + window <= now) {
-            self.spent.pop_front();
-        }
+        self.spent.retain(|it| now < it.0 + window + TRANSIT_TIME);
     }
 
     /// Returns what is available at `now`.
@@ -59,7 +69,7 @@
         self.expire(window, now);
         Balance {
             earned: self.credits.iter().map(|it| it.1).sum(),
-            spent: self.spent.iter().map(|it| it.1).sum(),
+            spent: self.pending + self.spent.iter().map(|it| it.1).sum::<f64>(),
         }
     }
 
@@ -73,18 +83,33 @@
         share: f64,
         window: Duration,
         now: Instant,
-    ) -> Result<(), f64> {
+    ) -> Result<Charge, f64> {
         let balance = self.balance(window, now);
         let from_burst = (amount - balance.earned).max(0.0);
         let missing = from_burst - (share - balance.spent).max(0.0);
         if missing > ROUNDING {
             return Err(missing);
         }
-        self.take_credits(amount - from_burst);
-        if from_burst > 0.0 {
-            self.spent.push_back((now, from_burst));
+        let charge = Charge { earned: amount - from_burst, burst: from_burst };
+        self.take_credits(charge.earned);
+        self.pending += charge.burst;
+        Ok(charge)
+    }
+
+    /// Records that what was taken was sent at `sent`.
+    pub(super) fn settle(&mut self, charge: Charge, sent: Instant) {
+        self.pending -= charge.burst;
+        if charge.burst > 0.0 {
+            self.spent.push((sent, charge.burst));
+        }
+    }
+
+    /// Gives back what was taken for something that was not sent.
+    pub(super) fn refund(&mut self, charge: Charge, now: Instant) {
+        self.pending -= charge.burst;
+        if charge.earned > 0.0 {
+            self.credits.push_back((now, charge.earned));
         }
-        Ok(())
     }
 
     /// Takes an amount from the credits, the oldest first.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout, timeout_at};
 
+use crate::budget::RetryPermit;
 use crate::dialect::{AnswerHead, Dialect, Handle, PieceAnswer, PieceCall, SpaceReport};
 use crate::upstream::{ConnectError, Lease, Upstream};
 
@@ -39,6 +40,8 @@
     Timeout,
     /// What came is not a valid answer to the request.
     Malformed(&'static str),
+    /// The permit to send it again had expired when a connection was there.
+    PermitExpired,
 }
 
 impl fmt::Display for Cause {
@@ -51,6 +54,7 @@
             Cause::Lost => f.write_str("connection lost"),
             Cause::Timeout => f.write_str("no answer in time"),
             Cause::Malformed(why) => write!(f, "invalid answer: {why}"),
+            Cause::PermitExpired => f.write_str("no connection while it might be sent again"),
         }
     }
 }
@@ -80,9 +84,13 @@
         Self { cause: Cause::Connect(why), not_run: true, unreachable }
     }
 
+    fn expired() -> Self {
+        Self { cause: Cause::PermitExpired, not_run: true, unreachable: false }
+    }
+
     /// Returns whether no byte of the request was sent.
     pub(crate) fn is_unsent(&self) -> bool {
-        matches!(self.cause, Cause::Connect(_))
+        matches!(self.cause, Cause::Connect(_) | Cause::PermitExpired)
     }
 
     pub(crate) fn refused(status: StatusCode) -> Self {
@@ -101,11 +109,12 @@
     pub(crate) head: AnswerHead,
 }
 
-/// Sends a request and waits for the head of its answer.
+/// Sends a request, by `permits` if it is sent again, and waits for the head of its answer.
 pub(crate) async fn send<D: Dialect>(
     upstream: &Arc<Upstream>,
     request: Request<Full<Bytes>>,
     attempt: &str,
+    permits: &[Arc<RetryPermit>],
     deadline: Instant,
 ) -> Result<Opened, Fault> {
     let mut request = request;
@@ -122,6 +131,10 @@
             return Err(Fault::unsent(ConnectError::Refused));
         };
         let sent = Instant::now();
+        if !permits.iter().all(|it| it.begin_send(sent)) {
+            lease.keep(None);
+            return Err(Fault::expired());
+        }
         let answer = timeout_at(deadline, sender.try_send_request(request));
         let response = match watch_silence(upstream, is_kept, answer).await {
             Ok(Ok(response)) => response,
@@ -182,9 +195,10 @@
     upstream: &Arc<Upstream>,
     request: Request<Full<Bytes>>,
     attempt: &str,
+    permits: &[Arc<RetryPermit>],
     deadline: Instant,
 ) -> Result<Opened, Fault> {
-    let opened = send::<D>(upstream, request, attempt, deadline).await?;
+    let opened = send::<D>(upstream, request, attempt, permits, deadline).await?;
     if opened.head.not_run {
         let status = opened.response.status();
         discard(opened, deadline).await;
@@ -250,10 +264,11 @@
 pub(crate) async fn pieces<D: Dialect>(
     upstream: &Arc<Upstream>,
     calls: &[PieceCall],
+    permits: &[Arc<RetryPermit>],
     deadline: Instant,
 ) -> Result<PieceAnswer, Fault> {
     let request = own_call::<D>(upstream, D::PIECES_PATH, D::encode_pieces(calls), deadline);
-    let opened = send::<D>(upstream, request, "", deadline).await?;
+    let opened = send::<D>(upstream, request, "", permits, deadline).await?;
     let status = opened.response.status();
     if status != StatusCode::OK {
         if opened.head.not_run {
@@ -283,7 +298,8 @@
 ) -> Result<SpaceReport, Fault> {
     let mut request = own_call::<D>(upstream, D::REPORT_PATH, Bytes::new(), deadline);
     *request.method_mut() = Method::GET;
-    let Opened { mut response, lease, head } = send::<D>(upstream, request, "", deadline).await?;
+    let Opened { mut response, lease, head } =
+        send::<D>(upstream, request, "", &[], deadline).await?;
     let body = read_short(response.body_mut(), deadline).await?;
     lease.keep(head.keep_alive);
     match response.status() {
@@ -299,7 +315,8 @@
 ) -> Result<(), Fault> {
     let deadline = Instant::now() + FREE_TIMEOUT;
     let request = own_call::<D>(upstream, D::FREE_PATH, D::encode_free(handles), deadline);
-    let Opened { mut response, lease, head } = send::<D>(upstream, request, "", deadline).await?;
+    let Opened { mut response, lease, head } =
+        send::<D>(upstream, request, "", &[], deadline).await?;
     read_short(response.body_mut(), deadline).await?;
     lease.keep(head.keep_alive);
     Ok(())
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::batch::BatchClient;
-use crate::budget::Spender;
+use crate::budget::{RetryPermit, Spender};
 use crate::dialect::{AnswerHead, Dialect};
 use crate::exchange::{self, Cause, Fault, Opened, Read};
 use crate::offers::Offers;
@@ -88,7 +88,11 @@
         if !has_loan && !upstream.claim_room(now) {
             continue;
         }
-        if reached_upstream && !batches.take_retries(service, Spender::Entry, 1).await {
+        let permit = match reached_upstream {
+            true => batches.take_retries(service, Spender::Entry, 1).await,
+            false => None,
+        };
+        if reached_upstream && permit.is_none() {
             shared.metrics.calls.with_label_values(&["no budget"]).inc();
             break;
         }
@@ -103,7 +107,7 @@
             tried = offers.tried().len(); "chose an upstream");
         let last = !repeats || runs + 1 >= request.route.attempts;
         let deadline = if last { request.deadline } else { first_try_deadline(request, now) };
-        match call_once::<D>(request, &upstream, deadline).await {
+        match call_once::<D>(request, &upstream, permit, deadline).await {
             Ok(answer) if answer.status.is_server_error() && !last => {
                 runs += 1;
                 shared.metrics.calls.with_label_values(&["failed"]).inc();
@@ -197,16 +201,18 @@
     open.min_by_key(rank)
 }
 
-/// Sends the request to an upstream once, and reads the answer.
+/// Sends the request to an upstream once, by a permit if it is sent again, and reads the answer.
 async fn call_once<D: Dialect>(
     request: &CallerRequest,
     upstream: &Arc<Upstream>,
+    permit: Option<Arc<RetryPermit>>,
     deadline: Instant,
 ) -> Result<Answer, Fault> {
     let _running = upstream.begin_request(0);
     let before = request.may_have_run.load(Ordering::Relaxed);
     let forward = request.forward::<D>(upstream, &[], None);
-    let sent = exchange::request::<D>(upstream, forward, &request.head.attempt, deadline).await;
+    let (attempt, permits) = (&request.head.attempt, permit.as_slice());
+    let sent = exchange::request::<D>(upstream, forward, attempt, permits, deadline).await;
     let opened = sent.inspect_err(|fault| {
         if fault.not_run {
             request.may_have_run.store(before, Ordering::Relaxed);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -159,8 +159,11 @@
             if !has_loan && !upstream.claim_room(now) {
                 continue;
             }
-            let retries = self.batches.take_retries(service, Spender::Entry, 1);
-            if tries.reached_upstream && !retries.await {
+            let permit = match tries.reached_upstream {
+                true => self.batches.take_retries(service, Spender::Entry, 1).await,
+                false => None,
+            };
+            if tries.reached_upstream && permit.is_none() {
                 self.shared.metrics.calls.with_label_values(&["no budget"]).inc();
                 return Err(if tries.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
             }
@@ -175,7 +178,7 @@
                 resumes = request.head.resumed.as_deref(), stages:% = phases,
                 age_ms = request.arrived.elapsed().as_millis() as u64; "chose an engine");
             let forward = request.forward::<D>(&upstream, handles, last_event);
-            let fault = match open::<D>(request, &upstream, forward).await {
+            let fault = match open::<D>(request, &upstream, forward, permit).await {
                 Ok(tried) => {
                     if let Some(generation) = &request.head.generation {
                         self.shared.prefill_times.record(service, generation, now.elapsed());
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
+use crate::budget::RetryPermit;
 use crate::dialect::Dialect;
 use crate::events::{Event, EventSplitter};
 use crate::exchange::{self, Cause, Fault, Opened, Read};
@@ -40,17 +41,19 @@
     Answer(Reply),
 }
 
-/// Sends the request and waits for the first event.
+/// Sends the request, by a permit if it is sent again, and waits for the first event.
 pub(super) async fn open<D: Dialect>(
     request: &CallerRequest,
     upstream: &Arc<Upstream>,
     forward: http::Request<http_body_util::Full<Bytes>>,
+    permit: Option<Arc<RetryPermit>>,
 ) -> Result<EngineAnswer, Fault> {
     let tokens = request.head.generation.as_ref().map_or(0, |it| u64::from(it.prompt));
     let mut running = upstream.begin_request(tokens);
     let sent = Instant::now();
     let deadline = request.first_event_by;
-    let opened = exchange::request::<D>(upstream, forward, &request.head.attempt, deadline).await?;
+    let (attempt, permits) = (&request.head.attempt, permit.as_slice());
+    let opened = exchange::request::<D>(upstream, forward, attempt, permits, deadline).await?;
     let Opened { mut response, lease, head } = opened;
     let mut headers = std::mem::take(response.headers_mut());
     strip_hop_by_hop(&mut headers);
--- a/crates/gateway/tests/overload.rs
+++ b/crates/gateway/tests/overload.rs
@@ -75,6 +75,7 @@
         request: None,
         isolated: false,
         lost_calls: 0,
+        permit: None,
     }
 }
 
--- a/crates/gateway/tests/pure.rs
+++ b/crates/gateway/tests/pure.rs
@@ -287,18 +287,46 @@
         budget.record(&service, Spender::Entry, 1, start);
     }
     let granted = (0..100)
-        .filter(|_| budget.take(&service, Spender::Entry, ONE, share, start).is_ok())
+        .filter(|_| {
+            budget
+                .take(&service, Spender::Entry, ONE, share, start)
+                .is_ok_and(|it| it.begin_send(start))
+        })
         .count();
     // A fifth of 100 requests, and an eighth of the burst.
     assert!(granted <= 25, "{granted} retries");
     assert!(granted >= 18, "{granted} retries");
     let later = start + Duration::from_secs(11);
     let again = (0..100)
-        .filter(|_| budget.take(&service, Spender::Entry, ONE, share, later).is_ok())
+        .filter(|_| {
+            budget
+                .take(&service, Spender::Entry, ONE, share, later)
+                .is_ok_and(|it| it.begin_send(later))
+        })
         .count();
     assert!(again <= 5, "{again} retries without requests");
 }
 
+/// Guards against a budget that is used up by requests that were never sent again: no connection was there.
+#[test]
+fn a_retry_that_was_not_sent_is_given_back() {
+    let start = Instant::now();
+    let spec = BudgetSpec { ratio: 0.2, window: Duration::from_secs(10), burst: 40.0 };
+    let budget = Budget::new(spec, address(0), Start::First, start);
+    budget.learn((0..8).map(address), start);
+    let service: Arc<str> = "s".into();
+    budget.record(&service, Spender::Entry, 10, start);
+    let take = || budget.take(&service, Spender::Entry, ONE, Share::OfEntries, start);
+    for _ in 0..100 {
+        assert!(take().is_ok());
+    }
+    let kept: Vec<_> = (0..100).map_while(|_| take().ok()).collect();
+    assert!(kept.len() < 7, "{} retries that are about to be sent", kept.len());
+    drop(kept);
+    let lent = take().expect("a retry").lent_until(start);
+    assert!(!lent.begin_send(start + Duration::from_millis(1)), "it is no longer lent");
+}
+
 /// Guards against an owner that may repeat next to nothing because its budget is that of one entry of
 /// many: in a burst, results find no space at their upstreams, or a call is lost, and each piece of it
 /// fails its request.
@@ -311,7 +339,13 @@
     let spec = BudgetSpec { ratio: 0.2, window: Duration::from_secs(10), burst: 218.0 };
     let service: Arc<str> = "s".into();
     let granted = |budget: &Budget, spender, share| {
-        (0..10_000).filter(|_| budget.take(&service, spender, ONE, share, start).is_ok()).count()
+        (0..10_000)
+            .filter(|_| {
+                budget
+                    .take(&service, spender, ONE, share, start)
+                    .is_ok_and(|it| it.begin_send(start))
+            })
+            .count()
     };
     let spawn = || Budget::new(spec, address(0), Start::First, start);
     let owner = spawn();
@@ -366,7 +400,9 @@
             lenders.iter().copied().chain(others).chain([case.failed]).collect();
         let budgets: BTreeMap<usize, Budget> = played.iter().map(|it| (*it, spawn(*it))).collect();
         let take = |it: &usize| {
-            budgets[it].take(&service, Spender::Entry, ONE, Share::OfEntries, start).is_ok()
+            budgets[it]
+                .take(&service, Spender::Entry, ONE, Share::OfEntries, start)
+                .is_ok_and(|it| it.begin_send(start))
         };
         let borrowed = |own: usize| take(&own) || lenders.iter().any(take);
         assert!(borrowed(case.failed), "no retry at {} entries", case.entries);
--- a/crates/gateway/tests/queue.rs
+++ b/crates/gateway/tests/queue.rs
@@ -69,6 +69,7 @@
             request: None,
             isolated: given.isolated,
             lost_calls: 0,
+            permit: None,
         });
     }
 }
--- a/crates/gateway/tests/retry_fleet/fleet.rs
+++ b/crates/gateway/tests/retry_fleet/fleet.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gateway::budget::{Budget, BudgetSpec, Retries, Share, Spender, Start};
+use gateway::budget::{Budget, BudgetSpec, LOAN_TIME, Retries, RetryPermit, Share, Spender, Start};
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
@@ -89,7 +89,12 @@
         self.lenders = self.budget.lenders(Spender::Entry).into_iter().map(entry_at).collect();
     }
 
-    fn take(&self, service: &Arc<str>, amount: Retries, now: Instant) -> Result<(), Retries> {
+    fn take(
+        &self,
+        service: &Arc<str>,
+        amount: Retries,
+        now: Instant,
+    ) -> Result<RetryPermit, Retries> {
         self.budget.take(service, Spender::Entry, amount, Share::OfEntries, now)
     }
 }
@@ -139,6 +144,8 @@
     moved: bool,
     /// Until when no connection opens.
     stuck_until: usize,
+    /// What was granted and not sent, with the step in which there is a connection.
+    waiting: Vec<(usize, RetryPermit)>,
 }
 
 fn address(entry: usize) -> SocketAddr {
@@ -180,6 +187,7 @@
             partial: None,
             moved: false,
             stuck_until: 0,
+            waiting: Vec::new(),
         }
     }
 
@@ -196,6 +204,7 @@
             if step >= CALM_STEPS {
                 self.send_requests(step);
             }
+            self.send_waiting(step);
         }
         self.record
     }
@@ -325,28 +334,39 @@
         let now = self.at(step);
         self.record.asked += 1;
         let process = self.entries[at].process.as_ref().expect("a process");
-        let taken = process.take(&self.service, Retries(1.0), now);
-        let granted = taken.is_ok() || taken.is_err_and(|missing| self.borrow(at, missing, now));
-        if granted {
-            self.record.granted += 1;
-            self.record.sent_again[step.max(self.stuck_until)] += 1;
-        }
-        granted
+        let permit = match process.take(&self.service, Retries(1.0), now) {
+            Ok(permit) => Some(permit),
+            Err(missing) => self.borrow(at, missing, now),
+        };
+        let Some(permit) = permit else { return false };
+        self.record.granted += 1;
+        self.waiting.push((step.max(self.stuck_until), permit));
+        true
+    }
+
+    /// Sends what waits for a connection.
+    fn send_waiting(&mut self, step: usize) {
+        let now = self.at(step);
+        let due = self.waiting.extract_if(.., |it| it.0 <= step);
+        let sent = due.filter(|it| it.1.begin_send(now)).count();
+        self.record.sent_again[step] += sent;
     }
 }
 
 impl Fleet<'_> {
-    /// Has an entry borrow what is missing of a retry; returns whether it may send it.
-    fn borrow(&mut self, at: usize, missing: Retries, now: Instant) -> bool {
+    /// Has an entry borrow what is missing of a retry.
+    fn borrow(&mut self, at: usize, missing: Retries, now: Instant) -> Option<RetryPermit> {
         let process = self.entries[at].process.as_ref().expect("a process");
         let lenders = process.lenders.iter().copied().filter(|it| *it != at);
         let lends = |lender: &usize| {
             let entry = &self.entries[*lender];
             let lending = entry.process.as_ref().filter(|_| !entry.still);
-            lending.is_some_and(|it| it.take(&self.service, missing, now).is_ok())
+            lending.is_some_and(|it| it.budget.lend(&self.service, Spender::Entry, missing, now))
         };
         let lent = lenders.sample(&mut self.random, ASKED).iter().any(lends);
-        lent && process.take(&self.service, Retries(1.0 - missing.0), now).is_ok()
+        let rest = Retries(1.0 - missing.0);
+        let permit = process.take(&self.service, rest, now).ok().filter(|_| lent)?;
+        Some(permit.lent_until(now + LOAN_TIME))
     }
 }
 
