Take stages that run again, and pieces that are submitted again, out of the retry budget

Cause: where an engine states that the results of a request's stages are gone, the stages run once more as if for a new request: their pieces earned retries instead of costing some. An owner to which pieces are submitted again counted them as new, too. Change: a second run of the stages takes a permit for its pieces, as a job that is submitted to the next owner does; neither earns.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -63,6 +63,8 @@
     pub(crate) domain: Option<Arc<str>>,
     pub(crate) transfer_bytes: u64,
     pub(crate) rank: u8,
+    /// Whether the pieces were sent for the same request before.
+    pub(crate) again: bool,
     pub(crate) due: Instant,
     pub(crate) deadline: Instant,
 }
@@ -136,9 +138,11 @@
             first: None,
             times: StageTimes::default(),
         };
-        let now = Instant::now();
-        self.shared.budget.record(&spec.service, Spender::Submitter, spec.pieces, now);
-        let mut resubmitted = false;
+        if !spec.again {
+            let now = Instant::now();
+            self.shared.budget.record(&spec.service, Spender::Submitter, spec.pieces, now);
+        }
+        let mut resubmitted = spec.again;
         let mut permit: Option<Arc<RetryPermit>> = None;
         let mut owners = 0;
         while owners < MAX_OWNERS {
--- a/crates/gateway/src/batch/owner/jobs.rs
+++ b/crates/gateway/src/batch/owner/jobs.rs
@@ -52,7 +52,9 @@
             return;
         };
         let count = job.segments.len() as u32;
-        self.shared.budget.record(&service, Spender::Owner, count, now);
+        if !job.resubmitted {
+            self.shared.budget.record(&service, Spender::Owner, count, now);
+        }
         let section = match context.domain {
             Some(domain) => Section { service, domain: Some(domain.into()) },
             // The submitter knows no sections. Another owner uses the other upstreams.
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -34,6 +34,8 @@
     pub(crate) rank: u8,
     /// The time that each stage needs now, as last reported by its owner; zero without a report.
     pub(crate) needs: Vec<Duration>,
+    /// Whether the stages of the request have run before.
+    pub(crate) again: bool,
 }
 
 /// Results of stages, which are freed when this is dropped.
@@ -189,6 +191,7 @@
         domain,
         transfer_bytes: weight,
         rank: run.rank,
+        again: run.again,
         due,
         // If pieces waited longer than their inputs are kept, their call would be in vain.
         deadline: expires.map_or(run.deadline, |it| it.min(run.deadline)),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -328,6 +328,7 @@
             deadline: request.first_event_by,
             rank: request.rank(),
             needs: self.needs(request),
+            again: false,
         };
         let stages = stages::expected_time(&run, |_| Duration::ZERO);
         let left = request.target().saturating_duration_since(Instant::now() + stages);
@@ -354,8 +355,9 @@
             return Ok(Inputs::none(Arc::clone(&self.batches)));
         };
         loop {
+            let mut run = self.stage_run(request, segments, service, version);
+            run.again = tries.stage_runs > 0;
             tries.stage_runs += 1;
-            let run = self.stage_run(request, segments, service, version);
             match stages::run(&self.batches, &run).await {
                 Ok(inputs) => {
                     self.shared.metrics.record_stages(inputs.phases());
