Read and log for how long an upstream wants nothing, and that it leaves

Callers: requests went to upstreams that had turned them away for a time, and came back late or refused. Nothing in the logs told what an answer asked for. Retry-After of a 503 or 429 (seconds, fractions, a date) and Server-Leaving are read from every answer, kept with the upstream's id, and logged; each choice logs the time for which the chosen upstream still wants nothing. No logic follows them yet. It tells the hypotheses apart: a choice with pause_ms is made in spite of a pause that the entry knows; one without, right after an answer that asked, is made before the answer or after it was forgotten.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -106,6 +106,10 @@
     pub cold: Option<Duration>,
     /// What the upstream says of the requests that it takes from all callers together.
     pub need: Need,
+    /// For how long the upstream wants no requests from this entry, if it says so as it turns one away.
+    pub pause: Option<Duration>,
+    /// Whether the upstream says that it leaves.
+    pub leaving: bool,
 }
 
 /// The name of a stage result, which includes the address at which it is kept.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -163,6 +163,12 @@
             upstream.extend_cold(Instant::now() + left);
         }
         upstream.record_need(head.need, sent);
+        if let Some(asked) = head.pause {
+            upstream.record_pause(asked);
+        }
+        if head.leaving {
+            upstream.record_leaving();
+        }
         if head.not_run && response.status() == StatusCode::SERVICE_UNAVAILABLE {
             upstream.record_rejected();
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod origin;
 pub mod partition;
 pub mod path;
+pub mod pause;
 mod phases;
 pub mod place;
 mod plain;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -104,6 +104,7 @@
         log::info!(request = request.head.attempt.as_str(), upstream:% = upstream.id,
             running = upstream.total_running(), listed:% = directory.listed(),
             limit = upstream.limit_named().map(|it| it.0),
+                pause_ms = upstream.pause_left(now).map(|it| it.as_millis() as u64),
             tried = offers.tried().len(); "chose an upstream");
         let last = !repeats || runs + 1 >= request.route.attempts;
         let deadline = if last { request.deadline } else { first_try_deadline(request, now) };
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -173,6 +173,7 @@
             log::info!(request = request.head.attempt.as_str(), upstream:% = upstream.id,
                 running = upstream.total_running(), tokens = upstream.total_tokens(),
                 limit = upstream.limit_named().map(|it| it.0),
+                pause_ms = upstream.pause_left(now).map(|it| it.as_millis() as u64),
                 listed:% = self.shared.directory().listed(), inputs = handles.len(),
                 version:% = upstream.version, last = last_event,
                 resumes = request.head.resumed.as_deref(), stages:% = phases,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -59,6 +59,8 @@
     pub version: SoftwareVersion,
     latest: LatestIncarnation,
     draining: AtomicBool,
+    /// Whether an answer of it has said that it leaves.
+    leaving: AtomicBool,
     /// Whether its failure domain is evacuated.
     evacuated: AtomicBool,
     running: AtomicU32,
@@ -108,6 +110,7 @@
             version: listed.version.clone(),
             latest: LatestIncarnation::default(),
             draining: AtomicBool::new(listed.health == registry::Health::Draining),
+            leaving: AtomicBool::new(false),
             evacuated: AtomicBool::new(false),
             running: AtomicU32::new(0),
             tokens: AtomicU64::new(0),
@@ -142,6 +145,14 @@
         self.draining.store(draining, Ordering::Relaxed);
     }
 
+    /// Records that an answer of the upstream says that it leaves.
+    pub(crate) fn record_leaving(&self) {
+        if !self.leaving.swap(true, Ordering::Relaxed) {
+            log::info!(upstream:% = self.id, service:% = self.service,
+                draining = self.draining.load(Ordering::Relaxed); "an upstream says that it leaves");
+        }
+    }
+
     /// Sets whether the failure domain of the upstream is evacuated; such an upstream gets no new
     /// requests. Returns whether it was evacuated before.
     pub fn set_evacuated(&self, evacuated: bool) -> bool {
--- a/crates/gateway/src/upstream/room.rs
+++ b/crates/gateway/src/upstream/room.rs
@@ -1,7 +1,8 @@
-//! What this entry may send to an upstream that is cold, names a limit, or is brittle.
+//! What this entry may send to an upstream that is cold, names a limit, is brittle, or asks for a pause.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -11,6 +12,7 @@
 use crate::brittle::{self, BrittleGate, SETTLE_TIME};
 use crate::cold::ColdGate;
 use crate::limit::{self, LimitChange, LimitGate};
+use crate::pause::Pause;
 use crate::quota::{EntryList, Sharing};
 
 /// What an upstream has said of the requests that it takes from all entries together.
@@ -28,6 +30,7 @@
     cold: Mutex<ColdGate>,
     limit: Mutex<LimitGate>,
     brittle: Mutex<BrittleGate>,
+    pause: Mutex<Pause>,
 }
 
 impl Upstream {
@@ -190,6 +193,27 @@
         self.total_running() >= self.slots && self.brittle().named().is_some()
     }
 
+    /// Takes for how long the upstream wants nothing from this entry.
+    pub(crate) fn record_pause(&self, asked: Duration) {
+        self.pause().record(asked, Instant::now());
+        log::info!(upstream:% = self.id, service:% = self.service,
+            ms = asked.as_millis() as u64; "an upstream asks for a pause");
+    }
+
+    /// Returns when the pause that the upstream has asked for ends; `None` if there is none.
+    pub fn pause_end(&self, now: Instant) -> Option<Instant> {
+        self.pause().end(now)
+    }
+
+    /// Returns how much longer the upstream wants nothing; `None` if it has asked for no pause.
+    pub(crate) fn pause_left(&self, now: Instant) -> Option<Duration> {
+        Some(self.pause_end(now)?.duration_since(now))
+    }
+
+    fn pause(&self) -> MutexGuard<'_, Pause> {
+        lock(&self.gates.pause)
+    }
+
     fn cold(&self) -> MutexGuard<'_, ColdGate> {
         lock(&self.gates.cold)
     }
