Let the pieces of a job earn retries for a whole window at their submitter

Cause: an owner that ends needs many retries of its submitters at once and seldom; their credit of a quarter of a window held few. Change: how long credit lasts is set by spender, and its share of the ratio follows from it: what is spent in a window was earned in it or at most a lifetime before, so a spender with a lifetime of a window earns half of its part. Submitters have a lifetime of a window and 0.55 of the ratio for pieces, owners a quarter of a window and 0.45. Entries are as before.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -20,6 +20,7 @@
 pub use self::permit::RetryPermit;
 pub use self::roster::Start;
 
+use self::account::Terms;
 use self::permit::Accounts;
 use self::roster::Roster;
 
@@ -60,16 +61,47 @@
     Owner,
 }
 
-impl BudgetSpec {
+/// A spender's part of the budget.
+struct Part {
+    /// The share of the ratio.
+    ratio: f64,
+    /// The share of the burst for all spenders of the kind.
+    burst: f64,
+    /// How long what a request has earned may be spent, in windows.
+    lifetime: f64,
+}
+
+impl Spender {
     /// Returns the part of the budget for all spenders of a kind. The submitters' and the owners'
-    /// parts add up to the whole, with two owners of a section at the same time.
-    fn part(self, spender: Spender) -> Self {
-        let (ratio, burst) = match spender {
-            Spender::Entry => (1.0, 1.0),
-            Spender::Submitter => (0.5, 0.5),
-            Spender::Owner => (0.5, 0.25),
+    /// parts add up to the whole, with two owners of a section at the same time. Submitters need many
+    /// retries at once, when an owner is gone, and seldom any.
+    fn part(self) -> Part {
+        let (ratio, burst, lifetime) = match self {
+            Spender::Entry => (1.0, 1.0, 0.25),
+            Spender::Submitter => (0.55, 0.5, 1.0),
+            Spender::Owner => (0.45, 0.25, 0.25),
         };
-        Self { ratio: self.ratio * ratio, burst: self.burst * burst, ..self }
+        Part { ratio, burst, lifetime }
+    }
+}
+
+impl Part {
+    /// Returns the share of the ratio that a request earns. What is spent in a window was earned in it, or
+    /// at most a lifetime before: together no more than the share.
+    fn earned(&self) -> f64 {
+        self.ratio / (1.0 + self.lifetime)
+    }
+}
+
+impl BudgetSpec {
+    /// Returns the burst that all spenders of a kind may use.
+    fn usable_burst(self, spender: Spender) -> f64 {
+        USABLE_BURST * self.burst * spender.part().burst
+    }
+
+    fn terms(self, spender: Spender) -> Terms {
+        let lifetime = self.window.mul_f64(spender.part().lifetime);
+        Terms { window: self.window, lifetime }
     }
 }
 
@@ -82,10 +114,6 @@
     OfEntries,
 }
 
-/// The share of the ratio that is used. With a request's credit that lasts for a quarter of a window, what
-/// is spent in a window was earned in one and a quarter: together no more than the ratio.
-const USABLE_RATIO: f64 = 0.8;
-
 /// The share of the burst that is used. The rest covers what entries with different lists use twice.
 const USABLE_BURST: f64 = 0.9;
 
@@ -118,7 +146,7 @@
 
     /// Returns this entry's share of the burst of a kind of spender.
     fn burst(&self, spender: Spender, share: Share, now: Instant) -> f64 {
-        let burst = USABLE_BURST * self.spec.part(spender).burst;
+        let burst = self.spec.usable_burst(spender);
         let mut roster = self.roster();
         match share {
             Share::OfEntries => roster.share(burst, now),
@@ -129,9 +157,9 @@
 
     /// Counts requests or pieces that were sent, or will be, to a service.
     pub fn record(&self, service: &Arc<str>, spender: Spender, count: u32, now: Instant) {
-        let earned = USABLE_RATIO * self.spec.part(spender).ratio * f64::from(count);
-        let window = self.spec.window;
-        self.accounts.with((service, spender), |it| it.earn(earned, window, now));
+        let earned = self.spec.ratio * spender.part().earned() * f64::from(count);
+        let terms = self.spec.terms(spender);
+        self.accounts.with((service, spender), |it| it.earn(earned, terms, now));
     }
 
     /// Takes retries, or a part of one, for a service from the budget, all or nothing.
@@ -147,10 +175,10 @@
         now: Instant,
     ) -> Result<RetryPermit, Retries> {
         let burst = self.burst(spender, share, now);
-        let window = self.spec.window;
+        let terms = self.spec.terms(spender);
         let (balance, taken) = self.accounts.with((service, spender), |account| {
-            let balance = account.balance(window, now);
-            (balance, account.take(amount.0, burst, window, now))
+            let balance = account.balance(terms, now);
+            (balance, account.take(amount.0, burst, terms, now))
         });
         log::info!(service:%, spender:?, amount:%, granted = taken.is_ok(),
             earned = balance.earned, spent = balance.spent, burst, share:?,
@@ -175,6 +203,6 @@
 
     /// Returns the other entries that lend retries of a kind of spender.
     pub fn lenders(&self, spender: Spender) -> Vec<SocketAddr> {
-        self.roster().lenders(USABLE_BURST * self.spec.part(spender).burst)
+        self.roster().lenders(self.spec.usable_burst(spender))
     }
 }
--- a/crates/gateway/src/budget/account.rs
+++ b/crates/gateway/src/budget/account.rs
@@ -5,10 +5,6 @@
 
 use tokio::time::Instant;
 
-/// The part of a window for which a request funds a retry. What is spent in a window was earned in it,
-/// or at most so long before.
-const CREDIT_LIFETIME: f64 = 0.25;
-
 /// The number of steps in which a credit's lifetime is counted.
 const LIFETIME_STEPS: u32 = 10;
 
@@ -18,6 +14,15 @@
 /// Amounts below this are errors of rounding.
 const ROUNDING: f64 = 1e-6;
 
+/// The times by which an account counts.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Terms {
+    /// The window in which what is spent of the burst counts.
+    pub(super) window: Duration,
+    /// How long what a request has earned may be spent.
+    pub(super) lifetime: Duration,
+}
+
 /// The retries that requests have earned and that were not spent, and what was spent of the burst.
 #[derive(Debug, Default)]
 pub(super) struct Account {
@@ -47,8 +52,8 @@
 
 impl Account {
     /// Adds what a request has earned.
-    pub(super) fn earn(&mut self, amount: f64, window: Duration, now: Instant) {
-        let step = window.mul_f64(CREDIT_LIFETIME) / LIFETIME_STEPS;
+    pub(super) fn earn(&mut self, amount: f64, terms: Terms, now: Instant) {
+        let step = terms.lifetime / LIFETIME_STEPS;
         match self.credits.back_mut() {
             Some((start, credit)) if now < *start + step => *credit += amount,
             _ => self.credits.push_back((now, amount)),
@@ -56,17 +61,16 @@
     }
 
     /// Forgets credits that have expired, and what was spent before the window.
-    fn expire(&mut self, window: Duration, now: Instant) {
-        let lifetime = window.mul_f64(CREDIT_LIFETIME);
-        while self.credits.front().is_some_and(|it| it.0 + lifetime <= now) {
+    fn expire(&mut self, terms: Terms, now: Instant) {
+        while self.credits.front().is_some_and(|it| it.0 + terms.lifetime <= now) {
             self.credits.pop_front();
         }
-        self.spent.retain(|it| now < it.0 + window + TRANSIT_TIME);
+        self.spent.retain(|it| now < it.0 + terms.window + TRANSIT_TIME);
     }
 
     /// Returns what is available at `now`.
-    pub(super) fn balance(&mut self, window: Duration, now: Instant) -> Balance {
-        self.expire(window, now);
+    pub(super) fn balance(&mut self, terms: Terms, now: Instant) -> Balance {
+        self.expire(terms, now);
         Balance {
             earned: self.credits.iter().map(|it| it.1).sum(),
             spent: self.pending + self.spent.iter().map(|it| it.1).sum::<f64>(),
@@ -81,10 +85,10 @@
         &mut self,
         amount: f64,
         share: f64,
-        window: Duration,
+        terms: Terms,
         now: Instant,
     ) -> Result<Charge, f64> {
-        let balance = self.balance(window, now);
+        let balance = self.balance(terms, now);
         let from_burst = (amount - balance.earned).max(0.0);
         let missing = from_burst - (share - balance.spent).max(0.0);
         if missing > ROUNDING {
