Send nothing to an upstream for as long as it has asked for

Callers: an engine that had turned an entry away for three seconds got the entry's next requests, since it had the least in flight; they were answered 503, or late at another engine. Cause: nothing read Retry-After; a 503 that says that the request did not run is no failure, so nothing else kept the entry away. Its class: a word of an upstream to its caller that is passed on or dropped instead of obeyed. Change: the pause is kept with the upstream's id; choices, loans, trials and calls with pieces leave the upstream out, and every call looks again once its connection is there, own calls for reports and results included. While all upstreams of a service pause, requests are refused at once, before their stages where the pause lasts beyond the target, with the shortest time; pieces that would wait past their end fail. A relaying entry does not read the answers that it passes on: what they ask for is kept by the entry that has the request alone.

--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -18,6 +18,7 @@
 use crate::budget::{Retries, RetryPermit};
 use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, SpaceReport};
 use crate::exchange::{self, Fault};
+use crate::room;
 use crate::section::Section;
 use crate::shared::Shared;
 use crate::upstream::Upstream;
@@ -336,8 +337,10 @@
     /// Fails the pieces whose deadline has passed or that cannot be completed before it.
     fn fail_late(&mut self, section: &Section, now: Instant) {
         let available = self.available_upstreams(section, now);
+        let members = self.shared.directory().members(section);
+        let served_from = now + room::shortest_pause(&members, now).unwrap_or_default();
         let Some(queue) = self.queues.get_mut(section) else { return };
-        let mut late = queue.take_expired(now);
+        let mut late = queue.take_expired(served_from);
         late.append(&mut queue.take_infeasible(available, now));
         for piece in late {
             self.deliver(&piece, Err(PieceFailure::Late), now, Duration::ZERO);
@@ -347,7 +350,10 @@
     /// Returns how many upstreams of a section accept calls.
     fn available_upstreams(&self, section: &Section, now: Instant) -> usize {
         let upstreams = self.shared.directory().members(section);
-        upstreams.iter().filter(|it| it.is_open() && !it.is_ejected(now)).count()
+        let available = |it: &&Arc<Upstream>| {
+            it.is_open() && !it.is_ejected(now) && it.pause_end(now).is_none()
+        };
+        upstreams.iter().filter(available).count()
     }
 
     /// Returns whether an upstream works on a call of another section. This happens when the list
@@ -369,6 +375,7 @@
                 domain: Arc::clone(&it.domain),
                 available: it.is_open()
                     && !it.is_ejected(now)
+                    && it.pause_end(now).is_none()
                     && !self.is_used_elsewhere(&it.id, section)
                     && self.is_space_known(it, section, now),
                 limit: it.owner_room(now).map_or(usize::MAX, |it| it as usize),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -42,6 +42,8 @@
     Malformed(&'static str),
     /// The permit to send it again had expired when a connection was there.
     PermitExpired,
+    /// The upstream had asked for a pause when a connection was there.
+    Paused,
 }
 
 impl fmt::Display for Cause {
@@ -55,6 +57,7 @@
             Cause::Timeout => f.write_str("no answer in time"),
             Cause::Malformed(why) => write!(f, "invalid answer: {why}"),
             Cause::PermitExpired => f.write_str("no connection while it might be sent again"),
+            Cause::Paused => f.write_str("the upstream asked for a pause"),
         }
     }
 }
@@ -84,13 +87,14 @@
         Self { cause: Cause::Connect(why), not_run: true, unreachable }
     }
 
-    fn expired() -> Self {
-        Self { cause: Cause::PermitExpired, not_run: true, unreachable: false }
+    /// A request that was not sent although a connection was there.
+    fn held(cause: Cause) -> Self {
+        Self { cause, not_run: true, unreachable: false }
     }
 
     /// Returns whether no byte of the request was sent.
     pub(crate) fn is_unsent(&self) -> bool {
-        matches!(self.cause, Cause::Connect(_) | Cause::PermitExpired)
+        matches!(self.cause, Cause::Connect(_) | Cause::PermitExpired | Cause::Paused)
     }
 
     pub(crate) fn refused(status: StatusCode) -> Self {
@@ -131,9 +135,15 @@
             return Err(Fault::unsent(ConnectError::Refused));
         };
         let sent = Instant::now();
-        if !permits.iter().all(|it| it.begin_send(sent)) {
+        let held = if upstream.pause_end(sent).is_some() {
+            Some(Cause::Paused)
+        } else {
+            let expired = !permits.iter().all(|it| it.begin_send(sent));
+            expired.then_some(Cause::PermitExpired)
+        };
+        if let Some(cause) = held {
             lease.keep(None);
-            return Err(Fault::expired());
+            return Err(Fault::held(cause));
         }
         let answer = timeout_at(deadline, sender.try_send_request(request));
         let response = match watch_silence(upstream, is_kept, answer).await {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -24,6 +24,7 @@
 use crate::plan::{Limits, RouteKind};
 use crate::reply::{Refusal, Reply, ReplyBody};
 use crate::request::CallerRequest;
+use crate::room;
 use crate::shared::Shared;
 use crate::stream::Streams;
 use crate::write_tracker::WriteTracker;
@@ -155,9 +156,16 @@
     let admitted = shared.quarantine.admit(&request, &service).await;
     admitted.map_err(|it| Refusal::Quarantined(it.after))?;
     shared.budget.record(&service, Spender::Entry, 1, arrived);
-    if !can_be_served(&shared.directory(), &request, &service) {
+    let directory = shared.directory();
+    if !can_be_served(&directory, &request, &service) {
         return Err(Refusal::NoUpstream);
     }
+    // Its stages would run in vain.
+    let now = Instant::now();
+    let pause = room::shortest_pause(directory.service(&service), now);
+    if let Some(left) = pause.filter(|it| now + *it > request.target()) {
+        return Err(Refusal::Paused(left));
+    }
     let engine = request.plan.services.get(&service).is_some_and(|it| it.engine.is_some());
     let (attempt, deadline) = (request.head.attempt.clone(), request.first_event_by);
     let (kind, late) = (request.route.kind, request.timeout_watch());
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -154,6 +154,8 @@
     NoVersion,
     /// Its stages would take too long; it may be retried after this time.
     Overloaded(Duration),
+    /// All upstreams have asked for a pause; the shortest ends after this time.
+    Paused(Duration),
     /// A stage failed.
     StageFailed,
     /// The time is over, and the request was not sent.
@@ -183,6 +185,7 @@
             | Refusal::NoOrigin
             | Refusal::NoVersion
             | Refusal::Overloaded(_)
+            | Refusal::Paused(_)
             | Refusal::StageFailed
             | Refusal::Quarantined(_)
             | Refusal::Late => StatusCode::SERVICE_UNAVAILABLE,
@@ -206,6 +209,7 @@
             Refusal::NoOrigin => "origin of the stream unknown",
             Refusal::NoVersion => "no upstream of the stream's version",
             Refusal::Overloaded(_) => "overloaded",
+            Refusal::Paused(_) => "upstreams pause",
             Refusal::StageFailed => "no stage",
             Refusal::Quarantined(_) => "ends upstreams",
             Refusal::Late => "late",
@@ -220,7 +224,9 @@
         *reply.status_mut() = self.status();
         if self.status() == StatusCode::SERVICE_UNAVAILABLE {
             let after = match self {
-                Refusal::Overloaded(after) | Refusal::Quarantined(after) => after,
+                Refusal::Overloaded(after)
+                | Refusal::Paused(after)
+                | Refusal::Quarantined(after) => after,
                 _ => Duration::ZERO,
             };
             reply.headers_mut().insert(header::RETRY_AFTER, retry_after(after));
--- a/crates/gateway/src/upstream/room.rs
+++ b/crates/gateway/src/upstream/room.rs
@@ -100,7 +100,7 @@
 
     /// Returns whether this entry may send it a request now.
     pub fn has_room(&self, now: Instant) -> bool {
-        self.has_cold_room(now) && self.has_shared_room(now)
+        self.pause_end(now).is_none() && self.has_cold_room(now) && self.has_shared_room(now)
     }
 
     /// Returns when this entry may send it a request; `None` if it may now.
@@ -112,7 +112,7 @@
             true => Some(now + SETTLE_TIME),
             false => self.brittle().next_room(by, now),
         };
-        self.cold().next_room(now).max(limited).max(brittle)
+        self.cold().next_room(now).max(limited).max(brittle).max(self.pause_end(now))
     }
 
     /// Counts a request that is sent now, if the upstream has room for it; returns whether it has.
@@ -146,7 +146,8 @@
     /// Returns the need that keeps this entry from sending a request now, and the other entries that have
     /// a share under it; `None` if it may send one, or no other entry may be asked.
     pub(crate) fn borrowable(&self, now: Instant) -> Option<(Need, Vec<SocketAddr>)> {
-        let is_blocked = !self.has_cold_room(now) || self.is_full_and_brittle();
+        let is_blocked =
+            self.pause_end(now).is_some() || !self.has_cold_room(now) || self.is_full_and_brittle();
         if is_blocked || self.has_shared_room(now) || !self.limit().may_borrow(now) {
             return None;
         }
@@ -165,7 +166,11 @@
     pub fn owner_room(&self, now: Instant) -> Option<u32> {
         let limited = self.limit().owner_room(now) == Some(0);
         let brittle = self.brittle().owner_room(now) == Some(0);
-        if limited || brittle { Some(0) } else { self.cold().owner_room(now) }
+        if limited || brittle || self.pause_end(now).is_some() {
+            Some(0)
+        } else {
+            self.cold().owner_room(now)
+        }
     }
 
     /// Counts a call with pieces that its owner sends now.
@@ -195,7 +200,7 @@
 
     /// Takes for how long the upstream wants nothing from this entry.
     pub(crate) fn record_pause(&self, asked: Duration) {
-        self.pause().record(asked, Instant::now());
+        self.pause().record(asked, rand::random(), Instant::now());
         log::info!(upstream:% = self.id, service:% = self.service,
             ms = asked.as_millis() as u64; "an upstream asks for a pause");
     }
