Close an upstream whose answers say that it leaves

Callers: nothing seen; new contract of the platform. Cause: only the list told an entry that an upstream leaves, by up to some seconds later than its own answers do. Change: Server-Leaving in any answer, to a request, a call with pieces or a report, closes the upstream for new work of the entry that got it: choices, resumed streams, pieces, loans and trials. A later list that calls it ready does not open it, nor does another upstream at its address inherit it; a newer start time or an absence from the list ends it. What remains: an upstream that starts again under its id, without a start time in its answers and without an absence from the list, stays closed.

--- a/crates/gateway/src/directory/tests.rs
+++ b/crates/gateway/src/directory/tests.rs
@@ -199,3 +199,29 @@
         assert!(upstream.has_connection(), "fewer than {most}");
     }
 }
+
+/// Guards against an upstream that has said that it leaves and gets requests again because an older list
+/// calls it ready, and against a bar on the next one at its address.
+#[test]
+fn an_upstream_that_leaves_stays_closed_and_its_successor_is_open() {
+    let first = next(&Directory::default(), &registry_state(1, &[1, 2]));
+    let leaving = first.upstream("u-001").expect("an upstream");
+    leaving.record_leaving();
+    leaving.record_pause(Duration::from_secs(60));
+    let ready = next(&first, &registry_state(2, &[1, 2, 3]));
+    let now = Instant::now();
+    let is_closed = |it: &Directory, id: &str| !it.upstream(id).expect("an upstream").is_open();
+    assert!(is_closed(&ready, "u-001"), "the list that calls it ready may be older");
+    assert!(!is_closed(&ready, "u-002") && !is_closed(&ready, "u-003"));
+    let pauses = |it: &Directory, id: &str| it.upstream(id).and_then(|it| it.pause_end(now));
+    assert!(pauses(&ready, "u-001").is_some() && pauses(&ready, "u-002").is_none());
+    let mut replaced = registry_state(3, &[1, 2, 3]);
+    let mut upstreams = replaced.upstreams.to_vec();
+    upstreams[0].id = "u-101".to_owned();
+    replaced.upstreams = Arc::new(upstreams);
+    let replaced = next(&ready, &replaced);
+    assert!(!is_closed(&replaced, "u-101"), "another one at its address is not barred");
+    assert!(pauses(&replaced, "u-101").is_none());
+    let back = next(&replaced, &registry_state(4, &[1, 2, 3]));
+    assert!(!is_closed(&back, "u-001"), "it has been gone meanwhile, and has started again");
+}
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -59,7 +59,8 @@
     pub version: SoftwareVersion,
     latest: LatestIncarnation,
     draining: AtomicBool,
-    /// Whether an answer of it has said that it leaves.
+    /// Whether an answer of this incarnation has said that it leaves. A list that calls it ready may be
+    /// older than the answer.
     leaving: AtomicBool,
     /// Whether its failure domain is evacuated.
     evacuated: AtomicBool,
@@ -161,7 +162,8 @@
 
     /// Returns whether the upstream may get new requests.
     pub fn is_open(&self) -> bool {
-        !self.draining.load(Ordering::Relaxed) && !self.evacuated.load(Ordering::Relaxed)
+        let closed = [&self.draining, &self.leaving, &self.evacuated];
+        !closed.iter().any(|it| it.load(Ordering::Relaxed))
     }
 
     /// Returns whether the upstream is ejected because of failures.
@@ -204,6 +206,7 @@
             log::info!(upstream:% = self.id, born:% = start_time.map_or(0, |it| it.0);
                 "an upstream has restarted");
             *self.health.lock().unwrap_or_else(PoisonError::into_inner) = Health::default();
+            self.leaving.store(false, Ordering::Relaxed);
             self.close_idle(true);
         }
         incarnation
