Let streams whose callers leave say that their parts are sound, once their upstream has lived on

Callers: beside requests with a harmful part, sound requests with the same first part were all refused for 300 s where their callers leave before the streams are whole. Cause: a stream whose caller left ended without a word to the quarantine; only a whole stream, or a lost one that had written for a second, said that a part is sound. So the part that all requests have was never known as sound, and was in flight at every end. Its class: evidence that is taken from the ends of work alone, which callers decide. Change: a stream that brought an event, and whose upstream is heard from later than a second after it, says that its parts are sound, whoever closed it. Upstreams are heard by what arrives on any connection; nothing is sent for it. It is asked once in half a second for a part at an entry, and told to the leader only for parts that are suspected. A request that was cancelled before anything came says nothing.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -168,6 +168,7 @@
                 return Err(Fault::unknown(Cause::Timeout));
             }
         };
+        upstream.record_heard();
         let head = D::decode_answer(response.status(), response.headers(), attempt);
         if let Some(left) = head.cold {
             upstream.extend_cold(Instant::now() + left);
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -12,7 +12,7 @@
 use registry::RequestDigest;
 use registry::quarantine::{Admission, Evidence, QuarantineView, RunSeen};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::request::CallerRequest;
 use crate::upstream::Upstream;
@@ -31,6 +31,14 @@
 /// upstream does so as it begins.
 const SUSPECT_WINDOW: Duration = Duration::from_secs(1);
 
+/// How often streams whose callers left are asked about for one part, at most: one word for all of them.
+const SOUND_INTERVAL: Duration = Duration::from_millis(500);
+
+/// How often, and at which interval, it is checked whether the upstream of such a stream lives on. One that
+/// serves others is heard all the time; of one that serves nobody nothing is known.
+const SOUND_CHECKS: u32 = 5;
+const SOUND_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// How long a request waits for the leader to grant a trial.
 const TRIAL_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -202,7 +210,46 @@
     /// Records that a stream ended whole, so that the parts of its prompt terminate no upstream.
     pub(crate) fn record_whole_stream(&self, request: &CallerRequest, service: &str) {
         self.record_completed(request);
-        let parts = request.parts(service);
+        self.record_sound(request.parts(service));
+    }
+
+    /// Records a stream whose caller left after its first event. The parts of its prompt terminate no
+    /// upstream if its own one lives on past the time in which one that reads them would terminate.
+    pub(crate) fn record_left_stream(
+        self: &Arc<Self>,
+        parts: &[RequestDigest],
+        upstream: Arc<Upstream>,
+        times: RunTimes,
+    ) {
+        let Some(first) = times.first else { return };
+        let parts = {
+            let history = lock(&self.history);
+            let now = Instant::now();
+            let is_known = |it: &&RequestDigest| {
+                let since = history.since_completion(**it, now);
+                since.is_none_or(|it| it >= SOUND_INTERVAL)
+            };
+            parts.iter().filter(is_known).copied().collect::<Vec<_>>()
+        };
+        if parts.is_empty() {
+            return;
+        }
+        let quarantine = Arc::clone(self);
+        tokio::spawn(async move {
+            let survived = first + SUSPECT_WINDOW;
+            sleep_until(survived).await;
+            for _ in 0..SOUND_CHECKS {
+                if upstream.has_been_heard_since(survived) {
+                    quarantine.record_sound(&parts);
+                    return;
+                }
+                sleep(SOUND_CHECK_INTERVAL).await;
+            }
+        });
+    }
+
+    /// Records that parts of prompts terminate no upstream, and reports it for those that are suspected.
+    fn record_sound(&self, parts: &[RequestDigest]) {
         lock(&self.history).record(parts, Instant::now());
         let known = self.known.borrow();
         let suspected = |it: &&RequestDigest| self.admission(&known, it) != Admission::Allowed;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -72,7 +72,7 @@
     pub(crate) backlogs: Arc<Backlogs>,
     pub(crate) prefill_times: PrefillTimes,
     pub(crate) body_memory: MemoryBudget,
-    pub(crate) quarantine: Quarantine,
+    pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) crowd: Crowd,
     dialect: PhantomData<D>,
 }
@@ -106,7 +106,7 @@
             backlogs: Arc::default(),
             prefill_times: PrefillTimes::default(),
             body_memory: MemoryBudget::new(BODY_MEMORY_BYTES),
-            quarantine,
+            quarantine: Arc::new(quarantine),
             crowd: Crowd::default(),
             dialect: PhantomData,
         }
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -60,7 +60,11 @@
                     }
                     return;
                 }
-                ForwardEnd::CallerLeft => return,
+                ForwardEnd::CallerLeft => {
+                    let parts = self.request.parts(&self.service);
+                    shared.quarantine.record_left_stream(parts, upstream, times);
+                    return;
+                }
                 ForwardEnd::Late => "deadline passed",
                 ForwardEnd::Lost(why) => {
                     upstream.record_failure(false);
@@ -88,8 +92,16 @@
 
     /// Forwards the events of one engine.
     async fn forward_events(&mut self, attached: AttachedStream) -> ForwardEnd {
-        let AttachedStream { mut body, lease, keep_alive, mut splitter, first, running, .. } =
-            attached;
+        let AttachedStream {
+            upstream,
+            mut body,
+            lease,
+            keep_alive,
+            mut splitter,
+            first,
+            running,
+            ..
+        } = attached;
         let _running = running;
         let resumable = self.request.route.resumable;
         let mut next = first;
@@ -107,7 +119,10 @@
                 () = self.events.closed() => return ForwardEnd::CallerLeft,
             };
             match frame {
-                Ok(Some(Ok(frame))) => splitter.push(&frame.into_data().unwrap_or_default()),
+                Ok(Some(Ok(frame))) => {
+                    upstream.record_heard();
+                    splitter.push(&frame.into_data().unwrap_or_default());
+                }
                 Ok(Some(Err(_))) => return ForwardEnd::Lost("connection lost"),
                 Ok(None) if splitter.has_partial_event() => {
                     return ForwardEnd::Lost("ended inside an event");
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -58,6 +58,9 @@
     /// The version of its software.
     pub version: SoftwareVersion,
     latest: LatestIncarnation,
+    /// When something arrived from it last, in ms since it was listed.
+    heard_ms: AtomicU64,
+    listed_at: Instant,
     draining: AtomicBool,
     /// Whether an answer of this incarnation has said that it leaves. A list that calls it ready may be
     /// older than the answer.
@@ -110,6 +113,8 @@
             slots: listed.slots,
             version: listed.version.clone(),
             latest: LatestIncarnation::default(),
+            heard_ms: AtomicU64::new(0),
+            listed_at: Instant::now(),
             draining: AtomicBool::new(listed.health == registry::Health::Draining),
             leaving: AtomicBool::new(false),
             evacuated: AtomicBool::new(false),
@@ -219,6 +224,17 @@
         self.close_idle(true);
     }
 
+    /// Records that something has arrived from the upstream.
+    pub(crate) fn record_heard(&self) {
+        let ms = self.listed_at.elapsed().as_millis() as u64;
+        self.heard_ms.fetch_max(ms, Ordering::Relaxed);
+    }
+
+    /// Returns whether something has arrived from the upstream since then.
+    pub(crate) fn has_been_heard_since(&self, then: Instant) -> bool {
+        self.listed_at + Duration::from_millis(self.heard_ms.load(Ordering::Relaxed)) > then
+    }
+
     /// Records a success, which ends an ejection.
     pub(crate) fn record_success(&self) {
         let mut health = self.health.lock().unwrap_or_else(PoisonError::into_inner);
