--- a/crates/gateway/src/budget/account.rs
+++ b/crates/gateway/src/budget/account.rs
@@ -38,6 +38,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Charge {
     earned: f64,
+    /// When the oldest of it was earned.
+    since: Instant,
     burst: f64,
 }
 
@@ -94,7 +96,8 @@
         if missing > ROUNDING {
             return Err(missing);
         }
-        let charge = Charge { earned: amount - from_burst, burst: from_burst };
+        let since = self.credits.front().map_or(now, |it| it.0);
+        let charge = Charge { earned: amount - from_burst, since, burst: from_burst };
         self.take_credits(charge.earned);
         self.pending += charge.burst;
         Ok(charge)
@@ -108,11 +111,11 @@
         }
     }
 
-    /// Gives back what was taken for something that was not sent.
-    pub(super) fn refund(&mut self, charge: Charge, now: Instant) {
+    /// Gives back what was taken for something that was not sent. Credits expire when they would have.
+    pub(super) fn refund(&mut self, charge: Charge) {
         self.pending -= charge.burst;
         if charge.earned > 0.0 {
-            self.credits.push_back((now, charge.earned));
+            self.credits.push_front((charge.since, charge.earned));
         }
     }
 
--- a/crates/gateway/src/budget/permit.rs
+++ b/crates/gateway/src/budget/permit.rs
@@ -84,7 +84,7 @@
     fn drop(&mut self) {
         if !self.sent.load(Ordering::Relaxed) {
             let account = (&self.service, self.spender);
-            self.accounts.with(account, |it| it.refund(self.charge, Instant::now()));
+            self.accounts.with(account, |it| it.refund(self.charge));
         }
     }
 }
