--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -2,6 +2,7 @@
 
 mod audience;
 mod jobs;
+mod lending;
 mod notify;
 mod results;
 mod space;
@@ -11,9 +12,9 @@
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
-use crate::batch::message::{ConnectionLoan, FromOwner, Loan, PiecesDone, RoomLoan, ToOwner};
+use crate::batch::message::{FromOwner, PiecesDone, ToOwner};
 use crate::batch::queue::{JobKey, NextCall, Piece, Queue, Target};
 use crate::budget::{Retries, RetryPermit};
 use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, SpaceReport};
@@ -118,9 +119,6 @@
     fetched_sent: bool,
 }
 
-/// The longest time for which a connection is lent.
-const MAX_LOAN_TIME: Duration = Duration::from_secs(60);
-
 struct State<D> {
     shared: Arc<Shared<D>>,
     events: mpsc::UnboundedSender<OwnerEvent>,
@@ -265,44 +263,6 @@
         }
     }
 
-    /// Lends another entry retries of the budget, or a part of one.
-    fn lend(&self, loan: &Loan, amount: Retries, replies: &Replies) {
-        let service: Arc<str> = loan.service.as_str().into();
-        let lent = self.shared.budget.lend(&service, loan.spender, amount, Instant::now());
-        // The borrower may have ended meanwhile.
-        let _ = replies.send(FromOwner::Lent(loan.id, lent));
-    }
-
-    /// Lends another entry a request out of this entry's share of what an upstream takes.
-    fn lend_room(&self, loan: &RoomLoan, replies: &Replies) {
-        let directory = self.shared.directory();
-        let lent = directory.upstream(&loan.upstream).is_some_and(|it| {
-            it.take_need_news(loan.need);
-            it.is_open() && it.lend_room(Instant::now())
-        });
-        // The borrower may have ended meanwhile.
-        let _ = replies.send(FromOwner::Lent(loan.id, lent));
-    }
-
-    /// Lends another entry one of this entry's connections to an upstream, until that one returns it or its
-    /// time is over.
-    fn lend_connection(&mut self, origin: u64, loan: &ConnectionLoan, replies: &Replies) {
-        let directory = self.shared.directory();
-        let lent = directory.upstream(&loan.upstream).and_then(Upstream::lend_connection);
-        // The borrower may have ended meanwhile.
-        let _ = replies.send(FromOwner::Lent(loan.id, lent.is_some()));
-        let Some(lent) = lent else { return };
-        let (returned, when) = oneshot::channel::<()>();
-        self.lent.retain(|_, it| !it.is_closed());
-        self.lent.insert(JobKey { origin, id: loan.id }, returned);
-        let time = Duration::from_millis(loan.time_ms).min(MAX_LOAN_TIME);
-        tokio::spawn(async move {
-            // Ends when it is returned, too.
-            let _ = timeout(time, when).await;
-            drop(lent);
-        });
-    }
-
     fn release(&mut self, handles: Vec<String>) {
         for handle in handles.into_iter().map(Handle::from) {
             if let Some(address) = D::holder(&handle) {
