--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -225,11 +225,11 @@
         let parts = {
             let history = lock(&self.history);
             let now = Instant::now();
-            let is_known = |it: &&RequestDigest| {
+            let is_due = |it: &&RequestDigest| {
                 let since = history.since_completion(**it, now);
                 since.is_none_or(|it| it >= SOUND_INTERVAL)
             };
-            parts.iter().filter(is_known).copied().collect::<Vec<_>>()
+            parts.iter().filter(is_due).copied().collect::<Vec<_>>()
         };
         if parts.is_empty() {
             return;
