--- a/crates/gateway/src/batch/client/loan.rs
+++ b/crates/gateway/src/batch/client/loan.rs
@@ -130,6 +130,7 @@
             let loan = ConnectionLoan { id: number, upstream: upstream.id.to_string(), time_ms };
             let lent = self.ask_loan(lender, number, ToOwner::BorrowConnection(loan)).await;
             let link = self.link(lender);
+            self.shared.metrics.loans(lent.into()).inc();
             if lent == Some(true) {
                 let (borrowed, when) = Borrowed::new();
                 upstream.add_borrowed(borrowed);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -50,7 +50,7 @@
     loop {
         match listener.accept().await {
             // Dropped unread: its caller tries another entry.
-            Ok(_) if shared.crowd.is_crowded() => {}
+            Ok(_) if shared.crowd.is_crowded() => shared.metrics.unread.inc(),
             Ok((stream, _)) => {
                 tokio::spawn(connection(stream, Arc::clone(&shared), Arc::clone(&streams)));
             }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use prometheus::{Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
 use types::{StepError, StepResult};
 
 use crate::phases::Phases;
@@ -10,6 +12,38 @@
 /// The upper bounds of the latency buckets, in seconds: from a fast service to a long stream.
 const LATENCIES: [f64; 10] = [0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0, 20.0];
 
+/// How asking another entry for a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LoanOutcome {
+    /// It lends one.
+    Lent,
+    /// It has none left.
+    Refused,
+    /// It did not answer in time, or can't be asked.
+    Late,
+}
+
+impl From<Option<bool>> for LoanOutcome {
+    /// Takes whether it is lent, or `None` without an answer.
+    fn from(lent: Option<bool>) -> Self {
+        match lent {
+            Some(true) => Self::Lent,
+            Some(false) => Self::Refused,
+            None => Self::Late,
+        }
+    }
+}
+
+impl LoanOutcome {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Lent => "lent",
+            Self::Refused => "refused",
+            Self::Late => "late",
+        }
+    }
+}
+
 /// The metrics of an entry.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
@@ -29,6 +63,12 @@
     pub(crate) evacuated: IntGauge,
     /// The number of services of which this entry reaches no upstream by itself.
     pub(crate) cut_off: IntGauge,
+    /// Connections of callers that were closed before a request was read.
+    pub(crate) unread: IntCounter,
+    /// The delay of due tasks, in ms.
+    pub(crate) lag: IntGauge,
+    /// Loans of connections by outcome.
+    pub(crate) connection_loans: IntCounterVec,
 }
 
 impl Metrics {
@@ -45,6 +85,10 @@
             "Time of stages (wait, call, way) and of engines (first event) by service",
         )
         .buckets(LATENCIES.to_vec());
+        let loans = Opts::new(
+            "mothplank_gateway_connection_loans_total",
+            "Loans of connections that this entry asked others for, by outcome",
+        );
         let it = Self {
             phases: HistogramVec::new(phases, &["service", "phase"]).map_err(fault)?,
             requests: IntCounterVec::new(requests, &["kind", "outcome"]).map_err(fault)?,
@@ -67,6 +111,13 @@
                 "Services of which the entry reaches no upstream by itself",
             )
             .map_err(fault)?,
+            unread: IntCounter::new(
+                "mothplank_gateway_closed_unread_total",
+                "Connections of callers that were closed before a request was read",
+            )
+            .map_err(fault)?,
+            lag: IntGauge::new("mothplank_gateway_lag_ms", "Delay of due tasks").map_err(fault)?,
+            connection_loans: IntCounterVec::new(loans, &["outcome"]).map_err(fault)?,
         };
         registry.register(Box::new(it.requests.clone())).map_err(fault)?;
         registry.register(Box::new(it.calls.clone())).map_err(fault)?;
@@ -76,9 +127,17 @@
         registry.register(Box::new(it.quarantined.clone())).map_err(fault)?;
         registry.register(Box::new(it.evacuated.clone())).map_err(fault)?;
         registry.register(Box::new(it.cut_off.clone())).map_err(fault)?;
+        registry.register(Box::new(it.unread.clone())).map_err(fault)?;
+        registry.register(Box::new(it.lag.clone())).map_err(fault)?;
+        registry.register(Box::new(it.connection_loans.clone())).map_err(fault)?;
         Ok(it)
     }
 
+    /// Returns the count of loans of connections with an outcome.
+    pub(crate) fn loans(&self, outcome: LoanOutcome) -> IntCounter {
+        self.connection_loans.with_label_values(&[outcome.name()])
+    }
+
     /// Records the times of a request's stages.
     pub(crate) fn record_stages(&self, phases: &Phases) {
         for it in &phases.0 {
--- a/crates/telemetry/src/output.rs
+++ b/crates/telemetry/src/output.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use log::LevelFilter;
+use log::{Level, LevelFilter, Log, Metadata, Record};
 
 use crate::log_line::format_line;
 
@@ -28,7 +28,7 @@
 /// Starts logging to standard output at `level`: `error`, `warn`, `info`, `debug` or `trace`; any
 /// other text means `info`.
 ///
-/// A second call only changes the level. If the writer thread can't be started, the log goes to
+/// A second call changes nothing. If the writer thread can't be started, the log goes to
 /// standard error instead.
 pub fn init_stdout_log(level: &str) {
     let level = level.parse().unwrap_or(LevelFilter::Info);
@@ -43,15 +43,17 @@
         crate::init_stderr_log(level.as_str());
         return;
     }
-    let sender = LineSender { lines, dropped, limiter: Mutex::new(RateLimiter::new()) };
     let mut builder = env_logger::Builder::new();
+    let sender = LineSender { lines, dropped: Arc::clone(&dropped) };
     builder.filter_level(level).target(env_logger::Target::Pipe(Box::new(sender))).format(
         |buffer, record| {
             let time = buffer.timestamp_millis().to_string();
             writeln!(buffer, "{}", format_line(&time, record))
         },
     );
-    if builder.try_init().is_err() {
+    let limiters = [RateLimiter::new(), RateLimiter::new()].map(Mutex::new);
+    let logger = LimitedLogger { inner: builder.build(), limiters, dropped };
+    if log::set_boxed_logger(Box::new(logger)).is_ok() {
         log::set_max_level(level);
     }
 }
@@ -77,19 +79,49 @@
     }
 }
 
+/// Drops the lines beyond the rate limit before they are formatted.
+struct LimitedLogger {
+    inner: env_logger::Logger,
+    /// The limits of warnings and errors, and of the other lines: many decisions must not displace what
+    /// explains them.
+    limiters: [Mutex<RateLimiter>; 2],
+    dropped: Arc<AtomicU64>,
+}
+
+impl Log for LimitedLogger {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        self.inner.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.inner.matches(record) {
+            return;
+        }
+        let limiter = &self.limiters[usize::from(record.level() > Level::Warn)];
+        let mut limiter = limiter.lock().unwrap_or_else(PoisonError::into_inner);
+        let admitted = limiter.admit(Instant::now());
+        drop(limiter);
+        if admitted {
+            self.inner.log(record);
+        } else {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn flush(&self) {
+        self.inner.flush();
+    }
+}
+
 /// Queues log lines for the writer thread and drops those that don't fit; it never blocks.
 struct LineSender {
     lines: SyncSender<Vec<u8>>,
     dropped: Arc<AtomicU64>,
-    limiter: Mutex<RateLimiter>,
 }
 
 impl Write for LineSender {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        let mut limiter = self.limiter.lock().unwrap_or_else(PoisonError::into_inner);
-        let admitted = limiter.admit(Instant::now());
-        drop(limiter);
-        if !admitted || self.lines.try_send(line.to_vec()).is_err() {
+        if self.lines.try_send(line.to_vec()).is_err() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
