Limit the requests in progress while callers crowd to an entry, whether or not it knows the others' loads

Cause: the entry closed connections by the delay of one task at one moment. Between two such moments it took on all that came, the work of streams came later, and without the sum of all loads it closed nothing. Class: a gate on what comes in, by a symptom, where what is in progress has to be bounded.

Evidence: up to 1,475 requests in progress and ten times closing on and off in seven seconds; nothing closed with an unknown total and 2,169 in progress.

Change: the averaged delay of due tasks, sampled in turns that fit no scheduler's period and after each 16 connections, sets a limit of the requests in progress; new connections replace those that end. An entry may always have 1.5 times the mean load, or the last known one, or its own usual one where none was known; where all are overloaded nothing is closed. One connection is read each 500 ms at least. Answers on open connections close them while the limit is reached.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -1,9 +1,11 @@
-//! The phases in which an entry drains, and the count of requests in flight.
+//! The phases in which an entry drains, and the requests in flight.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// The phase of an entry, and its requests in flight.
 #[derive(Clone, Debug, Default)]
@@ -17,6 +19,8 @@
             phase: AtomicU8::new(Phase::Serving as u8),
             closing: Notify::new(),
             requests: AtomicUsize::new(0),
+            ended: AtomicU64::new(0),
+            ended_ms: AtomicU64::new(0),
         }
     }
 }
@@ -41,6 +45,9 @@
     phase: AtomicU8,
     closing: Notify,
     requests: AtomicUsize,
+    /// The requests that have ended since [`Drain::take_mean_duration`], and how long they took together.
+    ended: AtomicU64,
+    ended_ms: AtomicU64,
 }
 
 impl Drain {
@@ -79,7 +86,14 @@
     /// Counts a request as in flight until the returned guard is dropped.
     pub(crate) fn track_request(&self) -> InFlight {
         self.inner.requests.fetch_add(1, Ordering::Relaxed);
-        InFlight { inner: Arc::clone(&self.inner) }
+        InFlight { inner: Arc::clone(&self.inner), begun: Instant::now() }
+    }
+
+    /// Returns how long the requests took on average that have ended since the last call.
+    pub(crate) fn take_mean_duration(&self) -> Option<Duration> {
+        let count = self.inner.ended.swap(0, Ordering::Relaxed);
+        let ms = self.inner.ended_ms.swap(0, Ordering::Relaxed);
+        Some(Duration::from_millis(ms.checked_div(count)?))
     }
 }
 
@@ -87,10 +101,14 @@
 #[derive(Debug)]
 pub(crate) struct InFlight {
     inner: Arc<Inner>,
+    begun: Instant,
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.inner.requests.fetch_sub(1, Ordering::Relaxed);
+        self.inner.ended.fetch_add(1, Ordering::Relaxed);
+        let ms = self.begun.elapsed().as_millis() as u64;
+        self.inner.ended_ms.fetch_add(ms, Ordering::Relaxed);
     }
 }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -50,7 +50,7 @@
     loop {
         match listener.accept().await {
             // Dropped unread: its caller tries another entry.
-            Ok(_) if shared.crowd.is_crowded() => shared.metrics.unread.inc(),
+            Ok(_) if !admits(&shared) => shared.metrics.unread.inc(),
             Ok((stream, _)) => {
                 tokio::spawn(connection(stream, Arc::clone(&shared), Arc::clone(&streams)));
             }
@@ -62,6 +62,11 @@
     }
 }
 
+/// Returns whether a new connection is read.
+fn admits<D: Dialect>(shared: &Shared<D>) -> bool {
+    shared.crowd.admits(shared.drain.in_flight() as u64, Instant::now())
+}
+
 async fn connection<D: Dialect>(
     stream: TcpStream,
     shared: Arc<Shared<D>>,
@@ -131,7 +136,8 @@
             }
         }
     };
-    if close || shared.drain.is_ending() {
+    let is_full = shared.crowd.is_full(shared.drain.in_flight() as u64);
+    if close || is_full || shared.drain.is_ending() {
         reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     reply.body_mut().hold_in_flight(in_flight);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -15,11 +15,11 @@
 use crate::body_memory::{BODY_MEMORY_BYTES, MemoryBudget};
 use crate::budget::Budget;
 use crate::cold::ColdTolerance;
-use crate::crowd::{CHECK_INTERVAL, Crowd, Load, MAX_LAG};
+use crate::crowd::Crowd;
 use crate::dialect::Dialect;
 use crate::directory::{ColdRules, Directory};
 use crate::drain::Drain;
-use crate::metrics::{LoanOutcome, Metrics};
+use crate::metrics::Metrics;
 use crate::path::Paths;
 use crate::path::relay::RelayPermits;
 use crate::plan::Plan;
@@ -27,6 +27,7 @@
 use crate::quarantine::Quarantine;
 use crate::section::{self, LinkRate, Section};
 
+mod crowd;
 mod path;
 #[cfg(test)]
 mod tests;
@@ -47,9 +48,6 @@
 /// callers give an entry a second to read a request.
 const STARTUP_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// The least time between two lines that say that due tasks run late.
-const LATE_LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 /// The state that all parts of an entry share.
 pub(crate) struct Shared<D> {
     plan: ArcSwapOption<Plan>,
@@ -110,7 +108,7 @@
             prefill_times: PrefillTimes::default(),
             body_memory: MemoryBudget::new(BODY_MEMORY_BYTES),
             quarantine: Arc::new(quarantine),
-            crowd: Crowd::default(),
+            crowd: Crowd::new(Instant::now()),
             dialect: PhantomData,
         }
     }
@@ -212,49 +210,6 @@
         }
     }
 
-    /// Watches whether a crowd of callers overloads the entry, for as long as the process lives.
-    pub(crate) async fn watch_crowd(self: Arc<Self>) {
-        let mut reported = Instant::now();
-        loop {
-            let due = Instant::now() + CHECK_INTERVAL;
-            sleep_until(due).await;
-            let lag = due.elapsed();
-            self.metrics.lag.set(lag.as_millis() as i64);
-            if lag >= MAX_LAG && reported.elapsed() >= LATE_LOG_INTERVAL {
-                reported = Instant::now();
-                self.log_late(lag);
-            }
-            if lag < MAX_LAG && !self.crowd.is_crowded() {
-                continue;
-            }
-            let directory = self.directory();
-            let total = self.knows_loads().then(|| directory.total_running());
-            let load = Load {
-                lag,
-                own: directory.own_running(),
-                total,
-                entries: self.peers().len() as u64 + 1,
-            };
-            if let Some(crowded) = self.crowd.update(&load) {
-                log::warn!(crowded, lag_ms = load.lag.as_millis() as u64, own = load.own,
-                    total = load.total, entries = load.entries;
-                    "the entry starts or ends to close new connections unread");
-            }
-        }
-    }
-
-    fn log_late(&self, lag: Duration) {
-        let directory = self.directory();
-        let loans = |outcome| self.metrics.loans(outcome).get();
-        log::warn!(lag_ms = lag.as_millis() as u64, requests = self.drain.in_flight(),
-            own = directory.own_running(),
-            total = self.knows_loads().then(|| directory.total_running()),
-            entries = self.peers().len() + 1, unread = self.metrics.unread.get(),
-            lent = loans(LoanOutcome::Lent), refused = loans(LoanOutcome::Refused),
-            late = loans(LoanOutcome::Late);
-            "due tasks run late");
-    }
-
     /// Exchanges loads with the other entries for as long as the process lives.
     pub(crate) async fn exchange_loads(
         self: Arc<Self>,
