Use a borrowed connection for several requests, and don't ask lenders again that have none or are late

Cause: a loan for each request, returned at its end; a late entry asked on although no answer came in time; requests that began at the same moment each saw a free connection; one request's loan was thrown away by another that found an idle connection. Class: an overloaded process whose work grows with the overload.

Change: a borrowed connection is used again, by requests that end within the loan, and returned after a second without use. A lender that has none left is not asked for 300 ms, one that is late for a second. A request counts before its connection is chosen.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -2,6 +2,7 @@
 
 mod job;
 mod loan;
+mod unwilling;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -25,6 +26,7 @@
 use crate::shared::Shared;
 
 use self::job::{JobEnd, LocalJob, Progress, RemoteJob, job_message};
+use self::unwilling::UnwillingLenders;
 
 /// How long an owner may take to accept a job. Leaves time for a lost packet in each direction,
 /// which is sent again after 200 ms. With less, entries on a lossy link skip healthy owners, and
@@ -94,6 +96,8 @@
     hello: Hello,
     own_address: SocketAddr,
     next_id: AtomicU64,
+    /// The entries that do not lend connections now.
+    unwilling: UnwillingLenders,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     suspects: Mutex<HashMap<SocketAddr, Instant>>,
     relays: mpsc::Sender<Relay>,
@@ -116,6 +120,7 @@
             hello,
             own_address,
             next_id: AtomicU64::new(0),
+            unwilling: UnwillingLenders::default(),
             links: Mutex::default(),
             suspects: Mutex::default(),
             relays,
--- a/crates/gateway/src/batch/client/loan.rs
+++ b/crates/gateway/src/batch/client/loan.rs
@@ -16,7 +16,7 @@
 use crate::budget::{LOAN_TIME, Retries, RetryPermit, Share, Spender};
 use crate::dialect::Dialect;
 use crate::place::score;
-use crate::upstream::{Borrowed, Upstream};
+use crate::upstream::Upstream;
 
 /// How long a lender may take to answer, a new connection to it included.
 const LOAN_TIMEOUT: Duration = Duration::from_millis(120);
@@ -37,6 +37,9 @@
 /// How much longer than its request a connection may be on loan, for the way back.
 const RETURN_TIME: Duration = Duration::from_secs(1);
 
+/// How much longer than the first request a connection is borrowed, for others to use it.
+const REUSE_TIME: Duration = Duration::from_secs(10);
+
 impl<D: Dialect> BatchClient<D> {
     /// Takes `count` retries for a service, all or none. What this entry is missing it borrows.
     pub(crate) async fn take_retries(
@@ -116,34 +119,41 @@
     }
 
     /// Asks other entries for one of their connections to an upstream at which all of this entry's are in
-    /// use, and has the next request there use it. The connection is returned by `deadline`.
+    /// use by requests that have begun. Requests there may use it for a while.
     pub(crate) async fn borrow_connection(&self, upstream: &Arc<Upstream>, deadline: Instant) {
-        if upstream.has_connection() {
+        if !upstream.lacks_connections() {
             return;
         }
-        let time = deadline.saturating_duration_since(Instant::now()) + RETURN_TIME;
+        let now = Instant::now();
+        let expires = deadline + REUSE_TIME;
+        let time_ms = (expires - now + RETURN_TIME).as_millis() as u64;
         let own = score(0, &self.own_address.to_string());
         let lenders = self.shared.directory().entry_list().holders(own, CONNECTION_LENDERS);
-        let lenders = lenders.into_iter().sample(&mut rand::rng(), MAX_CONNECTION_LENDERS_ASKED);
-        for lender in lenders {
-            let (number, time_ms) = (self.next_number(), time.as_millis() as u64);
+        let willing = |it: &SocketAddr| !self.unwilling.contains(*it, upstream.id_hash, now);
+        let lenders = lenders.into_iter().filter(willing);
+        let asked = lenders.sample(&mut rand::rng(), MAX_CONNECTION_LENDERS_ASKED);
+        for lender in asked {
+            let number = self.next_number();
             let loan = ConnectionLoan { id: number, upstream: upstream.id.to_string(), time_ms };
             let lent = self.ask_loan(lender, number, ToOwner::BorrowConnection(loan)).await;
-            let link = self.link(lender);
             self.shared.metrics.loans(lent.into()).inc();
-            if lent == Some(true) {
-                let (borrowed, when) = Borrowed::new();
-                upstream.add_borrowed(borrowed);
-                tokio::spawn(async move {
-                    // Closed when the connection is not used any more.
-                    let _ = when.await;
+            let link = self.link(lender);
+            match lent {
+                Some(true) => {
+                    let when = upstream.add_borrowed(expires);
+                    tokio::spawn(async move {
+                        // Closed when the connection is not used any more.
+                        let _ = when.await;
+                        link.send(ToOwner::ReturnConnection(number));
+                    });
+                    return;
+                }
+                Some(false) => self.unwilling.add_refused(lender, upstream.id_hash, Instant::now()),
+                None => {
+                    self.unwilling.add_late(lender, Instant::now());
+                    // An answer that comes late must not keep the connection.
                     link.send(ToOwner::ReturnConnection(number));
-                });
-                return;
-            }
-            if lent.is_none() {
-                // An answer that comes late must not keep the connection.
-                link.send(ToOwner::ReturnConnection(number));
+                }
             }
         }
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -113,18 +113,35 @@
     pub(crate) head: AnswerHead,
 }
 
+/// Until when a call may wait, and last.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallTimes {
+    /// When the head of the answer is due.
+    pub(crate) head: Instant,
+    /// When the answer ends at the latest.
+    pub(crate) end: Instant,
+}
+
+impl From<Instant> for CallTimes {
+    /// Returns the times of a call whose whole answer is due at `end`.
+    fn from(end: Instant) -> Self {
+        Self { head: end, end }
+    }
+}
+
 /// Sends a request, by `permits` if it is sent again, and waits for the head of its answer.
 pub(crate) async fn send<D: Dialect>(
     upstream: &Arc<Upstream>,
     request: Request<Full<Bytes>>,
     attempt: &str,
     permits: &[Arc<RetryPermit>],
-    deadline: Instant,
+    times: CallTimes,
 ) -> Result<Opened, Fault> {
+    let CallTimes { head: deadline, end } = times;
     let mut request = request;
     loop {
         let begun = Instant::now();
-        let mut lease = upstream.connect(deadline).await.map_err(Fault::unsent)?;
+        let mut lease = upstream.connect(deadline, end).await.map_err(Fault::unsent)?;
         let waited = begun.elapsed();
         if waited >= LONG_CONNECT_TIME {
             log::info!(request = attempt, upstream:% = upstream.id,
@@ -213,12 +230,12 @@
     request: Request<Full<Bytes>>,
     attempt: &str,
     permits: &[Arc<RetryPermit>],
-    deadline: Instant,
+    times: CallTimes,
 ) -> Result<Opened, Fault> {
-    let opened = send::<D>(upstream, request, attempt, permits, deadline).await?;
+    let opened = send::<D>(upstream, request, attempt, permits, times).await?;
     if opened.head.not_run {
         let status = opened.response.status();
-        discard(opened, deadline).await;
+        discard(opened, times.head).await;
         return Err(Fault::refused(status));
     }
     if !opened.head.same_attempt {
@@ -285,7 +302,7 @@
     deadline: Instant,
 ) -> Result<PieceAnswer, Fault> {
     let request = own_call::<D>(upstream, D::PIECES_PATH, D::encode_pieces(calls), deadline);
-    let opened = send::<D>(upstream, request, "", permits, deadline).await?;
+    let opened = send::<D>(upstream, request, "", permits, deadline.into()).await?;
     let status = opened.response.status();
     if status != StatusCode::OK {
         if opened.head.not_run {
@@ -316,7 +333,7 @@
     let mut request = own_call::<D>(upstream, D::REPORT_PATH, Bytes::new(), deadline);
     *request.method_mut() = Method::GET;
     let Opened { mut response, lease, head } =
-        send::<D>(upstream, request, "", &[], deadline).await?;
+        send::<D>(upstream, request, "", &[], deadline.into()).await?;
     let body = read_short(response.body_mut(), deadline).await?;
     lease.keep(head.keep_alive);
     match response.status() {
@@ -333,7 +350,7 @@
     let deadline = Instant::now() + FREE_TIMEOUT;
     let request = own_call::<D>(upstream, D::FREE_PATH, D::encode_free(handles), deadline);
     let Opened { mut response, lease, head } =
-        send::<D>(upstream, request, "", &[], deadline).await?;
+        send::<D>(upstream, request, "", &[], deadline.into()).await?;
     read_short(response.body_mut(), deadline).await?;
     lease.keep(head.keep_alive);
     Ok(())
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -15,7 +15,7 @@
 use crate::batch::BatchClient;
 use crate::budget::{RetryPermit, Spender};
 use crate::dialect::{AnswerHead, Dialect};
-use crate::exchange::{self, Cause, Fault, Opened, Read};
+use crate::exchange::{self, CallTimes, Cause, Fault, Opened, Read};
 use crate::offers::Offers;
 use crate::plan::RouteKind;
 use crate::quarantine::RunTimes;
@@ -96,6 +96,7 @@
             shared.metrics.calls.with_label_values(&["no budget"]).inc();
             break;
         }
+        let running = upstream.begin_request(0);
         batches.borrow_connection(&upstream, request.deadline).await;
         let now = Instant::now();
         offers.add(&upstream, now);
@@ -108,7 +109,9 @@
             tried = offers.tried().len(); "chose an upstream");
         let last = !repeats || runs + 1 >= request.route.attempts;
         let deadline = if last { request.deadline } else { first_try_deadline(request, now) };
-        match call_once::<D>(request, &upstream, permit, deadline).await {
+        let called = call_once::<D>(request, &upstream, permit, deadline).await;
+        drop(running);
+        match called {
             Ok(answer) if answer.status.is_server_error() && !last => {
                 runs += 1;
                 shared.metrics.calls.with_label_values(&["failed"]).inc();
@@ -209,11 +212,11 @@
     permit: Option<Arc<RetryPermit>>,
     deadline: Instant,
 ) -> Result<Answer, Fault> {
-    let _running = upstream.begin_request(0);
     let before = request.may_have_run.load(Ordering::Relaxed);
     let forward = request.forward::<D>(upstream, &[], None);
     let (attempt, permits) = (&request.head.attempt, permit.as_slice());
-    let sent = exchange::request::<D>(upstream, forward, attempt, permits, deadline).await;
+    let times = CallTimes { head: deadline, end: request.deadline };
+    let sent = exchange::request::<D>(upstream, forward, attempt, permits, times).await;
     let opened = sent.inspect_err(|fault| {
         if fault.not_run {
             request.may_have_run.store(before, Ordering::Relaxed);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -167,6 +167,8 @@
                 self.shared.metrics.calls.with_label_values(&["no budget"]).inc();
                 return Err(if tries.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
             }
+            let tokens = request.head.generation.as_ref().map_or(0, |it| u64::from(it.prompt));
+            let running = upstream.begin_request(tokens);
             self.batches.borrow_connection(&upstream, request.deadline).await;
             let now = Instant::now();
             tries.offers.add(&upstream, now);
@@ -179,7 +181,7 @@
                 resumes = request.head.resumed.as_deref(), stages:% = phases,
                 age_ms = request.arrived.elapsed().as_millis() as u64; "chose an engine");
             let forward = request.forward::<D>(&upstream, handles, last_event);
-            let fault = match open::<D>(request, &upstream, forward, permit).await {
+            let fault = match open::<D>(request, &upstream, forward, permit, running).await {
                 Ok(tried) => {
                     if let Some(generation) = &request.head.generation {
                         self.shared.prefill_times.record(service, generation, now.elapsed());
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -12,7 +12,7 @@
 use crate::budget::RetryPermit;
 use crate::dialect::Dialect;
 use crate::events::{Event, EventSplitter};
-use crate::exchange::{self, Cause, Fault, Opened, Read};
+use crate::exchange::{self, CallTimes, Cause, Fault, Opened, Read};
 use crate::quarantine::RunTimes;
 use crate::reply::{Reply, ReplyBody, strip_hop_by_hop};
 use crate::request::CallerRequest;
@@ -41,19 +41,20 @@
     Answer(Reply),
 }
 
-/// Sends the request, by a permit if it is sent again, and waits for the first event.
+/// Sends the request that counts as `running`, by a permit if it is sent again, and waits for the first
+/// event.
 pub(super) async fn open<D: Dialect>(
     request: &CallerRequest,
     upstream: &Arc<Upstream>,
     forward: http::Request<http_body_util::Full<Bytes>>,
     permit: Option<Arc<RetryPermit>>,
+    mut running: RunningRequest,
 ) -> Result<EngineAnswer, Fault> {
-    let tokens = request.head.generation.as_ref().map_or(0, |it| u64::from(it.prompt));
-    let mut running = upstream.begin_request(tokens);
     let sent = Instant::now();
     let deadline = request.first_event_by;
     let (attempt, permits) = (&request.head.attempt, permit.as_slice());
-    let opened = exchange::request::<D>(upstream, forward, attempt, permits, deadline).await?;
+    let times = CallTimes { head: deadline, end: request.deadline };
+    let opened = exchange::request::<D>(upstream, forward, attempt, permits, times).await?;
     let Opened { mut response, lease, head } = opened;
     let mut headers = std::mem::take(response.headers_mut());
     strip_hop_by_hop(&mut headers);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -21,7 +21,6 @@
 use crate::quota::EntryList;
 
 pub(crate) use self::connections::{ConnectError, ConnectionShare, Lease, configure};
-pub(crate) use self::lending::Borrowed;
 pub use self::room::Need;
 pub(crate) use self::running::{InUse, RunningRequest};
 
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::Upstream;
-use super::lending::Permit;
+use super::lending::{KEEP_TIME, Permit};
 use crate::partition::Cut;
 use crate::path::relay::RelayState;
 use crate::path::state::Path;
@@ -65,7 +65,7 @@
 #[derive(Debug)]
 pub(super) struct Idle {
     opened: Opened,
-    permit: OwnedSemaphorePermit,
+    permit: Permit,
     expires: Instant,
 }
 
@@ -105,30 +105,45 @@
         self.connection_limit.store(next, Ordering::Relaxed);
     }
 
-    /// Returns whether this entry may send a request without waiting for one of its connections.
+    /// Returns whether this entry may send one more request without waiting for a connection.
     pub(crate) fn has_connection(&self) -> bool {
-        self.running() + self.lent_connections() < self.connection_limit.load(Ordering::Relaxed)
+        self.running() < self.usable_connections()
+    }
+
+    /// Returns whether the requests that have begun need more connections than this entry may use.
+    pub(crate) fn lacks_connections(&self) -> bool {
+        self.running() > self.usable_connections()
+    }
+
+    fn usable_connections(&self) -> u32 {
+        let own = self.connection_limit.load(Ordering::Relaxed);
+        (own + self.borrowed_connections()).saturating_sub(self.lent_connections())
     }
 
     /// Closes an idle connection; returns the permit that it had.
     pub(super) fn release_idle(&self) -> Option<OwnedSemaphorePermit> {
-        let idle = self.lock_idle().pop()?;
-        idle.opened.task.abort();
-        Some(idle.permit)
+        let mut idle = self.lock_idle();
+        let own = idle.iter().rposition(|it| matches!(it.permit, Permit::Own(_)))?;
+        let Idle { opened, permit, .. } = idle.remove(own);
+        opened.task.abort();
+        match permit {
+            Permit::Own(permit) => Some(permit),
+            Permit::Borrowed(_) => None,
+        }
     }
 
-    /// Returns an idle connection, or opens a new one before `deadline`.
+    /// Returns an idle connection, or opens a new one before `deadline`, for a request that ends at `end`.
     pub(crate) async fn connect(
         self: &Arc<Self>,
         deadline: Instant,
+        end: Instant,
     ) -> Result<Lease, ConnectError> {
         let by = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-        let mut borrowed = self.take_borrowed();
         let permit = loop {
-            if let Some(lease) = self.take_idle() {
+            if let Some(lease) = self.take_idle(end) {
                 return Ok(lease);
             }
-            if let Some(borrowed) = borrowed.take() {
+            if let Some(borrowed) = self.take_borrowed(end) {
                 break Permit::Borrowed(borrowed);
             }
             tokio::select! {
@@ -140,7 +155,7 @@
                 () = self.idle_added.notified() => {}
             }
         };
-        if let Some(lease) = self.take_idle() {
+        if let Some(lease) = self.take_idle(end) {
             return Ok(lease);
         }
         let opened = self.open(by, deadline).await?;
@@ -256,20 +271,27 @@
         self.paths.record_failure(&self.service, self.id_hash);
     }
 
-    fn take_idle(self: &Arc<Self>) -> Option<Lease> {
+    /// Returns an idle connection for a request that ends at `end`; one of its own if there is one, so that
+    /// borrowed ones go back.
+    fn take_idle(self: &Arc<Self>, end: Instant) -> Option<Lease> {
         let mut idle = self.lock_idle();
         let now = Instant::now();
         let cut_off = self.paths.path(&self.service) == Path::CutOff;
-        while let Some(it) = idle.pop() {
+        idle.retain(|it| {
             // The own path is shorter than a relay's.
             let relays = it.opened.relay.as_ref().is_none_or(|it| cut_off && it.is_usable());
-            if relays && it.opened.sender.is_ready() && now < it.expires {
-                let connection = Some((it.opened, Permit::Own(it.permit)));
-                return Some(Lease { upstream: Arc::clone(self), connection, is_kept: true });
+            let usable = relays && it.opened.sender.is_ready() && now < it.expires;
+            if !usable {
+                it.opened.task.abort();
             }
-            it.opened.task.abort();
-        }
-        None
+            usable
+        });
+        let is_own = |it: &Idle| matches!(it.permit, Permit::Own(_));
+        let lasts = |it: &Idle| matches!(&it.permit, Permit::Borrowed(it) if it.lasts(end));
+        let found = idle.iter().rposition(is_own).or_else(|| idle.iter().rposition(lasts))?;
+        let Idle { opened, permit, .. } = idle.remove(found);
+        let connection = Some((opened, permit));
+        Some(Lease { upstream: Arc::clone(self), connection, is_kept: true })
     }
 
     fn lock_idle(&self) -> MutexGuard<'_, Vec<Idle>> {
@@ -332,16 +354,15 @@
     /// Keeps the connection for later requests. To be called after the answer has ended properly.
     pub(crate) fn keep(mut self, keep_alive: Option<Duration>) {
         let Some((mut opened, permit)) = self.connection.take() else { return };
-        let Permit::Own(permit) = permit else {
-            // It goes back to the entry that lent it.
-            opened.task.abort();
-            return;
-        };
         let upstream = Arc::clone(&self.upstream);
         let keep = match keep_alive {
             Some(it) => it.checked_sub(KEEP_ALIVE_MARGIN).unwrap_or(Duration::from_millis(300)),
             None => DEFAULT_KEEP_ALIVE,
         };
+        let keep = match &permit {
+            Permit::Own(_) => keep,
+            Permit::Borrowed(_) => keep.min(KEEP_TIME),
+        };
         tokio::spawn(async move {
             // Bytes after the answer are an error: the connection ends here and is not used again.
             let relays = opened.relay.as_ref().is_none_or(|it| it.is_usable());
--- a/crates/gateway/src/upstream/lending.rs
+++ b/crates/gateway/src/upstream/lending.rs
@@ -4,31 +4,50 @@
 //! entry, that one needs more than its share, and the others less.
 
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use tokio::sync::{OwnedSemaphorePermit, oneshot};
+use tokio::time::{Instant, sleep};
 
 use super::Upstream;
 
+#[cfg(test)]
+mod tests;
+
+/// How long a borrowed connection that no request uses is kept, before it is returned.
+pub(super) const KEEP_TIME: Duration = Duration::from_secs(1);
+
 /// The connections to one upstream that this entry lends, and those that others lend it.
 #[derive(Debug, Default)]
 pub(super) struct Lending {
     lent: AtomicU32,
-    /// Borrowed connections that are not opened yet.
-    borrowed: Mutex<Vec<Borrowed>>,
+    /// The number of borrowed connections, in use or not.
+    held: Arc<AtomicU32>,
+    /// Borrowed connections that are not opened yet, and when each was lent.
+    borrowed: Mutex<Vec<(Instant, Borrowed)>>,
 }
 
 /// The right to a connection that another entry has lent. It is returned when this is dropped.
 #[derive(Debug)]
-pub(crate) struct Borrowed(
-    #[expect(dead_code, reason = "the receiver notices when it is dropped")] oneshot::Sender<()>,
-);
+pub(crate) struct Borrowed {
+    #[expect(dead_code, reason = "the receiver notices when it is dropped")]
+    returned: oneshot::Sender<()>,
+    /// When the lender takes the connection back.
+    expires: Instant,
+    held: Arc<AtomicU32>,
+}
 
 impl Borrowed {
-    /// Creates the right, and the receiver that is closed when it is returned.
-    pub(crate) fn new() -> (Self, oneshot::Receiver<()>) {
-        let (returned, when) = oneshot::channel();
-        (Self(returned), when)
+    /// Returns whether a request that ends at `end` may use it.
+    pub(super) fn lasts(&self, end: Instant) -> bool {
+        end <= self.expires
+    }
+}
+
+impl Drop for Borrowed {
+    fn drop(&mut self) {
+        self.held.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -51,7 +70,7 @@
     /// One of this entry's share.
     Own(OwnedSemaphorePermit),
     /// One that another entry has lent.
-    Borrowed(#[expect(dead_code, reason = "returned when it is dropped")] Borrowed),
+    Borrowed(Borrowed),
 }
 
 impl Upstream {
@@ -68,12 +87,35 @@
         self.lending.lent.load(Ordering::Relaxed)
     }
 
-    /// Adds a borrowed connection, which the next request opens.
-    pub(crate) fn add_borrowed(&self, borrowed: Borrowed) {
-        self.lending.borrowed.lock().unwrap_or_else(PoisonError::into_inner).push(borrowed);
+    /// Returns how many connections other entries have lent this one.
+    pub(super) fn borrowed_connections(&self) -> u32 {
+        self.lending.held.load(Ordering::Relaxed)
+    }
+
+    /// Adds a borrowed connection, which the lender takes back at `expires`, for the next request to open.
+    /// Returns the receiver that is closed when it is returned.
+    pub(crate) fn add_borrowed(self: &Arc<Self>, expires: Instant) -> oneshot::Receiver<()> {
+        let (returned, when) = oneshot::channel();
+        let held = Arc::clone(&self.lending.held);
+        held.fetch_add(1, Ordering::Relaxed);
+        self.lock_borrowed().push((Instant::now(), Borrowed { returned, expires, held }));
+        self.idle_added.notify_one();
+        let upstream = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(KEEP_TIME).await;
+            upstream.lock_borrowed().retain(|it| it.0.elapsed() < KEEP_TIME);
+        });
+        when
+    }
+
+    /// Returns a borrowed connection for a request that ends at `end`, to be opened.
+    pub(super) fn take_borrowed(&self, end: Instant) -> Option<Borrowed> {
+        let mut borrowed = self.lock_borrowed();
+        let found = borrowed.iter().position(|it| it.1.lasts(end))?;
+        Some(borrowed.swap_remove(found).1)
     }
 
-    pub(super) fn take_borrowed(&self) -> Option<Borrowed> {
-        self.lending.borrowed.lock().unwrap_or_else(PoisonError::into_inner).pop()
+    fn lock_borrowed(&self) -> MutexGuard<'_, Vec<(Instant, Borrowed)>> {
+        self.lending.borrowed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
