Take a sample of the delay by a timer also where many connections come at once

Cause: a sample taken at once after 16 connections measured no delay, and stood for all the time since the sample before, in which the process had been stopped. Class: a measurement that is taken only while the measured trouble is absent.

Change: many connections only shorten the pause until the next timed sample.

--- a/crates/gateway/src/crowd.rs
+++ b/crates/gateway/src/crowd.rs
@@ -66,8 +66,8 @@
 pub const SAMPLE_PAUSES: (Duration, Duration) =
     (Duration::from_millis(97), Duration::from_millis(23));
 
-/// After how many accepted connections a sample is due without a pause: work that comes all at once must
-/// not go unseen.
+/// After how many accepted connections a sample is due after the shorter pause: work that comes all at once
+/// must not go unseen.
 const SAMPLE_CONNECTIONS: u64 = 16;
 
 /// What an entry knows of its load at one moment.
@@ -183,7 +183,7 @@
         admits
     }
 
-    /// Returns whether a sample is due after many connections.
+    /// Returns whether the next sample is due after the shorter pause.
     pub fn wants_sample(&self) -> bool {
         self.accepted.load(Ordering::Relaxed) == SAMPLE_CONNECTIONS
     }
@@ -193,7 +193,11 @@
         let due = Instant::now() + self.sample_pause();
         tokio::select! {
             () = sleep_until(due) => due,
-            () = self.many_accepted.notified() => due.min(Instant::now()),
+            () = self.many_accepted.notified() => {
+                let due = due.min(Instant::now() + SAMPLE_PAUSES.1);
+                sleep_until(due).await;
+                due
+            }
         }
     }
 
--- a/crates/gateway/tests/crowd_fleet.rs
+++ b/crates/gateway/tests/crowd_fleet.rs
@@ -7,7 +7,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
-use gateway::crowd::{Crowd, Sample};
+use gateway::crowd::{Crowd, SAMPLE_PAUSES, Sample};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use tokio::time::Instant;
@@ -255,7 +255,8 @@
         let wants_sample = entry.crowd.wants_sample();
         let (number_due, entry) = (entry.samples, request.entry);
         if wants_sample {
-            self.push(now, Event::SampleDue(entry, number_due));
+            let pause = SAMPLE_PAUSES.1.as_micros() as u64;
+            self.push(now + pause, Event::SampleDue(entry, number_due));
         }
         self.push(now, Event::Due(number));
     }
