Say why a stream did not go on elsewhere, and which request was in progress when a connection ended

Callers: nothing changes. Why no other engine took a stream over was dropped with its error, for how long nothing had come was not said, and a caller's connection that ended before its answer was written at debug, without the request. Now one line each, at info, and two counters. EngineAnswer boxes its plain reply, since replies have grown by the guard.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -27,6 +27,7 @@
 use crate::room;
 use crate::shared::Shared;
 use crate::stream::Streams;
+use crate::unanswered::{AnswerGuard, Dropped, Unanswered};
 use crate::write_tracker::WriteTracker;
 
 /// The pause after a failed accept.
@@ -84,12 +85,16 @@
     let seen = conflict.clone();
     let write_tracker = WriteTracker::default();
     let body_tracker = write_tracker.clone();
+    let (unanswered, metrics) = (Unanswered::default(), shared.metrics.clone());
+    let watched = unanswered.clone();
     let service = service_fn(move |request| {
         let (shared, streams, seen) = (Arc::clone(&shared), Arc::clone(&streams), seen.clone());
         let body_tracker = body_tracker.clone();
+        let mut guard = watched.watch();
         async move {
-            let mut reply = answer(shared, streams, seen, request).await;
+            let mut reply = answer(shared, streams, seen, request, &mut guard).await;
             reply.body_mut().track_writes(body_tracker);
+            reply.body_mut().watch_answer(guard);
             Ok::<_, Infallible>(reply)
         }
     });
@@ -103,7 +108,14 @@
             TokioIo::new(GuardedStream::new(stream, conflict, reads, write_tracker)),
             service,
         );
-    if let Err(error) = served.await {
+    let served = served.await;
+    if let Some(Dropped { attempt, begun, age }) = unanswered.take() {
+        metrics.unanswered.inc();
+        log::info!(request = attempt, begun, age_ms = age.as_millis() as u64,
+            cause = served.as_ref().err().map(ToString::to_string);
+            "a caller's connection ended before its answer");
+    }
+    if let Err(error) = served {
         log::debug!(cause:% = error; "a caller's connection failed");
     }
 }
@@ -114,6 +126,7 @@
     streams: Arc<Streams<D>>,
     conflict: LengthConflict,
     request: Request<Incoming>,
+    guard: &mut AnswerGuard,
 ) -> Reply {
     let in_flight = shared.drain.track_request();
     let arrived = Instant::now();
@@ -124,7 +137,7 @@
     } else {
         let routed = match shared.drain.is_refusing() {
             true => Err(Refusal::Ending),
-            false => route(&shared, &streams, request, arrived).await,
+            false => route(&shared, &streams, request, arrived, guard).await,
         };
         match routed {
             Ok(reply) => reply,
@@ -149,10 +162,12 @@
     streams: &Arc<Streams<D>>,
     request: Request<Incoming>,
     arrived: Instant,
+    guard: &mut AnswerGuard,
 ) -> Result<Reply, Refusal> {
     let plan = shared.wait_for_plan().await.ok_or(Refusal::NoPlan)?;
     let request =
         CallerRequest::read::<D>(plan, request, arrived, shared.body_memory.reserve()).await?;
+    guard.set_attempt(&request.head.attempt);
     let origin = streams.origin(&request).await?;
     let service = match &origin {
         Some(origin) => Some(origin.service.as_str().into()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod shared;
 mod stages;
 mod stream;
+mod unanswered;
 pub mod upstream;
 mod write_tracker;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -65,6 +65,10 @@
     pub(crate) cut_off: IntGauge,
     /// Connections of callers that were closed before a request was read.
     pub(crate) unread: IntCounter,
+    /// Streams that ended before they were complete, by cause.
+    pub(crate) streams_cut: IntCounterVec,
+    /// Callers' connections that ended with a request in progress.
+    pub(crate) unanswered: IntCounter,
     /// The delay of due tasks, in ms.
     pub(crate) lag: IntGauge,
     /// Loans of connections by outcome.
@@ -89,6 +93,10 @@
             "mothplank_gateway_connection_loans_total",
             "Loans of connections that this entry asked others for, by outcome",
         );
+        let streams_cut = Opts::new(
+            "mothplank_gateway_streams_cut_total",
+            "Streams that ended before they were complete, by cause",
+        );
         let it = Self {
             phases: HistogramVec::new(phases, &["service", "phase"]).map_err(fault)?,
             requests: IntCounterVec::new(requests, &["kind", "outcome"]).map_err(fault)?,
@@ -116,6 +124,12 @@
                 "Connections of callers that were closed before a request was read",
             )
             .map_err(fault)?,
+            streams_cut: IntCounterVec::new(streams_cut, &["cause"]).map_err(fault)?,
+            unanswered: IntCounter::new(
+                "mothplank_gateway_unanswered_total",
+                "Connections of callers that ended with a request in progress",
+            )
+            .map_err(fault)?,
             lag: IntGauge::new("mothplank_gateway_lag_ms", "Delay of due tasks").map_err(fault)?,
             connection_loans: IntCounterVec::new(loans, &["outcome"]).map_err(fault)?,
         };
@@ -128,6 +142,8 @@
         registry.register(Box::new(it.evacuated.clone())).map_err(fault)?;
         registry.register(Box::new(it.cut_off.clone())).map_err(fault)?;
         registry.register(Box::new(it.unread.clone())).map_err(fault)?;
+        registry.register(Box::new(it.streams_cut.clone())).map_err(fault)?;
+        registry.register(Box::new(it.unanswered.clone())).map_err(fault)?;
         registry.register(Box::new(it.lag.clone())).map_err(fault)?;
         registry.register(Box::new(it.connection_loans.clone())).map_err(fault)?;
         Ok(it)
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 
 use crate::drain::InFlight;
+use crate::unanswered::AnswerGuard;
 use crate::write_tracker::WriteTracker;
 
 #[cfg(test)]
@@ -45,6 +46,7 @@
     source: Source,
     write_tracker: WriteTracker,
     _in_flight: Option<InFlight>,
+    guard: Option<AnswerGuard>,
 }
 
 #[derive(Debug)]
@@ -68,7 +70,7 @@
     }
 
     fn new(source: Source) -> Self {
-        Self { source, write_tracker: WriteTracker::default(), _in_flight: None }
+        Self { source, write_tracker: WriteTracker::default(), _in_flight: None, guard: None }
     }
 
     /// Sets the write tracker of the connection. An error is then held back until the connection
@@ -77,6 +79,21 @@
         self.write_tracker = write_tracker;
     }
 
+    /// Has `guard` report the request as unanswered if the body is dropped before its end.
+    pub(crate) fn watch_answer(&mut self, mut guard: AnswerGuard) {
+        guard.set_begun();
+        if self.is_end_stream() {
+            guard.set_whole();
+        }
+        self.guard = Some(guard);
+    }
+
+    fn set_whole(&mut self) {
+        if let Some(guard) = &mut self.guard {
+            guard.set_whole();
+        }
+    }
+
     /// Keeps the request counted as in flight until the body is dropped.
     pub(crate) fn hold_in_flight(&mut self, in_flight: InFlight) {
         self._in_flight = Some(in_flight);
@@ -92,7 +109,11 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         let next = match &mut self.source {
-            Source::Whole(bytes) => return Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
+            Source::Whole(bytes) => {
+                let bytes = bytes.take();
+                self.set_whole();
+                return Poll::Ready(bytes.map(|it| Ok(Frame::data(it))));
+            }
             Source::Stream(receiver) => ready!(receiver.poll_recv(cx)),
             Source::Truncated => Some(Err(Truncated)),
         };
@@ -108,7 +129,10 @@
                 Poll::Pending
             }
             Some(Err(Truncated)) => Poll::Ready(Some(Err(Truncated))),
-            None => Poll::Ready(None),
+            None => {
+                self.set_whole();
+                Poll::Ready(None)
+            }
         }
     }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -95,7 +95,7 @@
         let answer = self.attach(&request, service, &mut tries, resumption.as_ref()).await?;
         let attached = match answer {
             EngineAnswer::Stream(attached) => attached,
-            EngineAnswer::Answer(reply) => return Ok(reply),
+            EngineAnswer::Answer(reply) => return Ok(*reply),
         };
         self.record_origin(&request, &attached.upstream).await;
         self.shared.metrics.first_byte.observe(request.arrived.elapsed().as_secs_f64());
@@ -109,6 +109,7 @@
             request,
             tries,
             events,
+            heard: Instant::now(),
         };
         tokio::spawn(pump.run(*attached));
         Ok(reply)
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -38,7 +38,7 @@
 pub(super) enum EngineAnswer {
     Stream(Box<AttachedStream>),
     /// An answer that is not a stream, to be forwarded as it is.
-    Answer(Reply),
+    Answer(Box<Reply>),
 }
 
 /// Sends the request that counts as `running`, by a permit if it is sent again, and waits for the first
@@ -67,7 +67,7 @@
         let mut reply = Response::new(ReplyBody::whole(body));
         *reply.status_mut() = response.status();
         *reply.headers_mut() = headers;
-        return Ok(EngineAnswer::Answer(reply));
+        return Ok(EngineAnswer::Answer(Box::new(reply)));
     }
     let mut body = response.into_body();
     let mut splitter = EventSplitter::default();
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -1,5 +1,6 @@
 //! Forwards a stream to its caller event by event, from as many engines as needed.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use super::{AttachedStream, EngineAnswer, Resumption, Streams, Tries};
 use crate::dialect::Dialect;
 use crate::events::Event;
-use crate::reply::Truncated;
+use crate::reply::{Refusal, Truncated};
 use crate::request::CallerRequest;
 use crate::upstream::Upstream;
 
@@ -32,6 +33,38 @@
     /// The number of the last event sent to the caller.
     pub(super) last_event: Option<u64>,
     pub(super) events: mpsc::Sender<Result<Bytes, Truncated>>,
+    /// When bytes of the stream came last.
+    pub(super) heard: Instant,
+}
+
+/// Why a stream did not go on at another engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NotResumed {
+    /// Its route does not allow it, or the caller has no event yet.
+    NotAllowed,
+    /// It has run as often as its route allows.
+    NoAttempts,
+    /// The version of the engine that ran it isn't known.
+    NoVersion,
+    /// The caller left.
+    CallerLeft,
+    /// Another engine answered with something else than a stream.
+    NoStream,
+    /// No other engine took it.
+    Refused(Refusal),
+}
+
+impl fmt::Display for NotResumed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            NotResumed::NotAllowed => f.write_str("not resumable"),
+            NotResumed::NoAttempts => f.write_str("no attempts left"),
+            NotResumed::NoVersion => f.write_str("version unknown"),
+            NotResumed::CallerLeft => f.write_str("caller left"),
+            NotResumed::NoStream => f.write_str("answered without a stream"),
+            NotResumed::Refused(why) => f.write_str(why.name()),
+        }
+    }
 }
 
 /// Why forwarding from one engine ended.
@@ -49,6 +82,8 @@
         loop {
             let (upstream, times) = (Arc::clone(&attached.upstream), attached.times);
             let shared = Arc::clone(&self.streams.shared);
+            let begun = Instant::now();
+            let mut not_resumed = None;
             let why = match self.forward_events(attached).await {
                 ForwardEnd::Whole => {
                     upstream.record_success();
@@ -72,18 +107,23 @@
                     let suspects = (self.request.digest(), self.request.parts(&self.service));
                     shared.quarantine.record_lost_run(suspects, &upstream, times);
                     match self.resume(&upstream, why).await {
-                        Some(next) => {
+                        Ok(next) => {
                             attached = next;
                             continue;
                         }
-                        None => why,
+                        Err(cause) => not_resumed = Some(cause),
                     }
+                    why
                 }
             };
             log::info!(request = self.request.head.attempt.as_str(), upstream:% = upstream.id,
-                last = self.last_event, cause = why, digest:% = self.request.digest(),
+                last = self.last_event, cause = why, not_resumed = not_resumed.map(|it| it.to_string()),
+                silent_ms = self.heard.max(begun).elapsed().as_millis() as u64,
+                left_ms = self.request.deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
+                runs = self.tries.runs, digest:% = self.request.digest(),
                 parts = self.request.shared_parts_text();
                 "ended a stream before it was complete");
+            self.streams.shared.metrics.streams_cut.with_label_values(&[why]).inc();
             // The stream is incomplete, so the caller's connection is closed without a proper end.
             let _ = self.events.send(Err(Truncated)).await;
             return;
@@ -121,6 +161,7 @@
             match frame {
                 Ok(Some(Ok(frame))) => {
                     upstream.record_heard();
+                    self.heard = Instant::now();
                     splitter.push(&frame.into_data().unwrap_or_default());
                 }
                 Ok(Some(Err(_))) => return ForwardEnd::Lost("connection lost"),
@@ -160,17 +201,22 @@
     }
 
     /// Resumes the stream at another engine of the same version, if the route allows it.
-    async fn resume(&mut self, from: &Upstream, why: &'static str) -> Option<AttachedStream> {
+    async fn resume(
+        &mut self,
+        from: &Upstream,
+        why: &'static str,
+    ) -> Result<AttachedStream, NotResumed> {
         let route = &self.request.route;
         self.tries.runs += 1;
         self.tries.reached_upstream = true;
-        if !route.resumable
-            || self.request.is_trial()
-            || self.tries.runs >= route.attempts
-            || self.last_event.is_none()
-            || !from.version.is_known()
-        {
-            return None;
+        if !route.resumable || self.request.is_trial() || self.last_event.is_none() {
+            return Err(NotResumed::NotAllowed);
+        }
+        if self.tries.runs >= route.attempts {
+            return Err(NotResumed::NoAttempts);
+        }
+        if !from.version.is_known() {
+            return Err(NotResumed::NoVersion);
         }
         log::info!(request = self.request.head.attempt.as_str(), upstream:% = from.id, version:% = from.version,
             last = self.last_event, cause = why, digest:% = self.request.digest(),
@@ -181,11 +227,12 @@
         let next = streams.attach(&self.request, &self.service, &mut self.tries, Some(&resumption));
         let next = tokio::select! {
             next = next => next,
-            () = self.events.closed() => return None,
+            () = self.events.closed() => return Err(NotResumed::CallerLeft),
         };
         match next {
-            Ok(EngineAnswer::Stream(attached)) => Some(*attached),
-            Ok(EngineAnswer::Answer(_)) | Err(_) => None,
+            Ok(EngineAnswer::Stream(attached)) => Ok(*attached),
+            Ok(EngineAnswer::Answer(_)) => Err(NotResumed::NoStream),
+            Err(refusal) => Err(NotResumed::Refused(refusal)),
         }
     }
 }
