Take connections back from a borrower that has ended

Callers of other entries got 503 "no upstream" for up to 11 s after a crowded entry had been killed: lenders kept what they had lent until the loan's time was over, since the end of the link said nothing about the process, and one that still runs goes on using what it has borrowed. The end of a link now has the lender ask: nothing listens at the borrower's address, or another incarnation does, means that it has ended.

--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -200,7 +200,13 @@
             Ok((hello, connection)) if hello.kind == Kind::Entry => {
                 origin += 1;
                 let (shared, owner) = (Arc::clone(&shared), owner.clone());
-                tokio::spawn(serve(origin, connection, shared, owner, registry_state.clone()));
+                tokio::spawn(serve(
+                    (origin, hello),
+                    connection,
+                    shared,
+                    owner,
+                    registry_state.clone(),
+                ));
             }
             Ok(_) => {}
             Err(error) => {
@@ -214,7 +220,7 @@
 
 /// Serves one submitter until its connection ends.
 async fn serve<D: Dialect>(
-    origin: u64,
+    (origin, hello): (u64, Hello),
     connection: Connection,
     shared: Arc<Shared<D>>,
     owner: Owner,
@@ -303,7 +309,7 @@
             break;
         }
     }
-    owner.send(OwnerEvent::Disconnected(origin));
+    owner.send(OwnerEvent::Disconnected(origin, hello));
 }
 
 /// One submitter's subscription to the registry's lists.
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -1,6 +1,7 @@
 //! The owner's side: queues the pieces of its sections and sends the calls.
 
 mod audience;
+mod borrower;
 mod jobs;
 mod lending;
 mod notify;
@@ -13,6 +14,7 @@
 
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior, interval};
+use wire::{Hello, Secret};
 
 use crate::batch::message::{FromOwner, PiecesDone, ToOwner};
 use crate::batch::queue::{JobKey, NextCall, Piece, Queue, Target};
@@ -64,8 +66,10 @@
 pub(crate) enum OwnerEvent {
     /// A message from a connection, or from this entry itself.
     Message(u64, ToOwner, Replies),
-    /// A connection has ended.
-    Disconnected(u64),
+    /// The connection of a process has ended.
+    Disconnected(u64, Hello),
+    /// The process that had this connection has ended.
+    BorrowerEnded(u64),
     /// A call has ended.
     CallEnded(CallEnd),
     /// An upstream reported its free space for results, or did not answer.
@@ -87,6 +91,8 @@
 /// The dependencies of an owner.
 pub(crate) struct OwnerConfig<D> {
     pub(crate) shared: Arc<Shared<D>>,
+    /// The secret of the deployment, and this process.
+    pub(crate) identity: (Secret, Hello),
 }
 
 /// A handle to a running owner.
@@ -121,6 +127,7 @@
 
 struct State<D> {
     shared: Arc<Shared<D>>,
+    identity: (Secret, Hello),
     events: mpsc::UnboundedSender<OwnerEvent>,
     queues: HashMap<Section, Queue>,
     jobs: HashMap<JobKey, OpenJob>,
@@ -150,6 +157,7 @@
         let (events, incoming) = mpsc::unbounded_channel();
         let state = State {
             shared: config.shared,
+            identity: config.identity,
             events: events.clone(),
             queues: HashMap::new(),
             jobs: HashMap::new(),
@@ -245,11 +253,14 @@
                 ToOwner::SubscribeRelays | ToOwner::AskLists(_) | ToOwner::Relayed(_),
                 _,
             ) => {}
-            OwnerEvent::Disconnected(origin) => {
+            OwnerEvent::Disconnected(origin, hello) => {
+                self.check_borrower(origin, &hello);
                 self.audience.remove(origin);
                 self.jobs.retain(|key, _| key.origin != origin);
                 self.queues.values_mut().for_each(|it| it.drop_jobs(|key| key.origin == origin));
             }
+            // The task of each loan ends it.
+            OwnerEvent::BorrowerEnded(origin) => self.lent.retain(|it, _| it.origin != origin),
             OwnerEvent::CallEnded(end) => self.call_ended(end),
             OwnerEvent::SpaceReport(upstream, section, report) => {
                 self.handle_space_report(&upstream, &section, report);
--- a/crates/gateway/src/batch/owner/lending.rs
+++ b/crates/gateway/src/batch/owner/lending.rs
@@ -5,8 +5,10 @@
 
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
+use wire::Hello;
 
-use super::{Replies, State};
+use super::borrower::Borrower;
+use super::{OwnerEvent, Replies, State};
 use crate::batch::message::{ConnectionLoan, FromOwner, Loan, RoomLoan};
 use crate::batch::queue::JobKey;
 use crate::budget::Retries;
@@ -59,4 +61,27 @@
             drop(lent);
         });
     }
+
+    /// Takes back what an entry has borrowed whose connection has ended, if the entry has ended too. One
+    /// that still runs goes on using it.
+    pub(super) fn check_borrower(&self, origin: u64, hello: &Hello) {
+        if !self.lent.keys().any(|it| it.origin == origin) {
+            return;
+        }
+        let peers = self.shared.peers();
+        let Some(peer) = peers.iter().find(|it| it.name == hello.vm.as_str()) else {
+            log::info!(vm:% = hello.vm; "an entry that has borrowed connections is not listed any more");
+            return;
+        };
+        let (secret, own) = self.identity.clone();
+        let borrower = Borrower { address: peer.address, node: hello.node, secret, own };
+        let events = self.events.clone();
+        tokio::spawn(async move {
+            if borrower.has_ended(Instant::now() + MAX_LOAN_TIME).await {
+                log::info!(peer:% = borrower.address; "an entry that has borrowed connections has ended");
+                // The owner's task ends only with the process.
+                let _ = events.send(OwnerEvent::BorrowerEnded(origin));
+            }
+        });
+    }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -118,7 +118,10 @@
             quarantine,
         );
         let shared = Arc::new(shared);
-        let owner = Owner::spawn(OwnerConfig { shared: Arc::clone(&shared) });
+        let owner = Owner::spawn(OwnerConfig {
+            shared: Arc::clone(&shared),
+            identity: (secret.clone(), hello.clone()),
+        });
         tokio::spawn(accept(listener, Arc::clone(&shared), owner.clone(), follower.state()));
         let (relays, own) = (follower.relays(), config.address);
         let batches = BatchClient::new(Arc::clone(&shared), owner, secret, hello, own, relays);
