Reproduce: an entry ends requests whose upstreams are silent for a while

Engines and stage upstreams that send nothing for 1.7 s and go on, before and within their answer, with 5 s of the request left. Callers get 504 or 502 "no progress within the limit; no other try is left", or the deadline.

--- a/crates/upstream/tests/support/mod.rs
+++ b/crates/upstream/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -36,6 +37,8 @@
     Write(Vec<u8>),
     /// Waits until the test notifies.
     Wait(Arc<Notify>),
+    /// Sends nothing for this time and goes on.
+    Pause(Duration),
     /// Closes the connection.
     Close,
     /// Sends nothing more on this connection, and keeps it open.
@@ -116,6 +119,7 @@
                     }
                 }
                 Action::Wait(notify) => notify.notified().await,
+                Action::Pause(time) => tokio::time::sleep(time).await,
                 Action::Close => return,
                 Action::Hang => std::future::pending().await,
             }
