Give a resumed stream time for its next event

What callers saw: a stream whose engine failed later than its first event was due was cut, although another engine would have gone on with it.

Cause: the call that resumes a stream was due when the request's first event had been. Where that time is over, the call ends before it has a connection, and so do the stages; the engine counts as unreachable.

Evidence: a_stream_goes_on_elsewhere_when_its_first_event_is_long_past failed before with events 1 to 5 and no end.

Change: the next event of a resumed stream is due as long after the resumption as a caller waits for one, at most at the deadline.

After: the test passes. Conclusion: late failures are resumed as early ones are.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -66,6 +66,8 @@
     pub(crate) deadline: Instant,
     /// When the caller of a stream gives up if no event has come.
     pub(crate) first_event_by: Instant,
+    /// How long the caller waits for the next event of a stream.
+    patience: Duration,
     /// Whether an upstream may have run the request.
     pub(crate) may_have_run: Arc<AtomicBool>,
     digest: OnceLock<RequestDigest>,
@@ -96,7 +98,8 @@
         let customer = customer(&plan, &route, &head)?;
         let wait = head.deadline.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
         let deadline = arrived + wait.saturating_sub(REPLY_MARGIN);
-        let first_event_by = deadline.min(arrived + patience(&route));
+        let patience = patience(&route);
+        let first_event_by = deadline.min(arrived + patience);
         let body = read_body(&plan, &headers, body, &mut body_memory, deadline).await?;
         strip_hop_by_hop(&mut headers);
         D::strip_headers(&mut headers);
@@ -114,6 +117,7 @@
             arrived,
             deadline,
             first_event_by,
+            patience,
             may_have_run,
             digest: OnceLock::new(),
             parts: OnceLock::new(),
@@ -196,6 +200,11 @@
         self.arrived + self.route.target
     }
 
+    /// Returns when the next event of a stream is due whose last one came before `now`.
+    pub(crate) fn next_event_by(&self, now: Instant) -> Instant {
+        self.deadline.min(now + self.patience)
+    }
+
     /// Returns the rank; 0 goes first. The customer's priority goes before the route's, which
     /// orders the requests of customers with equal priority.
     pub(crate) fn rank(&self) -> u8 {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -60,6 +60,8 @@
     last_event: Option<u64>,
     /// The version at which the stream began.
     version: SoftwareVersion,
+    /// When the next event is due.
+    due: Instant,
 }
 
 /// The tries that a request has used up so far.
@@ -76,6 +78,11 @@
     }
 }
 
+/// Returns when the next event that an engine sends is due.
+fn due(request: &CallerRequest, resumption: Option<&Resumption>) -> Instant {
+    resumption.map_or(request.first_event_by, |it| it.due)
+}
+
 /// Returns the services of a request's stages.
 fn services(request: &CallerRequest) -> impl Iterator<Item = &Arc<str>> {
     request.route.stages.iter().map(|it| &it.service)
@@ -89,7 +96,8 @@
         service: &Arc<str>,
         origin: Option<Origin>,
     ) -> Result<Reply, Refusal> {
-        let resumption = origin.map(|it| Resumption { last_event: None, version: it.version });
+        let due = request.first_event_by;
+        let resumption = origin.map(|it| Resumption { last_event: None, version: it.version, due });
         self.admit(&request, service, resumption.as_ref())?;
         let mut tries = Tries::new();
         let answer = self.attach(&request, service, &mut tries, resumption.as_ref()).await?;
@@ -125,12 +133,13 @@
     ) -> Result<EngineAnswer, Refusal> {
         let version = resumption.map(|it| &it.version);
         let last_event = resumption.and_then(|it| it.last_event);
+        let due = due(request, resumption);
         let mut inputs: Option<Inputs<D>> = None;
         // The engine at which another entry has lent its room for the next try.
         let mut borrowed: Option<Arc<Upstream>> = None;
         loop {
             if inputs.is_none() {
-                inputs = Some(self.inputs(request, service, tries, version).await?);
+                inputs = Some(self.inputs(request, service, tries, resumption).await?);
             }
             let (handles, phases) = match &inputs {
                 Some(it) => (it.handles(), it.phases().clone()),
@@ -182,7 +191,7 @@
                 resumes = request.head.resumed.as_deref(), stages:% = phases,
                 age_ms = request.arrived.elapsed().as_millis() as u64; "chose an engine");
             let forward = request.forward::<D>(&upstream, handles, last_event);
-            let fault = match open::<D>(request, &upstream, forward, permit, running).await {
+            let fault = match open::<D>(request, &upstream, forward, permit, running, due).await {
                 Ok(tried) => {
                     if let Some(generation) = &request.head.generation {
                         self.shared.prefill_times.record(service, generation, now.elapsed());
@@ -259,8 +268,7 @@
         resumption: Option<&Resumption>,
     ) -> Result<(), Refusal> {
         let Some(segments) = &request.head.segments else { return Ok(()) };
-        let version = resumption.map(|it| &it.version);
-        let run = self.stage_run(request, segments, service, version);
+        let run = self.stage_run(request, segments, service, resumption);
         let rank = request.rank();
         let section = |it: &Arc<str>| self.shared.section(it, None, rank);
         let backlogs = &self.shared.backlogs;
@@ -313,7 +321,7 @@
         request: &'a CallerRequest,
         segments: &'a Segments,
         service: &Arc<str>,
-        version: Option<&SoftwareVersion>,
+        resumption: Option<&Resumption>,
     ) -> StageRun<'a> {
         let mut run = StageRun {
             plan: &request.plan,
@@ -329,13 +337,14 @@
                 None => Duration::ZERO,
             },
             target: request.target(),
-            deadline: request.first_event_by,
+            deadline: due(request, resumption),
             rank: request.rank(),
             needs: self.needs(request),
             again: false,
         };
         let stages = stages::expected_time(&run, |_| Duration::ZERO);
         let left = request.target().saturating_duration_since(Instant::now() + stages);
+        let version = resumption.map(|it| &it.version);
         let criteria = Criteria { tried: &[], left, domain: None, version };
         run.domain = self.choose(request, service, &criteria).map(|it| Arc::clone(&it.domain));
         run
@@ -353,13 +362,13 @@
         request: &CallerRequest,
         service: &Arc<str>,
         tries: &mut Tries,
-        version: Option<&SoftwareVersion>,
+        resumption: Option<&Resumption>,
     ) -> Result<Inputs<D>, Refusal> {
         let Some(segments) = &request.head.segments else {
             return Ok(Inputs::none(Arc::clone(&self.batches)));
         };
         loop {
-            let mut run = self.stage_run(request, segments, service, version);
+            let mut run = self.stage_run(request, segments, service, resumption);
             run.again = tries.stage_runs > 0;
             tries.stage_runs += 1;
             match stages::run(&self.batches, &run).await {
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -42,16 +42,16 @@
 }
 
 /// Sends the request that counts as `running`, by a permit if it is sent again, and waits for the first
-/// event.
+/// event until `deadline`.
 pub(super) async fn open<D: Dialect>(
     request: &CallerRequest,
     upstream: &Arc<Upstream>,
     forward: http::Request<http_body_util::Full<Bytes>>,
     permit: Option<Arc<RetryPermit>>,
     mut running: RunningRequest,
+    deadline: Instant,
 ) -> Result<EngineAnswer, Fault> {
     let sent = Instant::now();
-    let deadline = request.first_event_by;
     let (attempt, permits) = (&request.head.attempt, permit.as_slice());
     let times = CallTimes { head: deadline, end: request.deadline };
     let opened = exchange::request::<D>(upstream, forward, attempt, permits, times).await?;
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -223,7 +223,11 @@
             parts = self.request.shared_parts_text();
             "resuming a stream at another engine");
         let streams = Arc::clone(&self.streams);
-        let resumption = Resumption { last_event: self.last_event, version: from.version.clone() };
+        let resumption = Resumption {
+            last_event: self.last_event,
+            version: from.version.clone(),
+            due: self.request.next_event_by(Instant::now()),
+        };
         let next = streams.attach(&self.request, &self.service, &mut self.tries, Some(&resumption));
         let next = tokio::select! {
             next = next => next,
