--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -16,6 +16,7 @@
 use types::{StepError, StepResult};
 
 use crate::budget::Spender;
+use crate::caller_limits::buffer_bytes;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::guard::{GuardedStream, LengthConflict};
@@ -80,7 +81,8 @@
         log::debug!(cause:% = error; "a caller's connection ended before its options were set");
         return;
     }
-    let limits = shared.plan().map_or_else(Limits::default, |it| it.limits);
+    let limits = shared.caller_limits.clone();
+    let buffer = buffer_bytes(&limits.get());
     let conflict = LengthConflict::default();
     let seen = conflict.clone();
     let write_tracker = WriteTracker::default();
@@ -92,7 +94,11 @@
         let body_tracker = body_tracker.clone();
         let mut guard = watched.watch();
         async move {
+            let takes_less = buffer < buffer_bytes(&shared.caller_limits.get());
             let mut reply = answer(shared, streams, seen, request, &mut guard).await;
+            if takes_less {
+                announce_close(&mut reply);
+            }
             reply.body_mut().track_writes(body_tracker);
             reply.body_mut().watch_answer(guard);
             Ok::<_, Infallible>(reply)
@@ -101,9 +107,10 @@
     // If a caller leaves, its connection ends, which drops the handler and cancels all its work.
     let reads = ReadCounter::default();
     let served = http1::Builder::new()
-        .timer(HeadTimer::new(reads.clone(), limits.header_time))
-        .header_read_timeout(limits.idle_time)
-        .max_buf_size(limits.header_bytes.max(16 << 10) * 2)
+        .timer(HeadTimer::new(reads.clone(), limits))
+        // The timer goes by the limits in force instead.
+        .header_read_timeout(Limits::default().idle_time)
+        .max_buf_size(buffer)
         .serve_connection(
             TokioIo::new(GuardedStream::new(stream, conflict, reads, write_tracker)),
             service,
@@ -151,12 +158,16 @@
     };
     let is_full = shared.crowd.is_full(shared.drain.in_flight() as u64);
     if close || is_full || shared.drain.is_ending() {
-        reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        announce_close(&mut reply);
     }
     reply.body_mut().hold_in_flight(in_flight);
     reply
 }
 
+fn announce_close(reply: &mut Reply) {
+    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
 async fn route<D: Dialect>(
     shared: &Arc<Shared<D>>,
     streams: &Arc<Streams<D>>,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod body_memory;
 pub mod brittle;
 pub mod budget;
+mod caller_limits;
 pub mod cold;
 pub mod crowd;
 pub mod dialect;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -14,6 +14,7 @@
 use crate::backlog::Backlogs;
 use crate::body_memory::{BODY_MEMORY_BYTES, MemoryBudget};
 use crate::budget::Budget;
+use crate::caller_limits::CallerLimits;
 use crate::cold::ColdTolerance;
 use crate::crowd::Crowd;
 use crate::dialect::Dialect;
@@ -51,6 +52,8 @@
 /// The state that all parts of an entry share.
 pub(crate) struct Shared<D> {
     plan: ArcSwapOption<Plan>,
+    /// The limits on callers of the plan in force.
+    pub(crate) caller_limits: CallerLimits,
     directory: ArcSwap<Directory>,
     pub(crate) paths: Arc<Paths>,
     pub(crate) relays: RelayPermits,
@@ -88,6 +91,7 @@
     ) -> Self {
         Self {
             plan: ArcSwapOption::empty(),
+            caller_limits: CallerLimits::default(),
             directory: ArcSwap::from_pointee(Directory::new(Arc::clone(&paths))),
             paths,
             relays: RelayPermits::default(),
@@ -304,6 +308,7 @@
                 log::info!(version:% = plan.version, routes = plan.routes.len(),
                     services = plan.services.len(); "a plan is in force");
                 self.metrics.version.set(plan.version.0 as i64);
+                self.caller_limits.set(plan.limits);
                 self.plan.store(Some(Arc::new(plan)));
             }
             Err(why) => log::error!(cause = why.as_str();
