Leave the silent engine of a stream only for another one

What callers saw: a stream of which some events had come was cut 1.5 s after its last event, with seconds of its time left, while its engine was about to go on.

Cause: a resumable stream gave up its engine after 1.5 s of silence, before another one had it. Where none might take it (attempts, version, retry budget, room, rejections), nothing was left.

Change: while its engine is silent, a stream looks for another one and listens on. If the engine speaks before the request was sent to another, the attempt is dropped, and its retry permit returns. Once it was sent, what the own engine says is not read any more (the other goes on after the last event that the caller has), and the own engine is left 250 ms later, or as soon as the other's first event is there; if the other turns it away before, the stream goes on with its own. If none takes it, it stays until the deadline and looks again each time the silence has lasted as long again; rejections still count up to the limit of offers. A stream whose engine was left in vain looks again too, there as well. Engines that were heard during the silence are preferred. Silence alone is no lost run any more (its record said no more than that the parts of the prompt end no engine, which the engine's later signs of life say now). An answer that is no stream ends nothing as long as the request may run elsewhere. The decisions stand in a module of their own, with tests.

Conclusion: silence alone ends no stream before its deadline.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-pub use self::permit::RetryPermit;
+pub use self::permit::{RetryPermit, SendWatch};
 pub use self::roster::Start;
 
 use self::account::Terms;
--- a/crates/gateway/src/budget/permit.rs
+++ b/crates/gateway/src/budget/permit.rs
@@ -5,8 +5,9 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::Spender;
@@ -30,6 +31,9 @@
     }
 }
 
+/// Shows when what a permit allows was sent; `None` as long as nothing is on the way.
+pub type SendWatch = watch::Sender<Option<Instant>>;
+
 /// The permit to send requests or pieces again once. Gives back what it was granted if it is dropped
 /// before they are sent.
 #[derive(Debug)]
@@ -41,6 +45,8 @@
     /// Until when they may be sent, if another entry lent a part.
     valid_until: Option<Instant>,
     sent: AtomicBool,
+    /// Who is told when they are sent.
+    watch: OnceLock<Arc<SendWatch>>,
 }
 
 impl RetryPermit {
@@ -57,6 +63,7 @@
             charge,
             valid_until: None,
             sent: AtomicBool::new(false),
+            watch: OnceLock::new(),
         }
     }
 
@@ -67,6 +74,11 @@
         self
     }
 
+    /// Has `watch` show when what it permits is sent; only the first one does.
+    pub fn show_in(&self, watch: &Arc<SendWatch>) {
+        self.watch.get_or_init(|| Arc::clone(watch));
+    }
+
     /// Records that what it permits is sent at `now`; returns whether it still may be.
     pub fn begin_send(&self, now: Instant) -> bool {
         if self.valid_until.is_some_and(|it| it < now) {
@@ -75,6 +87,9 @@
         if !self.sent.swap(true, Ordering::Relaxed) {
             let account = (&self.service, self.spender);
             self.accounts.with(account, |it| it.settle(self.charge, now));
+            if let Some(watch) = self.watch.get() {
+                watch.send_replace(Some(now));
+            }
         }
         true
     }
--- a/crates/gateway/src/offers.rs
+++ b/crates/gateway/src/offers.rs
@@ -18,12 +18,14 @@
     /// Whether the newest upstream was ejected when the request was offered to it.
     was_ejected: bool,
     tried: Vec<Arc<str>>,
+    /// Those of them that did not run the request.
+    rejected: Vec<Arc<str>>,
 }
 
 impl Offers {
     /// Creates an empty list, for a request that at most `limit` upstreams may reject.
     pub(crate) fn new(limit: usize) -> Self {
-        Self { limit, counted: 0, was_ejected: false, tried: Vec::new() }
+        Self { limit, counted: 0, was_ejected: false, tried: Vec::new(), rejected: Vec::new() }
     }
 
     /// Returns the ids of the upstreams, the newest last.
@@ -44,6 +46,18 @@
         self.counted -= 1;
     }
 
+    /// Returns whether more upstreams may reject the request.
+    pub(crate) fn has_more(&self) -> bool {
+        self.counted < self.limit
+    }
+
+    /// Lets the request be offered again to the upstreams that did not run it, and to the one with the id
+    /// `left`.
+    pub(crate) fn renew(&mut self, left: Option<&str>) {
+        let rejected = std::mem::take(&mut self.rejected);
+        self.tried.retain(|it| !rejected.contains(it) && left != Some(&**it));
+    }
+
     /// Records that the newest upstream did not run the request. Returns whether another upstream
     /// may be tried.
     ///
@@ -55,6 +69,7 @@
         if refused && !self.was_ejected {
             self.counted -= 1;
         }
-        self.counted < self.limit
+        self.rejected.extend(self.tried.last().cloned());
+        self.has_more()
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,6 +5,9 @@
 mod open;
 mod origin;
 mod pump;
+mod seek;
+mod silence;
+mod tries;
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -13,14 +16,12 @@
 use http::{Response, StatusCode};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
-use types::SoftwareVersion;
 
 use crate::admission::{self, Forecast, Requirements, Verdict};
 use crate::batch::BatchClient;
 use crate::budget::Spender;
 use crate::dialect::{Dialect, PieceFailure, Segments};
 use crate::exchange::Cause;
-use crate::offers::Offers;
 use crate::origin::Origin;
 use crate::origin::exchange::Origins;
 use crate::phases::Phases;
@@ -34,18 +35,13 @@
 use crate::upstream::Upstream;
 
 use self::choice::{Criteria, engines};
-use self::open::{AttachedStream, EngineAnswer, open};
+use self::open::{EngineAnswer, open};
 use self::pump::Pump;
+use self::tries::{MAX_STAGE_RUNS, Resumption, Tries, due};
 
 /// The number of events buffered for a slow caller before reading from the engine pauses.
 const MAX_BUFFERED_EVENTS: usize = 32;
 
-/// How many engines may reject a request before it is refused.
-const MAX_OFFERS: usize = 4;
-
-/// How often the stages of a request may run.
-const MAX_STAGE_RUNS: u32 = 2;
-
 /// The parts of an entry that streams use.
 pub(crate) struct Streams<D: Dialect> {
     pub(crate) shared: Arc<Shared<D>>,
@@ -53,36 +49,6 @@
     pub(crate) origins: Arc<Origins>,
 }
 
-/// Where a stream goes on.
-#[derive(Clone, Debug)]
-struct Resumption {
-    /// The number of the last event that the caller has received.
-    last_event: Option<u64>,
-    /// The version at which the stream began.
-    version: SoftwareVersion,
-    /// When the next event is due.
-    due: Instant,
-}
-
-/// The tries that a request has used up so far.
-struct Tries {
-    offers: Offers,
-    runs: u32,
-    stage_runs: u32,
-    reached_upstream: bool,
-}
-
-impl Tries {
-    fn new() -> Self {
-        Self { offers: Offers::new(MAX_OFFERS), runs: 0, stage_runs: 0, reached_upstream: false }
-    }
-}
-
-/// Returns when the next event that an engine sends is due.
-fn due(request: &CallerRequest, resumption: Option<&Resumption>) -> Instant {
-    resumption.map_or(request.first_event_by, |it| it.due)
-}
-
 /// Returns the services of a request's stages.
 fn services(request: &CallerRequest) -> impl Iterator<Item = &Arc<str>> {
     request.route.stages.iter().map(|it| &it.service)
@@ -96,8 +62,7 @@
         service: &Arc<str>,
         origin: Option<Origin>,
     ) -> Result<Reply, Refusal> {
-        let due = request.first_event_by;
-        let resumption = origin.map(|it| Resumption { last_event: None, version: it.version, due });
+        let resumption = origin.map(|it| Resumption::taken_up(it.version, &request));
         self.admit(&request, service, resumption.as_ref())?;
         let mut tries = Tries::new();
         let answer = self.attach(&request, service, &mut tries, resumption.as_ref()).await?;
@@ -119,7 +84,7 @@
             events,
             heard: Instant::now(),
         };
-        tokio::spawn(pump.run(*attached));
+        tokio::spawn(pump.run(attached));
         Ok(reply)
     }
 
@@ -150,6 +115,7 @@
                 left: request.target().saturating_duration_since(Instant::now()),
                 domain: self.batches.domain_of(handles),
                 version,
+                heard_since: resumption.and_then(|it| it.heard_since),
             };
             let lent = borrowed.take();
             let has_loan = lent.is_some();
@@ -177,11 +143,14 @@
                 self.shared.metrics.calls.with_label_values(&["no budget"]).inc();
                 return Err(if tries.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
             }
+            if let (Some(permit), Some(it)) = (&permit, resumption) {
+                permit.show_in(&it.sends);
+            }
             let tokens = request.head.generation.as_ref().map_or(0, |it| u64::from(it.prompt));
             let running = upstream.begin_request(tokens);
             self.batches.borrow_connection(&upstream, request.deadline).await;
             let now = Instant::now();
-            tries.offers.add(&upstream, now);
+            tries.begin_offer(&upstream, now);
             log::info!(request = request.head.attempt.as_str(), upstream:% = upstream.id,
                 running = upstream.total_running(), tokens = upstream.total_tokens(),
                 limit = upstream.limit_named().map(|it| it.0),
@@ -191,7 +160,9 @@
                 resumes = request.head.resumed.as_deref(), stages:% = phases,
                 age_ms = request.arrived.elapsed().as_millis() as u64; "chose an engine");
             let forward = request.forward::<D>(&upstream, handles, last_event);
-            let fault = match open::<D>(request, &upstream, forward, permit, running, due).await {
+            let opened = open::<D>(request, &upstream, forward, permit, running, due).await;
+            tries.end_offer();
+            let fault = match opened {
                 Ok(tried) => {
                     if let Some(generation) = &request.head.generation {
                         self.shared.prefill_times.record(service, generation, now.elapsed());
@@ -205,6 +176,9 @@
                 }
                 Err(fault) => fault,
             };
+            if let Some(it) = resumption {
+                it.sends.send_replace(None);
+            }
             record_failed_call(&self.shared, request, &upstream, &fault);
             if fault.cause == Cause::Lost {
                 let times = RunTimes { sent: now, first: None };
@@ -345,7 +319,7 @@
         let stages = stages::expected_time(&run, |_| Duration::ZERO);
         let left = request.target().saturating_duration_since(Instant::now() + stages);
         let version = resumption.map(|it| &it.version);
-        let criteria = Criteria { tried: &[], left, domain: None, version };
+        let criteria = Criteria { tried: &[], left, domain: None, version, heard_since: None };
         run.domain = self.choose(request, service, &criteria).map(|it| Arc::clone(&it.domain));
         run
     }
--- a/crates/gateway/src/stream/choice.rs
+++ b/crates/gateway/src/stream/choice.rs
@@ -26,6 +26,8 @@
     /// The version at which the stream began, if it is resumed. What two versions write does not fit
     /// together.
     pub(super) version: Option<&'a SoftwareVersion>,
+    /// Engines that were heard since then are preferred.
+    pub(super) heard_since: Option<Instant>,
 }
 
 /// Returns the engines of a service, or those of one version.
@@ -57,6 +59,12 @@
         if candidates.iter().any(fit) {
             candidates.retain(fit);
         }
+        let heard = |it: &Arc<Upstream>| {
+            criteria.heard_since.is_some_and(|since| it.has_been_heard_since(since))
+        };
+        if candidates.iter().any(heard) {
+            candidates.retain(heard);
+        }
         let load = |it: &Upstream| Load {
             running: f64::from(it.total_running()),
             tokens: it.total_tokens() as f64,
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -30,7 +30,8 @@
     pub(super) keep_alive: Option<Duration>,
     pub(super) splitter: EventSplitter,
     pub(super) first: Option<Event>,
-    pub(super) running: RunningRequest,
+    /// Counts the request as running at the engine.
+    pub(super) _running: RunningRequest,
     pub(super) times: RunTimes,
 }
 
@@ -92,7 +93,7 @@
         keep_alive: head.keep_alive,
         splitter,
         first,
-        running,
+        _running: running,
         times: RunTimes { sent, first: Some(Instant::now()) },
     })))
 }
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -1,29 +1,25 @@
 //! Forwards a stream to its caller event by event, from as many engines as needed.
 
-use std::fmt;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until};
 
-use super::{AttachedStream, EngineAnswer, Resumption, Streams, Tries};
+use super::Streams;
+use super::open::AttachedStream;
+use super::seek::{Next, Own, SILENT, Sought};
+use super::silence::{NotResumed, Silence, stall_time};
+use super::tries::Tries;
 use crate::dialect::Dialect;
 use crate::events::Event;
-use crate::reply::{Refusal, Truncated};
+use crate::quarantine::RunTimes;
+use crate::reply::Truncated;
 use crate::request::CallerRequest;
+use crate::shared::Shared;
 use crate::upstream::Upstream;
 
-/// A resumable stream that sends nothing for this long, or for [`STALL_PAUSES`] of its route's
-/// pauses if that is longer, is resumed at another engine. A sound engine may be silent for a second;
-/// callers give up after two seconds or eight such pauses.
-const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// See [`STALL_TIMEOUT`].
-const STALL_PAUSES: u32 = 3;
-
 /// Forwards a stream to its caller.
 pub(super) struct Pump<D: Dialect> {
     pub(super) streams: Arc<Streams<D>>,
@@ -37,33 +33,39 @@
     pub(super) heard: Instant,
 }
 
-/// Why a stream did not go on at another engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum NotResumed {
-    /// Its route does not allow it, or the caller has no event yet.
-    NotAllowed,
-    /// It has run as often as its route allows.
-    NoAttempts,
-    /// The version of the engine that ran it isn't known.
-    NoVersion,
-    /// The caller left.
-    CallerLeft,
-    /// Another engine answered with something else than a stream.
-    NoStream,
-    /// No other engine took it.
-    Refused(Refusal),
+/// The part of a stream that one engine sends.
+pub(super) struct Part {
+    pub(super) upstream: Arc<Upstream>,
+    times: RunTimes,
 }
 
-impl fmt::Display for NotResumed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            NotResumed::NotAllowed => f.write_str("not resumable"),
-            NotResumed::NoAttempts => f.write_str("no attempts left"),
-            NotResumed::NoVersion => f.write_str("version unknown"),
-            NotResumed::CallerLeft => f.write_str("caller left"),
-            NotResumed::NoStream => f.write_str("answered without a stream"),
-            NotResumed::Refused(why) => f.write_str(why.name()),
-        }
+impl Part {
+    fn of(attached: &AttachedStream) -> Self {
+        Self { upstream: Arc::clone(&attached.upstream), times: attached.times }
+    }
+
+    /// Records that the connection to the engine ended before the stream did.
+    pub(super) fn record_lost<D: Dialect>(
+        &self,
+        shared: &Shared<D>,
+        request: &CallerRequest,
+        service: &str,
+    ) {
+        self.upstream.record_failure(false);
+        self.upstream.check_path();
+        let suspects = (request.digest(), request.parts(service));
+        shared.quarantine.record_lost_run(suspects, &self.upstream, self.times);
+    }
+
+    /// Records that the engine was left before the stream had ended.
+    pub(super) fn record_left<D: Dialect>(
+        &self,
+        shared: &Shared<D>,
+        request: &CallerRequest,
+        service: &str,
+    ) {
+        let parts = request.parts(service);
+        shared.quarantine.record_left_stream(parts, Arc::clone(&self.upstream), self.times);
     }
 }
 
@@ -73,20 +75,23 @@
     CallerLeft,
     Late,
     Lost(&'static str),
+    /// Another engine goes on.
+    Taken(Box<AttachedStream>),
+    /// The engine was silent until it was left or lost, and no other one goes on.
+    Left(NotResumed),
 }
 
 impl<D: Dialect> Pump<D> {
     /// Forwards events until the stream ends, fails, or its caller leaves.
-    pub(super) async fn run(mut self, attached: AttachedStream) {
+    pub(super) async fn run(mut self, attached: Box<AttachedStream>) {
         let mut attached = attached;
         loop {
-            let (upstream, times) = (Arc::clone(&attached.upstream), attached.times);
+            self.tries.record_run();
+            let part = Part::of(&attached);
             let shared = Arc::clone(&self.streams.shared);
-            let begun = Instant::now();
-            let mut not_resumed = None;
-            let why = match self.forward_events(attached).await {
+            let (why, not_resumed) = match self.forward_events(attached, &part).await {
                 ForwardEnd::Whole => {
-                    upstream.record_success();
+                    part.upstream.record_success();
                     match self.last_event {
                         Some(_) => {
                             shared.quarantine.record_whole_stream(&self.request, &self.service)
@@ -96,84 +101,123 @@
                     return;
                 }
                 ForwardEnd::CallerLeft => {
-                    let parts = self.request.parts(&self.service);
-                    shared.quarantine.record_left_stream(parts, upstream, times);
+                    part.record_left(&shared, &self.request, &self.service);
                     return;
                 }
-                ForwardEnd::Late => "deadline passed",
+                ForwardEnd::Taken(next) => {
+                    attached = next;
+                    continue;
+                }
+                ForwardEnd::Late => ("deadline passed", None),
+                ForwardEnd::Left(cause) => (SILENT, Some(cause)),
                 ForwardEnd::Lost(why) => {
-                    upstream.record_failure(false);
-                    upstream.check_path();
-                    let suspects = (self.request.digest(), self.request.parts(&self.service));
-                    shared.quarantine.record_lost_run(suspects, &upstream, times);
-                    match self.resume(&upstream, why).await {
+                    part.record_lost(&shared, &self.request, &self.service);
+                    match self.resume(&part, why).await {
                         Ok(next) => {
                             attached = next;
                             continue;
                         }
-                        Err(cause) => not_resumed = Some(cause),
+                        Err(cause) => (why, Some(cause)),
                     }
-                    why
                 }
             };
-            log::info!(request = self.request.head.attempt.as_str(), upstream:% = upstream.id,
-                last = self.last_event, cause = why, not_resumed = not_resumed.map(|it| it.to_string()),
-                silent_ms = self.heard.max(begun).elapsed().as_millis() as u64,
-                left_ms = self.request.deadline.saturating_duration_since(Instant::now()).as_millis() as u64,
-                runs = self.tries.runs, digest:% = self.request.digest(),
-                parts = self.request.shared_parts_text();
-                "ended a stream before it was complete");
-            self.streams.shared.metrics.streams_cut.with_label_values(&[why]).inc();
+            self.log(&part, why, not_resumed, "ended a stream before it was complete");
+            shared.metrics.streams_cut.with_label_values(&[why]).inc();
             // The stream is incomplete, so the caller's connection is closed without a proper end.
             let _ = self.events.send(Err(Truncated)).await;
             return;
         }
     }
 
+    fn log(&self, part: &Part, why: &str, not_resumed: Option<NotResumed>, message: &str) {
+        let heard = part.times.first.map_or(self.heard, |it| self.heard.max(it));
+        let left = self.request.deadline.saturating_duration_since(Instant::now());
+        log::info!(request = self.request.head.attempt.as_str(), upstream:% = part.upstream.id,
+            last = self.last_event, cause = why, not_resumed = not_resumed.map(|it| it.to_string()),
+            silent_ms = heard.elapsed().as_millis() as u64, left_ms = left.as_millis() as u64,
+            runs = self.tries.runs, digest:% = self.request.digest(),
+            parts = self.request.shared_parts_text();
+            "{message}");
+    }
+
     /// Forwards the events of one engine.
-    async fn forward_events(&mut self, attached: AttachedStream) -> ForwardEnd {
-        let AttachedStream {
-            upstream,
-            mut body,
-            lease,
-            keep_alive,
-            mut splitter,
-            first,
-            running,
-            ..
-        } = attached;
-        let _running = running;
-        let resumable = self.request.route.resumable;
-        let mut next = first;
+    async fn forward_events(&mut self, own: Box<AttachedStream>, part: &Part) -> ForwardEnd {
+        let mut own = own;
+        let mut first = own.first.take();
+        let mut silence = Silence::new(stall_time(self.request.route.pause), Instant::now());
         loop {
-            while let Some(event) = next.take().or_else(|| splitter.next_event()) {
+            while let Some(event) = first.take().or_else(|| own.splitter.next_event()) {
                 if let Some(end) = self.send(event).await {
                     return end;
                 }
             }
-            let stall = Instant::now() + STALL_TIMEOUT.max(self.request.route.pause * STALL_PAUSES);
-            let deadline =
-                if resumable { stall.min(self.request.deadline) } else { self.request.deadline };
-            let frame = tokio::select! {
-                frame = timeout_at(deadline, body.frame()) => frame,
-                () = self.events.closed() => return ForwardEnd::CallerLeft,
+            silence.record_heard(Instant::now());
+            let next = match self.next_frame(own, part, &mut silence).await {
+                Ok((it, next)) => {
+                    own = it;
+                    next
+                }
+                Err(end) => return end,
             };
-            match frame {
-                Ok(Some(Ok(frame))) => {
-                    upstream.record_heard();
+            match next {
+                Some(Ok(frame)) => {
+                    part.upstream.record_heard();
                     self.heard = Instant::now();
-                    splitter.push(&frame.into_data().unwrap_or_default());
+                    own.splitter.push(&frame.into_data().unwrap_or_default());
                 }
-                Ok(Some(Err(_))) => return ForwardEnd::Lost("connection lost"),
-                Ok(None) if splitter.has_partial_event() => {
+                Some(Err(_)) => return ForwardEnd::Lost("connection lost"),
+                None if own.splitter.has_partial_event() => {
                     return ForwardEnd::Lost("ended inside an event");
                 }
-                Ok(None) => {
+                None => {
+                    let AttachedStream { lease, keep_alive, .. } = *own;
                     lease.keep(keep_alive);
                     return ForwardEnd::Whole;
                 }
-                Err(_) if Instant::now() >= self.request.deadline => return ForwardEnd::Late,
-                Err(_) => return ForwardEnd::Lost("no event in time"),
+            }
+        }
+    }
+
+    /// Waits for what the stream's own engine sends next. While that one is silent, looks for another.
+    async fn next_frame(
+        &mut self,
+        own: Box<AttachedStream>,
+        part: &Part,
+        silence: &mut Silence,
+    ) -> Result<(Box<AttachedStream>, Next), ForwardEnd> {
+        let mut own = own;
+        loop {
+            let wake = silence.look_at().min(self.request.deadline);
+            tokio::select! {
+                biased;
+                next = own.body.frame() => return Ok((own, next)),
+                () = self.events.closed() => return Err(ForwardEnd::CallerLeft),
+                () = sleep_until(wake) => {}
+            }
+            if Instant::now() >= self.request.deadline {
+                return Err(ForwardEnd::Late);
+            }
+            if silence.begin_look() && self.request.route.resumable {
+                part.upstream.record_failure(false);
+                part.upstream.check_path();
+            }
+            match self.look(own, part).await {
+                Sought::Taken(next) => return Err(ForwardEnd::Taken(next)),
+                Sought::Heard(own, next) => return Ok((own, next)),
+                Sought::NotTaken(it, cause) => {
+                    own = it;
+                    silence.record_not_taken(Instant::now());
+                    if cause != NotResumed::NotAllowed {
+                        self.log(part, SILENT, Some(cause), "no other engine took a silent stream");
+                    }
+                }
+                Sought::Left(cause) | Sought::Lost(cause) => {
+                    return Err(match cause {
+                        NotResumed::CallerLeft => ForwardEnd::CallerLeft,
+                        NotResumed::Late => ForwardEnd::Late,
+                        cause => ForwardEnd::Left(cause),
+                    });
+                }
             }
         }
     }
@@ -200,43 +244,22 @@
         }
     }
 
-    /// Resumes the stream at another engine of the same version, if the route allows it.
+    /// Resumes the stream, whose own engine is lost, at another one.
     async fn resume(
         &mut self,
-        from: &Upstream,
+        from: &Part,
         why: &'static str,
-    ) -> Result<AttachedStream, NotResumed> {
-        let route = &self.request.route;
-        self.tries.runs += 1;
-        self.tries.reached_upstream = true;
-        if !route.resumable || self.request.is_trial() || self.last_event.is_none() {
-            return Err(NotResumed::NotAllowed);
-        }
-        if self.tries.runs >= route.attempts {
-            return Err(NotResumed::NoAttempts);
-        }
-        if !from.version.is_known() {
-            return Err(NotResumed::NoVersion);
-        }
-        log::info!(request = self.request.head.attempt.as_str(), upstream:% = from.id, version:% = from.version,
-            last = self.last_event, cause = why, digest:% = self.request.digest(),
-            parts = self.request.shared_parts_text();
-            "resuming a stream at another engine");
-        let streams = Arc::clone(&self.streams);
-        let resumption = Resumption {
-            last_event: self.last_event,
-            version: from.version.clone(),
-            due: self.request.next_event_by(Instant::now()),
-        };
-        let next = streams.attach(&self.request, &self.service, &mut self.tries, Some(&resumption));
-        let next = tokio::select! {
-            next = next => next,
-            () = self.events.closed() => return Err(NotResumed::CallerLeft),
-        };
-        match next {
-            Ok(EngineAnswer::Stream(attached)) => Ok(*attached),
-            Ok(EngineAnswer::Answer(_)) => Err(NotResumed::NoStream),
-            Err(refusal) => Err(NotResumed::Refused(refusal)),
+    ) -> Result<Box<AttachedStream>, NotResumed> {
+        loop {
+            self.may_move(from)?;
+            match self.seek(Own::LOST, from, why).await {
+                Sought::Taken(next) => return Ok(next),
+                // It may be tried at others as often as it may run.
+                Sought::Lost(NotResumed::NoStream) | Sought::Heard(..) => {}
+                Sought::Left(cause) | Sought::Lost(cause) | Sought::NotTaken(_, cause) => {
+                    return Err(cause);
+                }
+            }
         }
     }
 }
