Prefer an engine that was heard within half a second

What callers saw: a stream that left its silent engine went on at one that had fallen silent at the same time, and ended there, although a third one spoke.

Cause: every engine counted as heard that had spoken since the own one fell silent, so those that fell silent a little later did too.

Change: an engine counts as heard for 500 ms.

Conclusion: where several engines fall silent together, their streams go on at one that speaks, if there is one.

--- a/crates/gateway/src/stream/seek.rs
+++ b/crates/gateway/src/stream/seek.rs
@@ -11,7 +11,7 @@
 
 use super::open::{AttachedStream, EngineAnswer};
 use super::pump::{Part, Pump};
-use super::silence::{NotResumed, Stand, Terms, stall_time};
+use super::silence::{NotResumed, Stand, Terms};
 use super::tries::Resumption;
 use crate::dialect::Dialect;
 use crate::reply::Refusal;
@@ -19,6 +19,9 @@
 /// The pause before a stream that has left its engine looks again.
 const AGAIN_PAUSE: Duration = Duration::from_millis(500);
 
+/// How long ago an engine was heard that is preferred to others. Engines may fall silent together.
+const HEARD_TIME: Duration = Duration::from_millis(500);
+
 /// Why a stream looks for another engine when its own one is silent.
 pub(super) const SILENT: &str = "no event in time";
 
@@ -187,12 +190,11 @@
     /// Returns where the stream goes on, beside its own engine that is `silent` or after it.
     fn resumption(&self, silent: bool, part: &Part) -> Resumption {
         let now = Instant::now();
-        let stall = stall_time(self.request.route.pause);
         Resumption {
             last_event: self.last_event,
             version: part.upstream.version.clone(),
             due: self.request.next_event_by(now),
-            heard_since: now.checked_sub(stall).filter(|_| silent),
+            heard_since: now.checked_sub(HEARD_TIME).filter(|_| silent),
             sends: Arc::default(),
         }
     }
