Leave a silent plain upstream only for an answer

Cause: a try was dropped once it had been silent for long, before another attempt, another upstream and a retry permit were known to be there, and before the other one answered.

Change: while a try of a request that may run again is silent, another upstream may get the request beside it; attempts, offers and the retry permit count as before. The first answer without a server error wins, the others are dropped at once. Where nobody takes it, the silent one keeps it until the deadline. An answer with a server error is kept while another try is open, and forwarded shortly before the deadline if none answers. What counts as a failure of the upstream is as before: the silence itself. The decisions stand in plain/tries.rs without input or output. New outcome `overtaken` of calls, new log line for a silent upstream.

Conclusion: a silence of a plain upstream ends no request that may run again while it has time left.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -1,49 +1,86 @@
 //! Requests to services without engines: one answer each, and a failed request is sent again only
 //! if its route allows it.
 
+mod call;
+mod tries;
+
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderMap, Response, StatusCode};
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use tokio::time::{Instant, sleep_until};
 
 use crate::batch::BatchClient;
 use crate::budget::{RetryPermit, Spender};
-use crate::dialect::{AnswerHead, Dialect};
-use crate::exchange::{self, CallTimes, Cause, Fault, Opened, Read};
+use crate::dialect::Dialect;
+use crate::exchange::{Cause, Fault};
 use crate::offers::Offers;
 use crate::plan::RouteKind;
 use crate::quarantine::RunTimes;
-use crate::reply::{Refusal, Reply, ReplyBody, Truncated, strip_hop_by_hop};
+use crate::reply::{Refusal, Reply};
 use crate::request::CallerRequest;
 use crate::room;
 use crate::shared::Shared;
-use crate::upstream::{Lease, Upstream};
-
-/// The largest answer that is buffered before it is forwarded, in bytes. Up to this size, an answer
-/// that breaks off can be replaced by that of another upstream.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 256 << 10;
+use crate::upstream::{RunningRequest, Upstream};
 
-/// The number of chunks of a large answer that are buffered for a slow caller before reading from
-/// the upstream pauses.
-const MAX_BUFFERED_CHUNKS: usize = 8;
+use self::call::{Answer, call_once};
+use self::tries::{End, Step, Tries};
 
-/// A try that may be followed by another is given up after this many times the target.
+/// A try that may be followed by another counts as silent after this many times the target.
 const FIRST_TRY_TARGETS: u32 = 2;
 
 /// How many upstreams may reject a request before it is refused.
 const MAX_OFFERS: usize = 3;
 
-/// The answer of an upstream.
-struct Answer {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: ReplyBody,
+/// How long before the end of a request's time an answer with a server error is forwarded, if no other
+/// upstream has answered.
+const FALLBACK_MARGIN: Duration = Duration::from_millis(50);
+
+/// What serves one request.
+struct Context<'a, D> {
+    shared: &'a Shared<D>,
+    batches: &'a BatchClient<D>,
+    request: &'a CallerRequest,
+    service: &'a Arc<str>,
+}
+
+impl<D> Clone for Context<'_, D> {
+    fn clone(&self) -> Self {
+        *self
+    }
+}
+
+impl<D> Copy for Context<'_, D> {}
+
+/// A request in progress.
+struct Run<'a, D> {
+    context: Context<'a, D>,
+    offers: Offers,
+    tries: Tries,
+    /// The newest upstream, and when it counts as silent.
+    watched: Option<(Arc<Upstream>, Instant)>,
+    /// The last answer with a server error.
+    fallback: Option<Answer>,
+    /// Why the last try failed that may have run.
+    fault: Option<Fault>,
+}
+
+/// What a try needs before it is sent.
+struct Prepared {
+    number: u32,
+    upstream: Arc<Upstream>,
+    permit: Option<Arc<RetryPermit>>,
+    running: RunningRequest,
+}
+
+/// The outcome of a try.
+struct Called {
+    number: u32,
+    upstream: Arc<Upstream>,
+    sent: Instant,
+    answer: Result<Answer, Fault>,
 }
 
 /// Serves a request to a service without engines.
@@ -53,106 +90,216 @@
     request: &CallerRequest,
     service: &Arc<str>,
 ) -> Result<Reply, Refusal> {
-    let mut offers = Offers::new(MAX_OFFERS);
-    let mut runs = 0;
-    let mut reached_upstream = false;
-    let mut fallback: Option<Answer> = None;
-    // The upstream at which another entry has lent its room for the next try.
-    let mut borrowed: Option<Arc<Upstream>> = None;
     let repeats = request.route.kind == RouteKind::Idempotent && !request.is_trial();
-    loop {
-        let now = Instant::now();
-        let directory = shared.directory();
-        let lent = borrowed.take();
-        let has_loan = lent.is_some();
-        let upstream = lent
-            .or_else(|| choose(shared, directory.service(service), offers.tried(), now).cloned());
-        let Some(upstream) = upstream else {
-            if runs > 0 || fallback.is_some() {
-                break;
+    let run = Run {
+        context: Context { shared, batches, request, service },
+        offers: Offers::new(MAX_OFFERS),
+        tries: Tries::new(if repeats { request.route.attempts } else { 1 }),
+        watched: None,
+        fallback: None,
+        fault: None,
+    };
+    run.run().await
+}
+
+impl<D: Dialect> Run<'_, D> {
+    async fn run(mut self) -> Result<Reply, Refusal> {
+        let context = self.context;
+        let latest = context.request.deadline;
+        let fallback_at = latest.checked_sub(FALLBACK_MARGIN).unwrap_or(latest);
+        // At most one try is being prepared.
+        let mut prepared = FuturesUnordered::new();
+        let mut calls = FuturesUnordered::new();
+        loop {
+            match self.tries.step() {
+                Step::Finish => break,
+                Step::Begin => {
+                    match self.next_upstream().await? {
+                        Some(upstream) => {
+                            let again = self.tries.needs_permit();
+                            prepared.push(prepare(context, self.tries.begin(), upstream, again));
+                        }
+                        None => self.tries.record_nobody(),
+                    }
+                    continue;
+                }
+                Step::Wait => {}
             }
-            let upstreams = directory.service(service);
-            borrowed = batches.borrow_room(upstreams, offers.tried()).await;
-            if borrowed.is_none() {
-                room::wait_for_room(upstreams, offers.tried(), request.target()).await?;
+            let silent_at = self.watched.as_ref().map(|it| it.1);
+            tokio::select! {
+                Some(called) = calls.next() => {
+                    if let Some(answer) = self.handle(called) {
+                        self.record_dropped(calls.len());
+                        return Ok(answer.into_reply());
+                    }
+                }
+                Some((number, ready)) = prepared.next() => match ready {
+                    Some(ready) => calls.push(call(context, self.begin(ready))),
+                    None => self.tries.record_end(number, End::NoPermit),
+                },
+                () = sleep_until(silent_at.unwrap_or(latest)), if silent_at.is_some() => {
+                    self.record_silence();
+                }
+                () = sleep_until(fallback_at), if self.fallback.is_some() => break,
             }
-            continue;
-        };
-        if let Err(it) = shared.quarantine.check(request, service) {
-            return if runs > 0 {
-                Err(Refusal::Failed)
-            } else {
-                Err(Refusal::Quarantined(it.after))
-            };
         }
-        if !has_loan && !upstream.claim_room(now) {
-            continue;
+        match (self.fallback, self.fault) {
+            (Some(answer), _) => Ok(answer.into_reply()),
+            (None, Some(fault)) => Err(refusal_for(&fault)),
+            (None, None) => Err(Refusal::NoUpstream),
         }
-        let permit = match reached_upstream {
-            true => batches.take_retries(service, Spender::Entry, 1).await,
-            false => None,
-        };
-        if reached_upstream && permit.is_none() {
-            shared.metrics.calls.with_label_values(&["no budget"]).inc();
-            break;
+    }
+
+    /// Chooses the upstream of the next try, with room for it. While the request is at another one, waits
+    /// for none.
+    async fn next_upstream(&self) -> Result<Option<Arc<Upstream>>, Refusal> {
+        let Context { shared, batches, request, service } = self.context;
+        loop {
+            let now = Instant::now();
+            let directory = shared.directory();
+            let upstreams = directory.service(service);
+            let tried = self.offers.tried();
+            let found = choose(shared, upstreams, tried, now).cloned();
+            if found.is_none() && self.tries.may_have_run() {
+                return Ok(None);
+            }
+            let lent = match found {
+                Some(_) => None,
+                None => batches.borrow_room(upstreams, tried).await,
+            };
+            let has_loan = lent.is_some();
+            let Some(upstream) = found.or(lent) else {
+                room::wait_for_room(upstreams, tried, request.target()).await?;
+                continue;
+            };
+            if let Err(it) = shared.quarantine.check(request, service) {
+                return match self.tries.is_open() {
+                    true => Ok(None),
+                    false if self.tries.have_run() => Err(Refusal::Failed),
+                    false => Err(Refusal::Quarantined(it.after)),
+                };
+            }
+            if has_loan || upstream.claim_room(now) {
+                return Ok(Some(upstream));
+            }
         }
-        let running = upstream.begin_request(0);
-        batches.borrow_connection(&upstream, request.deadline).await;
+    }
+
+    /// Records that a try is sent now.
+    fn begin(&mut self, prepared: Prepared) -> Prepared {
+        let Context { shared, request, .. } = self.context;
+        let upstream = &prepared.upstream;
         let now = Instant::now();
-        offers.add(&upstream, now);
-        let reached_before = reached_upstream;
-        reached_upstream = true;
+        self.offers.add(upstream, now);
         log::info!(request = request.head.attempt.as_str(), upstream:% = upstream.id,
-            running = upstream.total_running(), listed:% = directory.listed(),
+            running = upstream.total_running(), listed:% = shared.directory().listed(),
             limit = upstream.limit_named().map(|it| it.0),
                 pause_ms = upstream.pause_left(now).map(|it| it.as_millis() as u64),
-            tried = offers.tried().len(); "chose an upstream");
-        let last = !repeats || runs + 1 >= request.route.attempts;
-        let deadline = if last { request.deadline } else { first_try_deadline(request, now) };
-        let called = call_once::<D>(request, &upstream, permit, deadline).await;
-        drop(running);
-        match called {
-            Ok(answer) if answer.status.is_server_error() && !last => {
-                runs += 1;
-                shared.metrics.calls.with_label_values(&["failed"]).inc();
-                fallback = Some(answer);
-            }
+            tried = self.offers.tried().len(); "chose an upstream");
+        let follows = self.tries.may_follow();
+        self.watched = follows.then(|| (Arc::clone(upstream), silent_from(request, now)));
+        prepared
+    }
+
+    /// Records the end of a try; returns the answer if it is to be forwarded now.
+    fn handle(&mut self, called: Called) -> Option<Answer> {
+        let Context { shared, request, .. } = self.context;
+        let Called { number, upstream, sent, answer } = called;
+        let count = |outcome| shared.metrics.calls.with_label_values(&[outcome]).inc();
+        let end = match answer {
             Ok(answer) => {
-                if !answer.status.is_server_error() {
+                let failed = answer.status.is_server_error();
+                if failed {
+                    self.record_end(number, End::Failed);
+                } else {
                     upstream.record_success();
                 }
+                if failed && self.tries.step() != Step::Finish {
+                    count("failed");
+                    self.fallback = Some(answer);
+                    return None;
+                }
                 shared.quarantine.record_completed(request);
-                shared.metrics.calls.with_label_values(&["answered"]).inc();
-                return Ok(reply(answer));
+                count("answered");
+                return Some(answer);
             }
             Err(fault) => {
                 record_failed_call(shared, request, &upstream, &fault);
                 if fault.cause == Cause::Lost {
-                    let times = RunTimes { sent: now, first: None };
+                    let times = RunTimes { sent, first: None };
                     shared.quarantine.record_lost_run((request.digest(), &[]), &upstream, times);
                 }
                 if fault.not_run {
-                    reached_upstream = reached_before || !fault.is_unsent();
-                    if offers.record_rejection(&fault) {
-                        continue;
-                    }
-                    break;
-                }
-                runs += 1;
-                if last {
-                    return fallback.map(reply).ok_or(refusal_for(&fault));
+                    let more = self.offers.record_rejection(&fault);
+                    End::NotRun { sent: !fault.is_unsent(), more }
+                } else {
+                    self.fault = Some(fault);
+                    if fault.cause == Cause::Timeout { End::Late } else { End::Failed }
                 }
             }
+        };
+        self.record_end(number, end);
+        None
+    }
+
+    fn record_end(&mut self, number: u32, end: End) {
+        self.tries.record_end(number, end);
+        let may_have_run = self.tries.may_have_run();
+        self.context.request.may_have_run.store(may_have_run, Ordering::Relaxed);
+        if !self.tries.may_follow() {
+            self.watched = None;
         }
-        if runs >= request.route.attempts {
-            break;
+    }
+
+    /// Records that the newest upstream is silent, so that another one may get the request beside it.
+    fn record_silence(&mut self) {
+        let Some((upstream, _)) = self.watched.take() else { return };
+        self.tries.record_silence();
+        let request = self.context.request;
+        log::info!(request = request.head.attempt.as_str(), upstream:% = upstream.id,
+            service:% = upstream.service, age_ms = request.arrived.elapsed().as_millis() as u64;
+            "an upstream is silent; another one may get the request beside it");
+        upstream.record_failure(false);
+        upstream.check_path();
+    }
+
+    /// Records that `count` tries are dropped, because another one has answered.
+    fn record_dropped(&self, count: usize) {
+        if count > 0 {
+            let outcome = self.context.shared.metrics.calls.with_label_values(&["overtaken"]);
+            outcome.inc_by(count as u64);
         }
     }
-    match fallback {
-        Some(answer) => Ok(reply(answer)),
-        None if runs > 0 => Err(Refusal::Failed),
-        None => Err(Refusal::NoUpstream),
+}
+
+/// Takes what a try needs before it is sent; returns `None` if it may not be sent again.
+async fn prepare<D: Dialect>(
+    context: Context<'_, D>,
+    number: u32,
+    upstream: Arc<Upstream>,
+    again: bool,
+) -> (u32, Option<Prepared>) {
+    let Context { shared, batches, request, service } = context;
+    let permit = match again {
+        true => batches.take_retries(service, Spender::Entry, 1).await,
+        false => None,
+    };
+    if again && permit.is_none() {
+        shared.metrics.calls.with_label_values(&["no budget"]).inc();
+        return (number, None);
     }
+    let running = upstream.begin_request(0);
+    batches.borrow_connection(&upstream, request.deadline).await;
+    (number, Some(Prepared { number, upstream, permit, running }))
+}
+
+/// Sends a try and waits for its answer.
+async fn call<D: Dialect>(context: Context<'_, D>, prepared: Prepared) -> Called {
+    let Prepared { number, upstream, permit, running } = prepared;
+    let sent = Instant::now();
+    let answer = call_once::<D>(context.request, &upstream, permit).await;
+    drop(running);
+    Called { number, upstream, sent, answer }
 }
 
 fn refusal_for(fault: &Fault) -> Refusal {
@@ -162,8 +309,8 @@
     }
 }
 
-/// Returns the deadline of a try that may be followed by another.
-fn first_try_deadline(request: &CallerRequest, now: Instant) -> Instant {
+/// Returns when an upstream that gets the request at `now` counts as silent.
+fn silent_from(request: &CallerRequest, now: Instant) -> Instant {
     let left = request.deadline.saturating_duration_since(now);
     let patience = request.route.target * FIRST_TRY_TARGETS;
     now + patience.min(left.mul_f64(0.6)).max(Duration::from_millis(50))
@@ -204,75 +351,3 @@
     };
     open.min_by_key(rank)
 }
-
-/// Sends the request to an upstream once, by a permit if it is sent again, and reads the answer.
-async fn call_once<D: Dialect>(
-    request: &CallerRequest,
-    upstream: &Arc<Upstream>,
-    permit: Option<Arc<RetryPermit>>,
-    deadline: Instant,
-) -> Result<Answer, Fault> {
-    let before = request.may_have_run.load(Ordering::Relaxed);
-    let forward = request.forward::<D>(upstream, &[], None);
-    let (attempt, permits) = (&request.head.attempt, permit.as_slice());
-    let times = CallTimes { head: deadline, end: request.deadline };
-    let sent = exchange::request::<D>(upstream, forward, attempt, permits, times).await;
-    let opened = sent.inspect_err(|fault| {
-        if fault.not_run {
-            request.may_have_run.store(before, Ordering::Relaxed);
-        }
-    })?;
-    let Opened { mut response, lease, head } = opened;
-    let status = response.status();
-    let mut headers = std::mem::take(response.headers_mut());
-    strip_hop_by_hop(&mut headers);
-    let read = exchange::read_body(response.body_mut(), MAX_BUFFERED_ANSWER_BYTES, deadline).await;
-    let body = match read.map_err(Fault::unknown)? {
-        Read::Whole(bytes) => {
-            lease.keep(head.keep_alive);
-            ReplyBody::whole(bytes)
-        }
-        Read::More(start) => {
-            let (bytes, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-            let end = request.deadline;
-            tokio::spawn(pipe(start, response.into_body(), (lease, head), bytes, end));
-            ReplyBody::stream(receiver)
-        }
-    };
-    Ok(Answer { status, headers, body })
-}
-
-/// Forwards the rest of a large answer. If the answer breaks off, the caller's connection is
-/// closed.
-async fn pipe(
-    start: Bytes,
-    mut body: Incoming,
-    (lease, head): (Lease, AnswerHead),
-    bytes: mpsc::Sender<Result<Bytes, Truncated>>,
-    end: Instant,
-) {
-    let mut next = Ok(start);
-    loop {
-        let truncated = next.is_err();
-        if bytes.send(next).await.is_err() || truncated {
-            return;
-        }
-        let frame = tokio::select! {
-            frame = timeout_at(end, body.frame()) => frame,
-            () = bytes.closed() => return,
-        };
-        next = match frame {
-            Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
-            Ok(None) => break,
-            Ok(Some(Err(_))) | Err(_) => Err(Truncated),
-        };
-    }
-    lease.keep(head.keep_alive);
-}
-
-fn reply(answer: Answer) -> Reply {
-    let mut reply = Response::new(answer.body);
-    *reply.status_mut() = answer.status;
-    *reply.headers_mut() = answer.headers;
-    reply
-}
--- /dev/null
+++ b/crates/gateway/src/plain/call.rs
@@ -0,0 +1,100 @@
+//! One call of an upstream, and its answer.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
+
+use crate::budget::RetryPermit;
+use crate::dialect::{AnswerHead, Dialect};
+use crate::exchange::{self, Fault, Opened, Read};
+use crate::reply::{Reply, ReplyBody, Truncated, strip_hop_by_hop};
+use crate::request::CallerRequest;
+use crate::upstream::{Lease, Upstream};
+
+/// The largest answer that is buffered before it is forwarded, in bytes. Up to this size, an answer
+/// that breaks off can be replaced by that of another upstream.
+const MAX_BUFFERED_ANSWER_BYTES: usize = 256 << 10;
+
+/// The number of chunks of a large answer that are buffered for a slow caller before reading from
+/// the upstream pauses.
+const MAX_BUFFERED_CHUNKS: usize = 8;
+
+/// The answer of an upstream.
+pub(super) struct Answer {
+    pub(super) status: StatusCode,
+    headers: HeaderMap,
+    body: ReplyBody,
+}
+
+impl Answer {
+    /// Returns the answer to the caller.
+    pub(super) fn into_reply(self) -> Reply {
+        let mut reply = Response::new(self.body);
+        *reply.status_mut() = self.status;
+        *reply.headers_mut() = self.headers;
+        reply
+    }
+}
+
+/// Sends the request to an upstream once, by a permit if it is sent again, and reads the answer.
+pub(super) async fn call_once<D: Dialect>(
+    request: &CallerRequest,
+    upstream: &Arc<Upstream>,
+    permit: Option<Arc<RetryPermit>>,
+) -> Result<Answer, Fault> {
+    let forward = request.forward::<D>(upstream, &[], None);
+    let (attempt, permits) = (&request.head.attempt, permit.as_slice());
+    let deadline = request.deadline;
+    let opened =
+        exchange::request::<D>(upstream, forward, attempt, permits, deadline.into()).await?;
+    let Opened { mut response, lease, head } = opened;
+    let status = response.status();
+    let mut headers = std::mem::take(response.headers_mut());
+    strip_hop_by_hop(&mut headers);
+    let read = exchange::read_body(response.body_mut(), MAX_BUFFERED_ANSWER_BYTES, deadline).await;
+    let body = match read.map_err(Fault::unknown)? {
+        Read::Whole(bytes) => {
+            lease.keep(head.keep_alive);
+            ReplyBody::whole(bytes)
+        }
+        Read::More(start) => {
+            let (bytes, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
+            tokio::spawn(pipe(start, response.into_body(), (lease, head), bytes, deadline));
+            ReplyBody::stream(receiver)
+        }
+    };
+    Ok(Answer { status, headers, body })
+}
+
+/// Forwards the rest of a large answer. If the answer breaks off, the caller's connection is
+/// closed.
+async fn pipe(
+    start: Bytes,
+    mut body: Incoming,
+    (lease, head): (Lease, AnswerHead),
+    bytes: mpsc::Sender<Result<Bytes, Truncated>>,
+    end: Instant,
+) {
+    let mut next = Ok(start);
+    loop {
+        let truncated = next.is_err();
+        if bytes.send(next).await.is_err() || truncated {
+            return;
+        }
+        let frame = tokio::select! {
+            frame = timeout_at(end, body.frame()) => frame,
+            () = bytes.closed() => return,
+        };
+        next = match frame {
+            Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
+            Ok(None) => break,
+            Ok(Some(Err(_))) | Err(_) => Err(Truncated),
+        };
+    }
+    lease.keep(head.keep_alive);
+}
