Read the rest of a refused body, or say that the connection closes and go on reading it

Callers saw: after a refusal to a request whose body was still on its way, the connection closed without having said so; one that went on sending its body got a reset. Cause: the handler dropped the body; the HTTP library then closes the connection after the answer, with bytes unread. Change: a refusal waits up to 250 ms and 256 KiB for the rest of its body; where that isn't the end (or the caller waits for permission) the answer says that the connection closes. A connection that the entry closes is read for up to 2 s and 64 MiB, until its caller closes too. Not shown: an answer lost by a reset (loopback loses no segment).

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -29,6 +30,7 @@
 use crate::shared::Shared;
 use crate::stream::Streams;
 use crate::unanswered::{AnswerGuard, Dropped, Unanswered};
+use crate::unread::{drop_rest, expects_permission};
 use crate::write_tracker::WriteTracker;
 
 /// The pause after a failed accept.
@@ -137,6 +139,8 @@
 ) -> Reply {
     let in_flight = shared.drain.track_request();
     let arrived = Instant::now();
+    let (parts, mut body) = request.into_parts();
+    let waits = expects_permission(&parts.headers);
     let mut close = false;
     let mut reply = if conflict.is_seen() {
         close = true;
@@ -144,14 +148,15 @@
     } else {
         let routed = match shared.drain.is_refusing() {
             true => Err(Refusal::Ending),
-            false => route(&shared, &streams, request, arrived, guard).await,
+            false => route(&shared, &streams, (parts, &mut body), arrived, guard).await,
         };
         match routed {
             Ok(reply) => reply,
             Err(refusal) => {
                 shared.metrics.requests.with_label_values(&["any", refusal.name()]).inc();
-                close =
-                    matches!(refusal, Refusal::TooLarge | Refusal::SlowBody | Refusal::NoMemory);
+                close = shared.drain.is_ending()
+                    || matches!(refusal, Refusal::TooLarge | Refusal::SlowBody | Refusal::NoMemory)
+                    || !drop_rest(waits, &mut body).await;
                 refusal.reply()
             }
         }
@@ -171,13 +176,13 @@
 async fn route<D: Dialect>(
     shared: &Arc<Shared<D>>,
     streams: &Arc<Streams<D>>,
-    request: Request<Incoming>,
+    (parts, body): (Parts, &mut Incoming),
     arrived: Instant,
     guard: &mut AnswerGuard,
 ) -> Result<Reply, Refusal> {
     let plan = shared.wait_for_plan().await.ok_or(Refusal::NoPlan)?;
-    let request =
-        CallerRequest::read::<D>(plan, request, arrived, shared.body_memory.reserve()).await?;
+    let memory = shared.body_memory.reserve();
+    let request = CallerRequest::read::<D>(plan, parts, body, arrived, memory).await?;
     guard.set_attempt(&request.head.attempt);
     let origin = streams.origin(&request).await?;
     let service = match &origin {
--- a/crates/gateway/src/guard.rs
+++ b/crates/gateway/src/guard.rs
@@ -14,6 +14,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::head_timeout::ReadCounter;
+use crate::unread::Linger;
 use crate::write_tracker::WriteTracker;
 
 const CONTENT_LENGTH: &[u8] = b"content-length:";
@@ -90,6 +91,9 @@
     conflict: LengthConflict,
     reads: ReadCounter,
     write_tracker: WriteTracker,
+    /// Whether the caller has closed its side.
+    ended: bool,
+    linger: Option<Linger>,
 }
 
 impl<S> GuardedStream<S> {
@@ -99,7 +103,8 @@
         reads: ReadCounter,
         write_tracker: WriteTracker,
     ) -> Self {
-        Self { stream, scanner: HeadScanner::default(), conflict, reads, write_tracker }
+        let scanner = HeadScanner::default();
+        Self { stream, scanner, conflict, reads, write_tracker, ended: false, linger: None }
     }
 }
 
@@ -110,9 +115,11 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
+        let has_space = buffer.remaining() > 0;
         let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
         let read = &buffer.filled()[before..];
         if read.is_empty() {
+            self.ended |= polled.is_ready() && has_space;
             return polled;
         }
         self.reads.record();
@@ -123,7 +130,7 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for GuardedStream<S> {
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for GuardedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -141,8 +148,17 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Closes the own side, and reads what the caller still sends, so that no reset takes the last
+    /// answer from it.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let this = &mut *self;
+        if this.linger.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+        }
+        if this.ended {
+            return Poll::Ready(Ok(()));
+        }
+        this.linger.get_or_insert_with(Linger::begin).poll(cx, &mut this.stream)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod stages;
 mod stream;
 mod unanswered;
+mod unread;
 pub mod upstream;
 mod write_tracker;
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -80,11 +80,11 @@
     /// Returns the refusal with which to answer.
     pub(crate) async fn read<D: Dialect>(
         plan: Arc<Plan>,
-        request: Request<Incoming>,
+        parts: Parts,
+        body: &mut Incoming,
         arrived: Instant,
         mut body_memory: Reservation,
     ) -> Result<Self, Refusal> {
-        let (parts, body) = request.into_parts();
         let Parts { method, uri, mut headers, .. } = parts;
         let host = headers.get(header::HOST).and_then(|it| it.to_str().ok()).unwrap_or_default();
         let route = plan.route(host, uri.path()).ok_or(Refusal::NoRoute)?;
@@ -277,7 +277,7 @@
 async fn read_body(
     plan: &Plan,
     headers: &HeaderMap,
-    body: Incoming,
+    body: &mut Incoming,
     body_memory: &mut Reservation,
     deadline: Instant,
 ) -> Result<Bytes, Refusal> {
@@ -287,7 +287,6 @@
     if length > limit {
         return Err(Refusal::TooLarge);
     }
-    let mut body = body;
     let mut whole = BytesMut::with_capacity(length);
     let deadline = deadline.min(Instant::now() + plan.limits.idle_time);
     loop {
