--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -64,10 +64,11 @@
 impl Route {
     /// Chooses a service by weight; `draw` is a uniformly distributed number.
     pub fn service(&self, draw: u32) -> Option<&Arc<str>> {
-        let total: u32 = self.split.iter().map(|(_, weight)| weight).sum();
-        let mut left = draw % total.max(1);
+        let total: u64 = self.split.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let mut left = ((u128::from(draw) * u128::from(total)) >> u32::BITS) as u64;
         for (service, weight) in &self.split {
-            if left < *weight {
+            let weight = u64::from(*weight);
+            if left < weight {
                 return Some(service);
             }
             left -= weight;
