Keep a silent call until another one takes over

Callers saw 504 or 502 "no progress within the limit; no other try is left" from an entry whose engine or stage upstream was sound, silent for a second or so, and about to go on, with 5 s of the request left.

Cause: silence was taken for death. A call without a first byte within the limit of its pool (0.15 s for a pool that answers in 0.05 s), or without progress for 1 s after it, was dropped and cancelled before any other call had the request. Where the next one was silent too, or the budget or the number of calls was spent, nothing was left that could answer.

Change: silence ends no call. crates/upstream reports it (`Watch`) and waits on until the deadline; the kept connections of that upstream are still condemned at that moment. crates/entry begins one more call beside those that are silent (`race`): over a new connection where the silent one was a kept one, else elsewhere, else over a new connection to the only upstream; repeatable stages alone, within the budget and the number of calls that held before. The first that brings an answer or the next token has the request, and only then the others are cancelled. This holds before the first byte, between two tokens and within an answer. A call that ends with its connection or its deadline ends as before; evidence of what was sent, claims and calls that run once are untouched. A silent call counts against its upstream once another took over or the deadline passed.

Tests that expected `Fault::Silent` wanted the fault itself. They are replaced: the call must go on and bring all positions, the silence must be reported with whether its connection was a kept one, a call that is silent for good must end at its deadline, and the next call must not take a connection condemned by one that is still silent.

--- a/crates/entry/src/generate.rs
+++ b/crates/entry/src/generate.rs
@@ -1,9 +1,5 @@
 //! Runs a stage on a model engine: a stream of tokens that is resumed when it is cut.
 
-use std::sync::Arc;
-use std::time::Duration;
-
-use routing::UpstreamView;
 use serde::Serialize;
 use serde_json::value::{RawValue, to_raw_value};
 use types::{CallId, Micros, Tokens};
@@ -11,9 +7,9 @@
     CallError, EngineEvent, EngineStream, EngineUsage, Fault, Generation, Sent, Target,
 };
 
-use crate::call::InFlightCall;
-use crate::hedge::{RaceResult, race};
+use crate::call::{CallTarget, InFlightCall};
 use crate::outcome::{Progress, Reason, RequestError};
+use crate::race::{RaceResult, race};
 use crate::session::Session;
 use crate::sink::Sink;
 use crate::step::{Attempts, Retry, StageResult, Step, Used};
@@ -33,12 +29,10 @@
 struct Delivered {
     position: u64,
     text: String,
-    /// The time that engines spent on delivered tokens before their stream was cut.
-    cut_time: Duration,
 }
 
-/// A stream with its first event. The first event decides which of two hedged calls wins.
-struct StartedStream {
+/// A stream with its next event. The event decides which of several calls wins.
+struct StreamEvent {
     stream: EngineStream,
     event: EngineEvent,
 }
@@ -53,42 +47,42 @@
     let prompt = prompt(step)?;
     let prefix = prefix(step, &prompt);
     let mut attempts = Attempts::default();
-    let mut fresh = !step.stage.repeatable;
     let mut delivered = Delivered::default();
     let pick = step.pick(&attempts, Some(prefix))?;
-    let mut call = InFlightCall::begin(step, pick, &mut attempts, progress);
+    let mut call = InFlightCall::begin(step, pick, false, &mut attempts, progress);
+    let mut stream = None;
     loop {
-        let position = delivered.position;
-        let start = |upstream, limit| start(step, &prompt, &delivered, (upstream, limit, fresh));
+        let next = next_event(step, &prompt, &delivered, call.target(), stream.take());
+        let start = |to| next_event(step, &prompt, &delivered, to, None);
         let RaceResult { call: mut winner, result } =
-            race(step, call, &mut attempts, progress, start).await;
+            race(step, (call, next), &mut attempts, progress, start).await;
         let error = match result {
-            Ok(started) => match forward(step, started, &mut delivered, progress, sink).await {
-                Ok(ended) => {
-                    step.ended(&slot);
-                    return stage_result(step, winner, ended, &delivered, &attempts);
+            Ok(StreamEvent { stream: it, event: EngineEvent::End(usage) }) => {
+                progress.upstream_answered();
+                step.ended(&slot);
+                return stage_result(step, winner, (usage, it), &delivered, &attempts);
+            }
+            Ok(StreamEvent { stream: it, event: EngineEvent::Token { position, text } }) => {
+                progress.upstream_answered();
+                if position == delivered.position {
+                    deliver(step, (position, text), &mut delivered, sink).await?;
+                    winner.delivered();
+                    (call, stream) = (winner, Some(it));
+                    continue;
                 }
-                Err(StreamError::Call(error)) => error,
-                Err(StreamError::Request(error)) => return Err(error),
-            },
+                gap(&it, delivered.position, position)
+            }
             Err(error) => error,
         };
-        let (reused, delivered_more) = (error.reused, delivered.position > position);
-        if delivered_more {
-            delivered.cut_time += winner.elapsed();
-        }
-        let fault = winner.failed(error, delivered_more, progress);
-        (call, fresh) =
-            match resume(step, &fault, (delivered_more, reused), &mut attempts, progress)? {
-                Retry::Same => (winner.retried(&mut attempts, progress), true),
-                Retry::Other => {
-                    let pick = step.pick_other(winner, &fault, &mut attempts, Some(prefix))?;
-                    (
-                        InFlightCall::begin(step, pick, &mut attempts, progress),
-                        !step.stage.repeatable,
-                    )
-                }
-            };
+        let (reused, delivered_more) = (error.reused, winner.has_delivered());
+        let fault = winner.failed(error, &mut attempts, progress);
+        call = match resume(step, &fault, (delivered_more, reused), &mut attempts, progress)? {
+            Retry::Same => winner.again(&mut attempts, progress),
+            Retry::Other => {
+                let pick = step.pick_other(winner, &fault, &mut attempts, Some(prefix))?;
+                InFlightCall::begin(step, pick, false, &mut attempts, progress)
+            }
+        };
     }
 }
 
@@ -101,7 +95,7 @@
     attempts: &mut Attempts,
     progress: &Progress,
 ) -> Result<Retry, RequestError> {
-    let cut = matches!(fault, Fault::Truncated(_) | Fault::Silent);
+    let cut = matches!(fault, Fault::Truncated(_));
     if delivered_more && cut && step.stage.repeatable {
         step.core.metrics.extra_call(&step.stage.pool, "resume");
         return Ok(Retry::Same);
@@ -109,19 +103,30 @@
     step.after_failure(fault, reused, attempts, progress)
 }
 
-/// The reason why reading a stream stopped.
-enum StreamError {
-    Call(CallError),
-    Request(RequestError),
+/// Returns the next event of a stream, or the first one of a new stream that goes on after the
+/// delivered tokens.
+async fn next_event<S: Session>(
+    step: &Step<'_, S>,
+    prompt: &str,
+    delivered: &Delivered,
+    to: CallTarget,
+    stream: Option<EngineStream>,
+) -> Result<StreamEvent, CallError> {
+    let mut stream = match stream {
+        Some(stream) => stream,
+        None => start(step, prompt, delivered, to).await?,
+    };
+    let event = stream.next().await?;
+    Ok(StreamEvent { stream, event })
 }
 
 async fn start<S: Session>(
     step: &Step<'_, S>,
     prompt: &str,
     delivered: &Delivered,
-    to: (Arc<UpstreamView>, Duration, bool),
-) -> Result<StartedStream, CallError> {
-    let (upstream, first_byte, fresh) = to;
+    to: CallTarget,
+) -> Result<EngineStream, CallError> {
+    let CallTarget { upstream, first_byte, fresh, watch } = to;
     let generation = Generation {
         call: CallId::random(),
         model: upstream.spec.model.as_ref(),
@@ -132,37 +137,19 @@
         delivered: &delivered.text,
     };
     let target = Target { address: upstream.spec.address, fresh };
-    let limits = step.limits(first_byte);
-    let mut stream = step.core.calls.generate(target, generation, limits).await?;
-    let event = stream.next().await?;
-    Ok(StartedStream { stream, event })
+    step.core.calls.generate(target, generation, step.limits(first_byte), watch).await
 }
 
-/// Passes the tokens of a stream on until its end.
-async fn forward<S: Session, T: Sink>(
+/// Passes a token on.
+async fn deliver<S: Session, T: Sink>(
     step: &Step<'_, S>,
-    started: StartedStream,
+    (position, text): (u64, String),
     delivered: &mut Delivered,
-    progress: &mut Progress,
     sink: &mut T,
-) -> Result<(EngineUsage, EngineStream), StreamError> {
-    progress.upstream_answered();
-    let StartedStream { mut stream, mut event } = started;
-    loop {
-        match event {
-            EngineEvent::End(usage) => return Ok((usage, stream)),
-            EngineEvent::Token { position, text } => {
-                if position != delivered.position {
-                    return Err(StreamError::Call(gap(&stream, delivered.position, position)));
-                }
-                delivered.position += 1;
-                delivered.text.push_str(&text);
-                let sent = sink.token(position, &text, step.deadline).await;
-                sent.map_err(StreamError::Request)?;
-            }
-        }
-        event = stream.next().await.map_err(StreamError::Call)?;
-    }
+) -> Result<(), RequestError> {
+    delivered.position += 1;
+    delivered.text.push_str(&text);
+    sink.token(position, &text, step.deadline).await
 }
 
 fn gap(stream: &EngineStream, want: u64, got: u64) -> CallError {
@@ -192,7 +179,7 @@
     delivered: &Delivered,
     attempts: &Attempts,
 ) -> Result<StageResult, RequestError> {
-    let cut = Micros::from(delivered.cut_time).0;
+    let cut = Micros::from(attempts.cut_time).0;
     let busy = Micros(usage.busy.0 + cut);
     let used = Used { total: stream.total(), tokens: Tokens(delivered.position), busy };
     call.succeeded(stream.first_byte, used);
--- a/crates/entry/src/stage.rs
+++ b/crates/entry/src/stage.rs
@@ -1,15 +1,11 @@
-//! Runs a stage that returns its answer in one piece, with retries and hedged calls.
+//! Runs a stage that returns its answer in one piece, with retries and further calls.
 
-use std::sync::Arc;
-use std::time::Duration;
-
-use routing::UpstreamView;
 use types::{CallId, Tokens};
 use upstream::{CallError, StageCall, StageReply, Target};
 
-use crate::call::InFlightCall;
-use crate::hedge::{RaceResult, race};
+use crate::call::{CallTarget, InFlightCall};
 use crate::outcome::{Progress, RequestError};
+use crate::race::{RaceResult, race};
 use crate::request::Request;
 use crate::session::Session;
 use crate::step::{Attempts, Retry, StageResult, Step, Used};
@@ -21,12 +17,12 @@
 ) -> Result<StageResult, RequestError> {
     let slot = step.wait_for_slot().await?;
     let mut attempts = Attempts::default();
-    let mut fresh = !step.stage.repeatable;
-    let mut call = InFlightCall::begin(step, step.pick(&attempts, None)?, &mut attempts, progress);
+    let pick = step.pick(&attempts, None)?;
+    let mut call = InFlightCall::begin(step, pick, false, &mut attempts, progress);
     loop {
-        let start = |upstream, first_byte| send(step, upstream, first_byte, fresh);
+        let first = send(step, call.target());
         let RaceResult { call: mut winner, result } =
-            race(step, call, &mut attempts, progress, start).await;
+            race(step, (call, first), &mut attempts, progress, |to| send(step, to)).await;
         let error = match result {
             Ok(reply) => {
                 step.ended(&slot);
@@ -35,12 +31,12 @@
             Err(error) => error,
         };
         let reused = error.reused;
-        let fault = winner.failed(error, false, progress);
-        (call, fresh) = match step.after_failure(&fault, reused, &mut attempts, progress)? {
-            Retry::Same => (winner.retried(&mut attempts, progress), true),
+        let fault = winner.failed(error, &mut attempts, progress);
+        call = match step.after_failure(&fault, reused, &mut attempts, progress)? {
+            Retry::Same => winner.again(&mut attempts, progress),
             Retry::Other => {
                 let pick = step.pick_other(winner, &fault, &mut attempts, None)?;
-                (InFlightCall::begin(step, pick, &mut attempts, progress), !step.stage.repeatable)
+                InFlightCall::begin(step, pick, false, &mut attempts, progress)
             }
         };
     }
@@ -59,12 +55,7 @@
     StageResult { output: reply.output, summary: step.summary(call.upstream(), attempts, used) }
 }
 
-async fn send<S: Session>(
-    step: &Step<'_, S>,
-    upstream: Arc<UpstreamView>,
-    first_byte: Duration,
-    fresh: bool,
-) -> Result<StageReply, CallError> {
+async fn send<S: Session>(step: &Step<'_, S>, to: CallTarget) -> Result<StageReply, CallError> {
     let request = step.request;
     let call = StageCall {
         call: CallId::random(),
@@ -77,6 +68,6 @@
         path: step.stage.path.as_deref(),
         key: request.key.as_ref(),
     };
-    let target = Target { address: upstream.spec.address, fresh };
-    step.core.calls.stage(target, call, step.limits(first_byte)).await
+    let target = Target { address: to.upstream.spec.address, fresh: to.fresh };
+    step.core.calls.stage(target, call, step.limits(to.first_byte), to.watch).await
 }
--- a/crates/entry/src/step.rs
+++ b/crates/entry/src/step.rs
@@ -1,10 +1,12 @@
 //! What all kinds of stages share while they run: the slot in the pool, the choice of an upstream,
 //! and the accounting of each call.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use routing::{CallEnd, Pick, PickRequest, Slot, SlotResponse, UpstreamView};
 use serde_json::value::RawValue;
+use tokio::sync::Notify;
 use tokio::time::timeout_at;
 use types::{Cost, Micros, RefusalReason, Stage, Tokens, UpstreamName};
 use upstream::{CallError, Fault, Limits, Sent};
@@ -18,7 +20,7 @@
 use crate::usage::Account;
 
 /// Once a stage has made this many calls, it does not call an upstream again that it already tried.
-const MAX_REPEAT_CALLS: u32 = 4;
+pub(crate) const MAX_REPEAT_CALLS: u32 = 4;
 
 /// How far past the deadline those limits are set that must not expire before it.
 const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
@@ -34,6 +36,8 @@
     pub(crate) deadline: Instant,
     /// When the stage began, its queue included.
     pub(crate) began: Instant,
+    /// Notified when one of its calls is silent.
+    pub(crate) wake: Arc<Notify>,
 }
 
 /// A stage's slot in its pool, released on drop.
@@ -69,7 +73,9 @@
 pub(crate) struct Attempts {
     pub(crate) tried: Vec<UpstreamName>,
     pub(crate) calls: u32,
-    reconnects: u32,
+    pub(crate) reconnects: u32,
+    /// The time that engines spent on delivered tokens before another call took over.
+    pub(crate) cut_time: Duration,
 }
 
 impl<'a, S: Session> Step<'a, S> {
@@ -83,7 +89,7 @@
         let deadline =
             core.router.stage_deadline(&request.info, index, began).min(request.deadline());
         let stage = &request.pipeline.stages[index];
-        Self { core, request, index, stage, previous, deadline, began }
+        Self { core, request, index, stage, previous, deadline, began, wake: Arc::default() }
     }
 
     /// Waits for a slot in the pool.
@@ -176,10 +182,8 @@
 
     /// Returns the limits of a call to a picked upstream.
     ///
-    /// A call that may not be repeated has until the deadline. With a shorter limit, a service that
-    /// takes longer than usual would be given up before it answers, nothing may call it again, and
-    /// the caller would get `unknown` for good. Its connection is new, so a silent kept connection
-    /// cannot be the cause of the wait either.
+    /// The silence of a call that may not be repeated has no consequence: nothing may call its
+    /// service again, and its connection is new.
     pub(crate) fn limits(&self, first_byte: Duration) -> Limits {
         let limits = Limits::new(self.deadline, first_byte);
         if self.stage.repeatable {
@@ -199,11 +203,12 @@
         self.core.usage.call_used(&self.account(), busy, tokens);
     }
 
-    /// Records a call that failed and keeps its evidence of whether it was sent.
+    /// Records a call that failed, and whether it was silent until then, and keeps its evidence of
+    /// whether it was sent.
     pub(crate) fn failed(
         &self,
         upstream: &Pick,
-        error: CallError,
+        (error, silent): (CallError, bool),
         waste: Option<Duration>,
         progress: &mut Progress,
     ) -> Fault {
@@ -212,7 +217,7 @@
         log::debug!(request:% = request, step:% = step, peer:% = peer;
             "call to an upstream failed: {error}");
         let CallError { fault, sent, .. } = error;
-        let (end, label) = call_end(&fault);
+        let (end, label) = call_end(&fault, silent);
         self.core.router.call_ended(upstream, end, Instant::now());
         self.core.metrics.call_ended(&self.stage.pool, label);
         let repeatable = self.stage.repeatable;
@@ -232,18 +237,22 @@
     }
 
     /// Records a call whose result is no longer needed.
-    pub(crate) fn abandoned(&self, pick: &Pick, time: Duration) {
-        self.core.router.call_ended(pick, CallEnd::Abandoned, Instant::now());
-        self.core.metrics.call_ended(&self.stage.pool, "abandoned");
-        self.core.usage.call_wasted(&self.account(), time);
+    pub(crate) fn abandoned(&self, pick: &Pick, silent: bool, waste: Option<Duration>) {
+        let (end, label) =
+            if silent { (CallEnd::Silent, "silent") } else { (CallEnd::Abandoned, "abandoned") };
+        self.core.router.call_ended(pick, end, Instant::now());
+        self.core.metrics.call_ended(&self.stage.pool, label);
+        if let Some(time) = waste {
+            self.core.usage.call_wasted(&self.account(), time);
+        }
     }
 
     /// Decides what follows a failed call.
     ///
     /// A call that may have run is repeated only if the stage is repeatable. A call that was never
     /// sent, or that met an upstream that is leaving, costs the pool nothing and takes nothing from
-    /// the retry budget. Neither does the first call on a kept connection that turned out closed or
-    /// silent, because that says nothing about the upstream.
+    /// the retry budget. Neither does the first call on a kept connection that turned out closed,
+    /// because that says nothing about the upstream.
     pub(crate) fn after_failure(
         &self,
         fault: &Fault,
@@ -257,8 +266,7 @@
         if *fault == Fault::Deadline {
             return Err(self.deadline_passed("while it was called"));
         }
-        let connection = matches!(fault, Fault::Stale | Fault::Silent);
-        if connection && reused && attempts.reconnects == 0 {
+        if *fault == Fault::Stale && reused && attempts.reconnects == 0 {
             attempts.reconnects += 1;
             self.core.metrics.extra_call(&self.stage.pool, "reconnect");
             return Ok(Retry::Same);
@@ -335,13 +343,14 @@
     pub(crate) busy: Micros,
 }
 
-/// Returns how a fault counts for its upstream, and its label in the metrics.
-fn call_end(fault: &Fault) -> (CallEnd, &'static str) {
+/// Returns how a fault, and a silence until then, count for the upstream, and the label in the
+/// metrics.
+fn call_end(fault: &Fault, silent: bool) -> (CallEnd, &'static str) {
     match fault {
         Fault::Connect(_) => (CallEnd::Refused, "refused"),
         Fault::Busy(_) => (CallEnd::Busy, "busy"),
         Fault::Draining => (CallEnd::Leaving, "leaving"),
-        Fault::Silent => (CallEnd::Silent, "silent"),
+        Fault::Deadline if silent => (CallEnd::Silent, "silent"),
         Fault::Stale => (CallEnd::Abandoned, "stale"),
         Fault::Deadline => (CallEnd::Abandoned, "deadline"),
         Fault::IdMismatch => (CallEnd::Failed, "echo"),
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -35,7 +35,7 @@
 pub struct Pick {
     /// The upstream.
     pub upstream: Arc<UpstreamView>,
-    /// The time to the first byte after which the connection counts as silent.
+    /// The time to the first byte after which the call counts as silent.
     pub first_byte_limit: Duration,
     /// The delay after which a second call to another upstream is worth it, if at all.
     pub hedge_after: Option<Duration>,
@@ -46,6 +46,19 @@
     pub(crate) prefix: Option<(u64, bool)>,
 }
 
+impl Pick {
+    /// Picks the same upstream for one more call.
+    pub(crate) fn again(&self, now: Micros) -> Self {
+        self.upstream.state.call_started(now);
+        Self {
+            upstream: Arc::clone(&self.upstream),
+            pool: Arc::clone(&self.pool),
+            start: now,
+            ..*self
+        }
+    }
+}
+
 impl Drop for Pick {
     fn drop(&mut self) {
         self.upstream.state.own_calls.fetch_sub(1, Ordering::Relaxed);
@@ -72,7 +85,8 @@
     Leaving,
     /// The connection broke, or the answer was an error or had a wrong echo.
     Failed,
-    /// The call made no progress within its limit.
+    /// The call made no progress within its limit, nor until another one took over or its deadline
+    /// passed.
     Silent,
     /// The entry abandoned the call for a reason unrelated to the upstream: the caller left, or
     /// another call of the same hedge won.
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -217,10 +217,9 @@
         }
     }
 
-    /// Returns the time to the first byte after which a connection counts as silent. It doubles
-    /// with every few silent calls in a row over the whole pool. Otherwise, if the pool is slower
-    /// than the limit, every call would be abandoned before its first byte, and nothing would ever
-    /// correct the limit.
+    /// Returns the time to the first byte after which a call counts as silent. It doubles with every
+    /// few silent calls in a row over the whole pool. Otherwise, if the pool is slower than the
+    /// limit, every call would be made twice.
     pub(crate) fn first_byte_limit(&self) -> Micros {
         let known = match self.first_byte_limit.load(Ordering::Relaxed) {
             0 => {
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -274,6 +274,11 @@
             .ok_or_else(|| state.refuse(RefusalReason::NoUpstream, LOWEST_PRIORITY, now))
     }
 
+    /// Chooses the upstream of a call in flight for one more call.
+    pub fn pick_again(&self, pick: &Pick, now: Instant) -> Pick {
+        pick.again(self.clock.observe(now))
+    }
+
     /// Records how a call ended.
     pub fn call_ended(&self, pick: &Pick, end: CallEnd, now: Instant) {
         let now = self.clock.observe(now);
--- a/crates/upstream/src/cancel.rs
+++ b/crates/upstream/src/cancel.rs
@@ -12,6 +12,7 @@
 use crate::calls::Calls;
 use crate::exchange::{self, Outgoing};
 use crate::limits::Limits;
+use crate::watch::Watch;
 
 const CANCEL_PATH: &str = "/v1/cancel";
 
@@ -58,10 +59,11 @@
     let body = Bytes::from(format!("{{\"request_id\":\"{call}\"}}"));
     let limits = Limits::new(Instant::now() + CANCEL_TIMEOUT, CANCEL_TIMEOUT);
     let path = Uri::from_static(CANCEL_PATH);
-    let out = Outgoing { call, path, body, key: None, limits, fresh: false };
+    let out =
+        Outgoing { call, path, body, key: None, limits, watch: Watch::default(), fresh: false };
     match exchange::open(&calls.pool(address), &out).await {
         Ok(mut opened) => {
-            if body::whole(opened.response.body_mut(), &limits).await.is_ok() {
+            if body::whole(opened.response.body_mut(), &limits, || {}).await.is_ok() {
                 opened.lease.give_back();
             }
         }
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::Uri;
 use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
 use types::{CallId, Micros, ModelName, Priority, Tokens};
 
 use crate::body;
@@ -16,6 +17,7 @@
 use crate::limits::Limits;
 use crate::pool::Lease;
 use crate::sse::DataLines;
+use crate::watch::Watch;
 
 const COMPLETIONS_PATH: &str = "/v1/completions";
 
@@ -114,18 +116,20 @@
     /// The position of the next token.
     next_position: u64,
     limits: Limits,
+    watch: Watch,
     sent: Instant,
     /// The time to the first token or, before there is one, to the head of the response.
     pub first_byte: Duration,
     /// Whether an event was received. Engines may send the head at once and the first token a second
-    /// later, so the first-byte timeout applies until then.
+    /// later, so the limit of the first byte applies until then.
     started: bool,
     usage: Option<EngineUsage>,
     cancel: CancelOnDrop,
 }
 
 impl Calls {
-    /// Starts a stream at the first token, or after the tokens that were already delivered.
+    /// Starts a stream at the first token, or after the tokens that were already delivered. While the
+    /// stream is silent, it goes on, and `watch` reports that.
     ///
     /// # Errors
     /// Returns what went wrong and whether the call may have run.
@@ -134,6 +138,7 @@
         target: Target,
         generation: Generation<'_>,
         limits: Limits,
+        watch: Watch,
     ) -> Result<EngineStream, CallError> {
         let resumed = generation.position > 0;
         let body = RequestBody {
@@ -155,7 +160,7 @@
         })?;
         let path = Uri::from_static(COMPLETIONS_PATH);
         let (body, fresh) = (Bytes::from(body), target.fresh);
-        let out = Outgoing { call: generation.call, path, body, key: None, limits, fresh };
+        let out = Outgoing { call: generation.call, path, body, key: None, limits, watch, fresh };
         // Armed before the first byte leaves: a call that is dropped while it waits for the head may
         // be running already.
         let mut cancel = CancelOnDrop::arm(self, target.address, generation.call);
@@ -173,6 +178,7 @@
             call: generation.call,
             next_position: generation.position,
             limits,
+            watch: out.watch,
             sent,
             first_byte,
             started: false,
@@ -186,7 +192,7 @@
     /// Returns the next token in order, or the end of a complete stream.
     ///
     /// # Errors
-    /// Returns an error where the stream is truncated or silent, skips a position or belongs to
+    /// Returns an error where the stream is truncated or its deadline passes, skips a position or belongs to
     /// another call. After an error or the end, every further call returns an error.
     pub async fn next(&mut self) -> Result<EngineEvent, CallError> {
         loop {
@@ -215,14 +221,15 @@
     }
 
     async fn read(&mut self) -> Result<(), Fault> {
-        let Some((_, body)) = &mut self.opened else {
+        let Some((lease, body)) = &mut self.opened else {
             return Err(Fault::Truncated("the stream has ended".to_owned()));
         };
         let mut limits = self.limits;
         if !self.started {
             limits.idle = limits.first_byte.saturating_sub(self.sent.elapsed());
         }
-        match body::next(body, &limits).await? {
+        let silent = || lease.silent(self.sent, &self.watch);
+        match body::next(body, &limits, silent).await? {
             Some(data) => {
                 self.size += data.len() as u64;
                 if self.size > limits.max_bytes {
@@ -287,7 +294,8 @@
             return Err(self.fail(Fault::Truncated("the stream has ended".to_owned())));
         };
         // The stream is complete. The connection is reused only if the body ends properly, too.
-        let ended = matches!(body::next(&mut body, &self.limits).await, Ok(None));
+        let end = body::next(&mut body, &self.limits, || {});
+        let ended = matches!(timeout(self.limits.idle, end).await, Ok(Ok(None)));
         if ended && self.lines.is_empty() {
             lease.give_back();
         }
@@ -299,9 +307,6 @@
         let mut reused = false;
         if let Some((lease, _)) = self.opened.take() {
             reused = lease.reused;
-            if fault == Fault::Silent {
-                lease.pool().discard_stale(self.sent);
-            }
             drop(lease);
         }
         CallError { step: "read stream", peer, fault, sent: Sent::Maybe, reused }
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -15,6 +15,7 @@
 use crate::fault::{CallError, Declined, Fault, Sent, Unsent};
 use crate::limits::Limits;
 use crate::pool::{Lease, Pool};
+use crate::watch::{self, Watch};
 
 /// The timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -38,6 +39,7 @@
     pub(crate) body: Bytes,
     pub(crate) key: Option<&'a IdempotencyKey>,
     pub(crate) limits: Limits,
+    pub(crate) watch: Watch,
     /// Whether the call needs a new connection.
     pub(crate) fresh: bool,
 }
@@ -107,20 +109,16 @@
 async fn send(mut lease: Lease, out: &Outgoing<'_>) -> Result<Opened, CallError> {
     let request = build_request(lease.pool(), out);
     let sent = Instant::now();
-    let silent_at = sent + out.limits.first_byte;
-    let deadline = silent_at.min(out.limits.deadline);
+    let (limit, deadline) = (out.limits.first_byte, out.limits.deadline.into());
     let Some(connection) = lease.connection() else {
         return Err(failed(lease, "send", Fault::Stale));
     };
     let waiting = connection.sender.send_request(request);
-    let response = match timeout_at(deadline.into(), waiting).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(e)) => return Err(connection_error(lease, &e)),
-        Err(_) if deadline < silent_at => return Err(failed(lease, "read head", Fault::Deadline)),
-        Err(_) => {
-            lease.pool().discard_stale(sent);
-            return Err(failed(lease, "read head", Fault::Silent));
-        }
+    let silent = || lease.silent(sent, &out.watch);
+    let response = match watch::progress(waiting, limit, deadline, silent).await {
+        Some(Ok(response)) => response,
+        Some(Err(e)) => return Err(connection_error(lease, &e)),
+        None => return Err(failed(lease, "read head", Fault::Deadline)),
     };
     let first_byte = sent.elapsed();
     if !repeats_id(response.headers(), out.call) {
--- a/crates/upstream/src/fault.rs
+++ b/crates/upstream/src/fault.rs
@@ -61,8 +61,6 @@
     Malformed(String),
     /// The stream skipped a position: the expected position and the received one.
     Gap(u64, u64),
-    /// No byte arrived within the timeout.
-    Silent,
     /// The deadline passed.
     Deadline,
 }
@@ -80,7 +78,6 @@
             Fault::TooLarge(limit) => write!(f, "response exceeds {limit} bytes"),
             Fault::Malformed(why) => write!(f, "malformed response: {why}"),
             Fault::Gap(want, got) => write!(f, "stream skipped from position {want} to {got}"),
-            Fault::Silent => f.write_str("no progress within the limit"),
             Fault::Deadline => f.write_str("deadline passed"),
         }
     }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod sse;
 mod stage;
+mod watch;
 mod write_counter;
 
 pub use calls::{Calls, Target};
@@ -22,4 +23,5 @@
 pub use fault::{CallError, Declined, Fault, Sent, Unsent};
 pub use limits::Limits;
 pub use stage::{StageCall, StageReply};
+pub use watch::{Silence, Watch};
 pub use write_counter::{CountedStream, WriteCounter};
--- a/crates/upstream/src/pool.rs
+++ b/crates/upstream/src/pool.rs
@@ -7,6 +7,7 @@
 use http::HeaderValue;
 
 use crate::connection::Connection;
+use crate::watch::{Silence, Watch};
 
 /// The time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -90,6 +91,12 @@
         self.connection.as_mut()
     }
 
+    /// Reports that the call that was sent at `sent` is silent.
+    pub(crate) fn silent(&self, sent: Instant, watch: &Watch) {
+        self.pool.discard_stale(sent);
+        watch.report(Silence { reused: self.reused });
+    }
+
     /// Closes the connection; returns whether any byte of this call was written to it.
     pub(crate) fn close(mut self) -> bool {
         let written_before = self.written_before;
--- a/crates/upstream/src/stage.rs
+++ b/crates/upstream/src/stage.rs
@@ -13,6 +13,7 @@
 use crate::exchange::{self, Opened, Outgoing};
 use crate::fault::{CallError, Fault, Sent, Unsent};
 use crate::limits::Limits;
+use crate::watch::Watch;
 
 /// The path of stage pools.
 const STAGE_PATH: &str = "/v1/stage";
@@ -64,7 +65,8 @@
 }
 
 impl Calls {
-    /// Calls an upstream of a stage pool or of a plain service.
+    /// Calls an upstream of a stage pool or of a plain service. While the call is silent, it goes on,
+    /// and `watch` reports that.
     ///
     /// # Errors
     /// Returns what went wrong and whether the call may have run.
@@ -73,6 +75,7 @@
         target: Target,
         call: StageCall<'_>,
         limits: Limits,
+        watch: Watch,
     ) -> Result<StageReply, CallError> {
         let unsent = |step, fault| CallError {
             step,
@@ -87,30 +90,22 @@
         let body = serde_json::to_vec(&call);
         let body = body.map_err(|e| unsent("write body", Fault::Malformed(e.to_string())))?;
         let (body, key, fresh) = (Bytes::from(body), call.key, target.fresh);
-        let out = Outgoing { call: call.call, path, body, key, limits, fresh };
+        let out = Outgoing { call: call.call, path, body, key, limits, watch, fresh };
         let opened = exchange::open(&self.pool(target.address), &out).await?;
-        read_reply(opened, call.call, &limits).await
+        read_reply(opened, &out).await
     }
 }
 
-async fn read_reply(
-    opened: Opened,
-    call: CallId,
-    limits: &Limits,
-) -> Result<StageReply, CallError> {
+async fn read_reply(opened: Opened, out: &Outgoing<'_>) -> Result<StageReply, CallError> {
     let Opened { lease, mut response, sent, first_byte } = opened;
     if !body::is_delimited(&response) {
         let fault = Fault::Malformed("the body has no length".to_owned());
         return Err(exchange::failed(lease, "read body", fault));
     }
-    let body = match body::whole(response.body_mut(), limits).await {
+    let silent = || lease.silent(sent, &out.watch);
+    let body = match body::whole(response.body_mut(), &out.limits, silent).await {
         Ok(body) => body,
-        Err(fault) => {
-            if fault == Fault::Silent {
-                lease.pool().discard_stale(sent);
-            }
-            return Err(exchange::failed(lease, "read body", fault));
-        }
+        Err(fault) => return Err(exchange::failed(lease, "read body", fault)),
     };
     let reply: ReplyBody = match serde_json::from_slice(&body) {
         Ok(reply) => reply,
@@ -119,7 +114,7 @@
             return Err(exchange::failed(lease, "parse body", fault));
         }
     };
-    if reply.call != call {
+    if reply.call != out.call {
         return Err(exchange::failed(lease, "check echo", Fault::IdMismatch));
     }
     lease.give_back();
