Refuse what waits for its body or the plan when the process comes to its end

Callers saw: neither an answer nor a refusal to a request that an ending entry had read. Cause: only requests that were being run were told that the process closes. Evidence: two tests of callers_drain.rs failed before: the drain returned without an answer. Change: all that a request waits for before it is run ends with the phase Closing as well: 503, not run. After: callers_drain.rs 3 of 3.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -22,6 +22,7 @@
 use crate::directory::Directory;
 use crate::guard::{GuardedStream, LengthConflict};
 use crate::head_timeout::{HeadTimer, ReadCounter};
+use crate::origin::Origin;
 use crate::panics::answer_anyway;
 use crate::plain;
 use crate::plan::{Limits, RouteKind};
@@ -172,13 +173,37 @@
     reply
 }
 
+/// A request that may be run.
+struct Prepared {
+    request: CallerRequest,
+    service: Arc<str>,
+    origin: Option<Origin>,
+}
+
 async fn route<D: Dialect>(
     shared: &Arc<Shared<D>>,
     streams: &Arc<Streams<D>>,
-    (parts, body): (Parts, &mut Incoming),
+    call: (Parts, &mut Incoming),
     arrived: Instant,
     guard: &mut AnswerGuard,
 ) -> Result<Reply, Refusal> {
+    let prepared = tokio::select! {
+        prepared = prepare(shared, streams, call, arrived, guard) => prepared?,
+        // Without this, a request that waits for its body or the plan would be cut off by the end
+        // of the process.
+        () = shared.drain.closing() => return Err(Refusal::Ending),
+    };
+    run(shared, streams, prepared).await
+}
+
+/// Reads a request and checks whether it may be run.
+async fn prepare<D: Dialect>(
+    shared: &Arc<Shared<D>>,
+    streams: &Arc<Streams<D>>,
+    (parts, body): (Parts, &mut Incoming),
+    arrived: Instant,
+    guard: &mut AnswerGuard,
+) -> Result<Prepared, Refusal> {
     let plan = shared.wait_for_plan().await.ok_or(Refusal::NoPlan)?;
     let memory = shared.body_memory.reserve();
     let request = CallerRequest::read::<D>(plan, parts, body, arrived, memory).await?;
@@ -205,6 +230,16 @@
     if let Some(left) = pause.filter(|it| now + *it > request.target()) {
         return Err(Refusal::Paused(left));
     }
+    Ok(Prepared { request, service, origin })
+}
+
+/// Runs a request.
+async fn run<D: Dialect>(
+    shared: &Arc<Shared<D>>,
+    streams: &Arc<Streams<D>>,
+    Prepared { request, service, origin }: Prepared,
+) -> Result<Reply, Refusal> {
+    let arrived = request.arrived;
     let engine = request.plan.services.get(&service).is_some_and(|it| it.engine.is_some());
     let (attempt, deadline) = (request.head.attempt.clone(), request.first_event_by);
     let (kind, late) = (request.route.kind, request.timeout_watch());
