Let a silent stream look once whatever it has used up

What callers might see: a stream whose engine is dark for good, and that other engines had turned away as often as allowed before it began, would have stayed there until its deadline; before the streams stayed with silent engines it was offered to one more.

Cause: the limits of offers and of runs of the stages applied to the first look in a silence.

Change: they apply to later looks.

--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -121,7 +121,12 @@
                     }
                 }
             };
-            self.log(&part, why, not_resumed, "ended a stream before it was complete");
+            log::info!(request = self.request.head.attempt.as_str(), upstream:% = part.upstream.id,
+                last = self.last_event, cause = why, not_resumed = not_resumed.map(|it| it.to_string()),
+                silent_ms = self.silent_ms(&part), left_ms = self.left_ms(),
+                runs = self.tries.runs, digest:% = self.request.digest(),
+                parts = self.request.shared_parts_text();
+                "ended a stream before it was complete");
             shared.metrics.streams_cut.with_label_values(&[why]).inc();
             // The stream is incomplete, so the caller's connection is closed without a proper end.
             let _ = self.events.send(Err(Truncated)).await;
@@ -129,15 +134,16 @@
         }
     }
 
-    fn log(&self, part: &Part, why: &str, not_resumed: Option<NotResumed>, message: &str) {
+    /// Returns for how long nothing has come from the engine.
+    fn silent_ms(&self, part: &Part) -> u64 {
         let heard = part.times.first.map_or(self.heard, |it| self.heard.max(it));
+        heard.elapsed().as_millis() as u64
+    }
+
+    /// Returns how much time the request has left.
+    fn left_ms(&self) -> u64 {
         let left = self.request.deadline.saturating_duration_since(Instant::now());
-        log::info!(request = self.request.head.attempt.as_str(), upstream:% = part.upstream.id,
-            last = self.last_event, cause = why, not_resumed = not_resumed.map(|it| it.to_string()),
-            silent_ms = heard.elapsed().as_millis() as u64, left_ms = left.as_millis() as u64,
-            runs = self.tries.runs, digest:% = self.request.digest(),
-            parts = self.request.shared_parts_text();
-            "{message}");
+        left.as_millis() as u64
     }
 
     /// Forwards the events of one engine.
@@ -197,18 +203,23 @@
             if Instant::now() >= self.request.deadline {
                 return Err(ForwardEnd::Late);
             }
-            if silence.begin_look() && self.request.route.resumable {
+            let first = silence.begin_look();
+            if first && self.request.route.resumable {
                 part.upstream.record_failure(false);
                 part.upstream.check_path();
             }
-            match self.look(own, part).await {
+            match self.look(own, part, first).await {
                 Sought::Taken(next) => return Err(ForwardEnd::Taken(next)),
                 Sought::Heard(own, next) => return Ok((own, next)),
                 Sought::NotTaken(it, cause) => {
                     own = it;
                     silence.record_not_taken(Instant::now());
                     if cause != NotResumed::NotAllowed {
-                        self.log(part, SILENT, Some(cause), "no other engine took a silent stream");
+                        log::info!(request = self.request.head.attempt.as_str(),
+                            upstream:% = part.upstream.id, last = self.last_event, not_resumed:% = cause,
+                            silent_ms = self.silent_ms(part), left_ms = self.left_ms(),
+                            runs = self.tries.runs;
+                            "no other engine took a silent stream");
                     }
                 }
                 Sought::Left(cause) | Sought::Lost(cause) => {
--- a/crates/gateway/src/stream/seek.rs
+++ b/crates/gateway/src/stream/seek.rs
@@ -79,16 +79,21 @@
         terms.may_move()
     }
 
-    /// Looks for another engine because the stream's own one is silent. If that one was left and no other
-    /// took the stream, looks again, there too.
-    pub(super) async fn look(&mut self, own: Box<AttachedStream>, part: &Part) -> Sought {
-        if let Err(cause) = self.may_look(part) {
+    /// Looks for another engine because the stream's own one is silent, for the `first` time or again. If
+    /// that one was left and no other took the stream, looks again, there too.
+    pub(super) async fn look(
+        &mut self,
+        own: Box<AttachedStream>,
+        part: &Part,
+        first: bool,
+    ) -> Sought {
+        if let Err(cause) = self.may_look(part, first) {
             return Sought::NotTaken(own, cause);
         }
         let own = Own { engine: Some(own), is_lost: false };
         let mut sought = self.seek(own, part, SILENT).await;
         while let Sought::Left(NotResumed::Refused(_) | NotResumed::NoStream) = sought
-            && self.may_look(part).is_ok()
+            && self.may_look(part, false).is_ok()
         {
             let again = (Instant::now() + AGAIN_PAUSE).min(self.request.deadline);
             tokio::select! {
@@ -101,11 +106,12 @@
         sought
     }
 
-    /// Decides whether another engine may be looked for once more.
-    fn may_look(&mut self, part: &Part) -> Result<(), NotResumed> {
+    /// Decides whether another engine may be looked for, for the `first` time in a silence or again.
+    fn may_look(&mut self, part: &Part, first: bool) -> Result<(), NotResumed> {
         self.may_move(part)?;
         let has_stages = self.request.head.segments.is_some();
-        if !self.tries.offers.has_more() || (has_stages && !self.tries.may_run_stages()) {
+        let has_more = self.tries.offers.has_more() && (!has_stages || self.tries.may_run_stages());
+        if !first && !has_more {
             return Err(NotResumed::Refused(Refusal::NoUpstream));
         }
         self.tries.offers.renew(None);
