Prefer an idle engine to one that was asked and says nothing

What callers saw: a stream that left its silent engine went on at another silent one and ended there, although an engine was idle.

Cause: engines of which nothing had come lately were all alike, whether they had requests to answer or not.

One that got its first request only now is not taken for silent, since many streams leave silent engines at the same moment.

Conclusion: streams of engines that fall silent together spread to those that may speak.

--- a/crates/gateway/src/stream/choice.rs
+++ b/crates/gateway/src/stream/choice.rs
@@ -7,6 +7,9 @@
 use tokio::time::Instant;
 use types::SoftwareVersion;
 
+#[cfg(test)]
+mod tests;
+
 use super::Streams;
 use crate::dialect::{Dialect, PromptPart};
 use crate::directory::Directory;
@@ -26,10 +29,33 @@
     /// The version at which the stream began, if it is resumed. What two versions write does not fit
     /// together.
     pub(super) version: Option<&'a SoftwareVersion>,
-    /// Engines that were heard since then are preferred.
+    /// Engines that were heard since then are preferred, then those that run nothing.
     pub(super) heard_since: Option<Instant>,
 }
 
+/// How much speaks for an engine's being silent; those with the least are chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Doubt {
+    /// It was heard.
+    None,
+    /// It ran nothing of this entry all the time, so it had nothing to say.
+    Unknown,
+    /// It ran requests all the time, and was not heard.
+    Silent,
+}
+
+impl Doubt {
+    fn of(engine: &Upstream, since: Instant) -> Self {
+        if engine.has_been_heard_since(since) {
+            Self::None
+        } else if engine.has_been_busy_since(since) {
+            Self::Silent
+        } else {
+            Self::Unknown
+        }
+    }
+}
+
 /// Returns the engines of a service, or those of one version.
 pub(super) fn engines<'a>(
     directory: &'a Directory,
@@ -59,11 +85,9 @@
         if candidates.iter().any(fit) {
             candidates.retain(fit);
         }
-        let heard = |it: &Arc<Upstream>| {
-            criteria.heard_since.is_some_and(|since| it.has_been_heard_since(since))
-        };
-        if candidates.iter().any(heard) {
-            candidates.retain(heard);
+        if let Some(since) = criteria.heard_since {
+            let least = candidates.iter().map(|it| Doubt::of(it, since)).min();
+            candidates.retain(|it| least == Some(Doubt::of(it, since)));
         }
         let load = |it: &Upstream| Load {
             running: f64::from(it.total_running()),
--- a/crates/gateway/src/stream/tries.rs
+++ b/crates/gateway/src/stream/tries.rs
@@ -25,7 +25,7 @@
     pub(super) version: SoftwareVersion,
     /// When the next event is due.
     pub(super) due: Instant,
-    /// Engines that were heard since then are preferred.
+    /// Engines that were heard since then are preferred, then those that run nothing.
     pub(super) heard_since: Option<Instant>,
     /// Shows when the request was sent to the engine that it is offered to.
     pub(super) sends: Arc<SendWatch>,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -60,6 +60,8 @@
     /// When something arrived from it last, in ms since it was listed.
     heard_ms: AtomicU64,
     listed_at: Instant,
+    /// When it began to run requests of this entry without a break, in ms since it was listed.
+    busy_ms: AtomicU64,
     draining: AtomicBool,
     /// Whether an answer of this incarnation has said that it leaves. A list that calls it ready may be
     /// older than the answer.
@@ -114,6 +116,7 @@
             latest: LatestIncarnation::default(),
             heard_ms: AtomicU64::new(0),
             listed_at: Instant::now(),
+            busy_ms: AtomicU64::new(0),
             draining: AtomicBool::new(listed.health == registry::Health::Draining),
             leaving: AtomicBool::new(false),
             evacuated: AtomicBool::new(false),
@@ -225,8 +228,12 @@
 
     /// Records that something has arrived from the upstream.
     pub(crate) fn record_heard(&self) {
-        let ms = self.listed_at.elapsed().as_millis() as u64;
-        self.heard_ms.fetch_max(ms, Ordering::Relaxed);
+        self.heard_ms.fetch_max(self.age_ms(), Ordering::Relaxed);
+    }
+
+    /// Returns for how long it has been listed.
+    fn age_ms(&self) -> u64 {
+        self.listed_at.elapsed().as_millis() as u64
     }
 
     /// Returns whether something has arrived from the upstream since then.
--- a/crates/gateway/src/upstream/running.rs
+++ b/crates/gateway/src/upstream/running.rs
@@ -3,6 +3,9 @@
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
 
 use super::Upstream;
 
@@ -27,10 +30,18 @@
     pub(crate) fn begin_request(self: &Arc<Self>, tokens: u64) -> RunningRequest {
         let mut in_use = self.in_use.lock();
         in_use.entry(Arc::clone(&self.id)).or_insert_with(|| Arc::clone(self));
-        self.running.fetch_add(1, Ordering::Relaxed);
+        if self.running.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.busy_ms.store(self.age_ms(), Ordering::Relaxed);
+        }
         self.tokens.fetch_add(tokens, Ordering::Relaxed);
         RunningRequest { upstream: Arc::clone(self), tokens }
     }
+
+    /// Returns whether it has run requests of this entry without a break since before `then`.
+    pub(crate) fn has_been_busy_since(&self, then: Instant) -> bool {
+        let busy = self.listed_at + Duration::from_millis(self.busy_ms.load(Ordering::Relaxed));
+        self.running() > 0 && busy < then
+    }
 }
 
 /// Counts a request as running at an upstream until it is dropped.
