Keep a silent call of a stage while somebody waits for its pieces

Cause: a call was dropped after four times its expected time and 1 s, and a piece failed with one of its calls although another one had it.

Change: a silent call no longer occupies its upstream, and its pieces are queued again as before (sends, budget), but it goes on in the background until the deadline of its pieces, and its results are used. It is dropped, which makes the upstream cancel it, once nobody waits for one of its pieces. A piece fails only with the last call that has it; a copy that waits in vain fails nothing while a call has the piece. What is in flight stands in owner/calls.rs, where the pieces are is looked up instead of remembered.

Conclusion: a silence of a stage's upstream ends no request that has time left.

--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -1,6 +1,7 @@
 //! The owner's side: queues the pieces of its sections and sends the calls.
 
 mod audience;
+mod calls;
 mod jobs;
 mod lending;
 mod notify;
@@ -25,6 +26,7 @@
 use crate::upstream::Upstream;
 
 use self::audience::Audience;
+use self::calls::{Calls, InFlightCall};
 use self::jobs::SubmitContext;
 use self::space::SpaceQuery;
 
@@ -41,11 +43,12 @@
 /// See [`OVERDUE_FACTOR`].
 const OVERDUE_SLACK: Duration = Duration::from_millis(150);
 
-/// A call that takes this many times its expected time plus [`TIMEOUT_SLACK`] is abandoned.
-const TIMEOUT_FACTOR: u32 = 4;
+/// A call that takes this many times its expected time plus [`SILENCE_SLACK`] is silent: its upstream gets
+/// other calls while it goes on.
+const SILENCE_FACTOR: u32 = 4;
 
-/// See [`TIMEOUT_FACTOR`].
-const TIMEOUT_SLACK: Duration = Duration::from_secs(1);
+/// See [`SILENCE_FACTOR`].
+const SILENCE_SLACK: Duration = Duration::from_secs(1);
 
 /// How long an upstream takes to fetch the inputs of a call after it was sent. At 10 Gbit/s a fetch
 /// takes some ms, but several calls may fetch from one upstream at once.
@@ -102,29 +105,12 @@
     left: HashSet<u32>,
 }
 
-/// A call in flight.
-struct InFlightCall {
-    call: u64,
-    section: Section,
-    overdue_at: Instant,
-    pieces: Vec<Piece>,
-    /// Whether the call was found to be overdue.
-    is_overdue: bool,
-    /// The pieces that were queued again when the call became overdue, by job and index. Other
-    /// upstreams may complete them.
-    requeued: HashSet<(JobKey, u32)>,
-    /// When the upstream is expected to have fetched the inputs, and whether the submitters were
-    /// told so.
-    fetched_at: Instant,
-    fetched_sent: bool,
-}
-
 struct State<D> {
     shared: Arc<Shared<D>>,
     events: mpsc::UnboundedSender<OwnerEvent>,
     queues: HashMap<Section, Queue>,
     jobs: HashMap<JobKey, OpenJob>,
-    in_flight: HashMap<Arc<str>, InFlightCall>,
+    calls: Calls,
     /// The state of the query for free space at each upstream.
     space_queries: HashMap<Arc<str>, SpaceQuery>,
     /// The number of the last call.
@@ -153,7 +139,7 @@
             events: events.clone(),
             queues: HashMap::new(),
             jobs: HashMap::new(),
-            in_flight: HashMap::new(),
+            calls: Calls::default(),
             space_queries: HashMap::new(),
             last_call: 0,
             released: HashMap::new(),
@@ -278,6 +264,8 @@
             self.return_jobs();
         }
         self.requeue_overdue(now);
+        self.leave_silent(now);
+        self.abandon_unwanted();
         self.send_fetched(now);
         let sections: Vec<Section> = self.queues.keys().cloned().collect();
         for section in sections {
@@ -302,7 +290,8 @@
         let Some(queue) = self.queues.get_mut(section) else { return };
         let mut late = queue.take_expired(served_from);
         late.append(&mut queue.take_infeasible(available, now));
-        for piece in late {
+        // A call that has the piece may still answer.
+        for piece in late.into_iter().filter(|it| !self.calls.hold(it)).collect::<Vec<_>>() {
             self.deliver(&piece, Err(PieceFailure::Late), now, Duration::ZERO);
         }
     }
@@ -316,12 +305,6 @@
         upstreams.iter().filter(available).count()
     }
 
-    /// Returns whether an upstream works on a call of another section. This happens when the list
-    /// of upstreams has changed since the call was sent.
-    fn is_used_elsewhere(&self, upstream: &str, section: &Section) -> bool {
-        self.in_flight.get(upstream).is_some_and(|it| it.section != *section)
-    }
-
     fn send_calls(&mut self, section: &Section, now: Instant) {
         if self.queues.get(section).is_none_or(Queue::is_empty) {
             return;
@@ -336,7 +319,7 @@
                 available: it.is_open()
                     && !it.is_ejected(now)
                     && it.pause_end(now).is_none()
-                    && !self.is_used_elsewhere(&it.id, section)
+                    && !self.calls.is_used_elsewhere(&it.id, section)
                     && self.is_space_known(it, section, now),
                 limit: it.owner_room(now).map_or(usize::MAX, |it| it as usize),
             })
@@ -364,24 +347,25 @@
         self.last_call += 1;
         self.record_call(&upstream.id, now);
         upstream.record_call(next.pieces.len() as u32, now);
-        let in_flight = InFlightCall {
+        let task = tokio::spawn(call::<D>(
+            self.events.clone(),
+            Arc::clone(&upstream),
+            section.clone(),
+            self.last_call,
+            next.pieces.clone(),
+        ));
+        self.calls.insert(InFlightCall {
             call: self.last_call,
             section: section.clone(),
+            upstream,
+            task: task.abort_handle(),
             overdue_at: now + next.expected.mul_f64(OVERDUE_FACTOR) + OVERDUE_SLACK,
-            pieces: next.pieces.clone(),
+            silent_at: now + next.expected * SILENCE_FACTOR + SILENCE_SLACK,
+            pieces: next.pieces,
             is_overdue: false,
-            requeued: HashSet::new(),
             fetched_at: now + INPUT_FETCH_TIME,
             fetched_sent: false,
-        };
-        self.in_flight.insert(Arc::clone(&next.upstream), in_flight);
-        tokio::spawn(call::<D>(
-            self.events.clone(),
-            upstream,
-            section.clone(),
-            self.last_call,
-            next,
-        ));
+        });
     }
 }
 
@@ -390,16 +374,15 @@
     upstream: Arc<Upstream>,
     section: Section,
     call: u64,
-    next: NextCall,
+    pieces: Vec<Piece>,
 ) {
     let start = Instant::now();
-    let calls: Vec<_> = next.pieces.iter().map(|it| it.to_call(start)).collect();
-    let by = start + next.expected * TIMEOUT_FACTOR + TIMEOUT_SLACK;
-    let permits: Vec<Arc<RetryPermit>> =
-        next.pieces.iter().filter_map(|it| it.permit.clone()).collect();
+    let calls: Vec<_> = pieces.iter().map(|it| it.to_call(start)).collect();
+    let by = pieces.iter().map(|it| it.deadline).max().unwrap_or(start);
+    let permits: Vec<Arc<RetryPermit>> = pieces.iter().filter_map(|it| it.permit.clone()).collect();
     let outcome = exchange::pieces::<D>(&upstream, &calls, &permits, by).await;
     let took = start.elapsed();
-    let end = CallEnd { section, upstream, call, pieces: next.pieces, took, outcome };
+    let end = CallEnd { section, upstream, call, pieces, took, outcome };
     // The owner's task ends only with the process.
     let _ = events.send(OwnerEvent::CallEnded(end));
 }
--- a/crates/gateway/src/batch/owner/jobs.rs
+++ b/crates/gateway/src/batch/owner/jobs.rs
@@ -83,8 +83,7 @@
     /// down.
     pub(super) fn return_jobs(&mut self) {
         self.jobs_returned = true;
-        let in_flight: HashSet<JobKey> =
-            self.in_flight.values().flat_map(|it| &it.pieces).map(|it| it.job).collect();
+        let in_flight = self.calls.jobs();
         let mut back = HashSet::new();
         self.jobs.retain(|key, open| {
             if key.origin == LOCAL_ORIGIN || in_flight.contains(key) {
--- a/crates/gateway/src/batch/owner/notify.rs
+++ b/crates/gateway/src/batch/owner/notify.rs
@@ -46,7 +46,7 @@
 
     /// Tells the submitters of calls in flight when the inputs have been fetched.
     pub(super) fn send_fetched(&mut self, now: Instant) {
-        for call in self.in_flight.values_mut() {
+        for call in self.calls.in_time() {
             if call.fetched_sent || now < call.fetched_at || call.is_overdue {
                 continue;
             }
--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -1,15 +1,16 @@
 //! Handles the outcomes of calls: delivers each result once, and queues lost pieces again.
 
-use std::collections::{BTreeSet, HashSet};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use registry::RequestDigest;
 use tokio::time::Instant;
 
-use super::{CallEnd, InFlightCall, State};
+use super::calls::Known;
+use super::{CallEnd, State};
 use crate::batch::message::{FromOwner, PiecesDone};
-use crate::batch::queue::{JobKey, Piece};
+use crate::batch::queue::Piece;
 use crate::budget::{Retries, Share, Spender};
 use crate::dialect::{Dialect, PieceFailure, PieceResult};
 use crate::exchange::Cause;
@@ -28,24 +29,47 @@
     /// Queues the pieces of overdue calls again where they may be sent again. The others stay with
     /// their call, which may still answer.
     pub(super) fn requeue_overdue(&mut self, now: Instant) {
-        let is_late = |it: &InFlightCall| !it.is_overdue && now >= it.overdue_at;
-        let late: Vec<Arc<str>> =
-            self.in_flight.iter().filter(|it| is_late(it.1)).map(|it| Arc::clone(it.0)).collect();
-        for upstream in late {
-            let Some(mut call) = self.in_flight.remove(&upstream) else { continue };
-            call.is_overdue = true;
-            for piece in &call.pieces {
-                if self.try_requeue(piece, now) {
-                    call.requeued.insert((piece.job, piece.segment));
-                }
+        for piece in self.calls.take_overdue(now) {
+            if !self.is_taken_over(&piece) {
+                self.try_requeue(&piece, now);
+            }
+        }
+    }
+
+    /// Lets the upstreams of calls that are silent get other calls. Their pieces are queued again as those of
+    /// failed calls, but fail only with the last call that has them.
+    pub(super) fn leave_silent(&mut self, now: Instant) {
+        for number in self.calls.leave_silent(now) {
+            let Some(call) = self.calls.silent(number) else { continue };
+            let (upstream, pieces) = (Arc::clone(&call.upstream), call.pieces.clone());
+            log::warn!(upstream:% = upstream.id, section:% = call.section, pieces = pieces.len();
+                "an upstream is silent with a call; other upstreams may get its pieces");
+            if let Some(queue) = self.queues.get_mut(&call.section) {
+                queue.call_ended(&upstream.id, pieces.len(), None, now);
             }
-            self.in_flight.insert(upstream, call);
+            upstream.record_failure(false);
+            upstream.check_path();
+            self.requeue_all(&pieces, now);
         }
     }
 
-    /// Queues a piece again, or fails it if it may not be sent again.
+    /// Drops silent calls that nobody waits for.
+    pub(super) fn abandon_unwanted(&mut self) {
+        let jobs = &self.jobs;
+        let wanted =
+            |it: &Piece| jobs.get(&it.job).is_some_and(|job| job.left.contains(&it.segment));
+        self.calls.abandon(wanted);
+    }
+
+    /// Returns whether a piece waits for another call, or runs in another one that is in time.
+    fn is_taken_over(&self, piece: &Piece) -> bool {
+        self.queues.values().any(|it| it.has_piece(piece)) || self.calls.hold_in_time(piece)
+    }
+
+    /// Queues a piece again unless another call takes it over, or fails it if it may not be sent again and no
+    /// other call has it.
     fn requeue_or_fail(&mut self, piece: &Piece, now: Instant) {
-        if !self.try_requeue(piece, now) {
+        if !self.is_taken_over(piece) && !self.try_requeue(piece, now) && !self.calls.hold(piece) {
             self.deliver(piece, Err(PieceFailure::Failed), now, Duration::ZERO);
         }
     }
@@ -83,11 +107,11 @@
 
     pub(super) fn call_ended(&mut self, mut end: CallEnd) {
         let now = Instant::now();
-        let call = self.in_flight.remove(&end.upstream.id);
-        let requeued =
-            call.filter(|it| it.call == end.call).map(|it| it.requeued).unwrap_or_default();
+        let known = self.calls.end(&end.upstream.id, end.call);
         let whole = end.outcome.is_ok();
-        if let Some(queue) = self.queues.get_mut(&end.section) {
+        if known == Known::InTime
+            && let Some(queue) = self.queues.get_mut(&end.section)
+        {
             queue.call_ended(&end.upstream.id, end.pieces.len(), whole.then_some(end.took), now);
         }
         match end.outcome {
@@ -96,7 +120,7 @@
                 if incarnation == Incarnation::Ended {
                     log::warn!(upstream:% = end.upstream.id, pieces = end.pieces.len();
                         "ignored results from an earlier incarnation of an upstream; requeuing their pieces");
-                    self.requeue_all(&end.pieces, &requeued, now);
+                    self.requeue_all(&end.pieces, now);
                     return;
                 }
                 if incarnation == Incarnation::Newer
@@ -106,15 +130,15 @@
                 }
                 end.upstream.record_success();
                 for (piece, result) in end.pieces.iter().zip(&answer.results) {
-                    let elsewhere = requeued.contains(&(piece.job, piece.segment));
-                    self.handle_result(&end, piece, result.clone(), elsewhere, now);
+                    self.handle_result(&end, piece, result.clone(), now);
                 }
             }
             Err(fault) => {
                 log::warn!(upstream:% = end.upstream.id, section:% = end.section,
                     pieces = end.pieces.len(), cause:% = fault,
                     ms = end.took.as_millis() as u64; "a call with pieces failed");
-                if !fault.not_run || fault.unreachable {
+                let is_recorded = known == Known::Silent && fault.cause == Cause::Timeout;
+                if !is_recorded && (!fault.not_run || fault.unreachable) {
                     end.upstream.record_failure(fault.unreachable);
                 }
                 match fault.cause {
@@ -127,12 +151,12 @@
                     _ => {}
                 }
                 if fault.unreachable
-                    && requeued.is_empty()
+                    && !end.pieces.iter().any(|it| self.is_taken_over(it))
                     && self.available_upstreams(&end.section, now) > 0
                 {
                     self.requeue_unsent(end.pieces);
                 } else {
-                    self.requeue_all(&end.pieces, &requeued, now);
+                    self.requeue_all(&end.pieces, now);
                 }
             }
         }
@@ -167,24 +191,14 @@
         }
     }
 
-    /// Queues the pieces of a failed call again, except those that were queued again when it became
-    /// overdue.
-    fn requeue_all(&mut self, pieces: &[Piece], requeued: &HashSet<(JobKey, u32)>, now: Instant) {
+    /// Queues the pieces of a failed call again, except those that other calls take over.
+    fn requeue_all(&mut self, pieces: &[Piece], now: Instant) {
         for piece in pieces {
-            if !requeued.contains(&(piece.job, piece.segment)) {
-                self.requeue_or_fail(piece, now);
-            }
+            self.requeue_or_fail(piece, now);
         }
     }
 
-    fn handle_result(
-        &mut self,
-        end: &CallEnd,
-        piece: &Piece,
-        result: PieceResult,
-        elsewhere: bool,
-        now: Instant,
-    ) {
+    fn handle_result(&mut self, end: &CallEnd, piece: &Piece, result: PieceResult, now: Instant) {
         match result {
             Ok(handle) => {
                 if let Some(queue) = self.queues.get_mut(&end.section) {
@@ -200,7 +214,7 @@
                     self.release(vec![handle.to_string()]);
                 }
             }
-            Err(PieceFailure::NoRoom) if !elsewhere => {
+            Err(PieceFailure::NoRoom) => {
                 if let Some(queue) = self.queues.get_mut(&end.section) {
                     log::info!(request = &*piece.attempt, section:% = end.section,
                         upstream:% = end.upstream.id, sends = piece.sends,
@@ -210,8 +224,7 @@
                 }
                 self.requeue_or_fail(piece, now);
             }
-            Err(PieceFailure::Failed) if !elsewhere => self.requeue_or_fail(piece, now),
-            Err(PieceFailure::NoRoom | PieceFailure::Failed) => {}
+            Err(PieceFailure::Failed) => self.requeue_or_fail(piece, now),
             Err(failure) => {
                 self.deliver(piece, Err(failure), now, end.took);
             }
--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -1,6 +1,7 @@
 //! Decides which pieces go into the next call, and to which upstream. Time is passed in; there is
 //! no I/O.
 
+mod jobs;
 mod piece;
 mod upstream_state;
 mod waits;
@@ -114,16 +115,6 @@
         self.waiting.push(piece);
     }
 
-    /// Returns whether a piece of the job is waiting.
-    pub fn has_job(&self, job: JobKey) -> bool {
-        self.waiting.iter().any(|it| it.job == job)
-    }
-
-    /// Removes the pieces of a job.
-    pub fn cancel(&mut self, job: JobKey) {
-        self.waiting.retain(|it| it.job != job);
-    }
-
     /// Removes and returns the pieces whose deadline has passed.
     pub fn take_expired(&mut self, now: Instant) -> Vec<Piece> {
         self.waiting.extract_if(.., |it| it.deadline <= now).collect()
@@ -150,11 +141,6 @@
         self.waiting.extract_if(.., infeasible).collect()
     }
 
-    /// Removes all pieces of jobs for which `dead` returns true.
-    pub fn drop_jobs(&mut self, dead: impl Fn(JobKey) -> bool) {
-        self.waiting.retain(|it| !dead(it.job));
-    }
-
     /// Chooses the next call, if one should be sent now.
     pub fn next_call(&mut self, targets: &[Target], now: Instant) -> Option<NextCall> {
         if self.waiting.is_empty() {
--- a/crates/gateway/src/batch/queue/piece.rs
+++ b/crates/gateway/src/batch/queue/piece.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Returns whether this is the same piece, in another call or queued again.
+    pub(crate) fn is_same(&self, other: &Piece) -> bool {
+        self.job == other.job && self.segment == other.segment
+    }
+
     /// Returns whether the piece may share a call with another one.
     pub(super) fn can_join(&self, other: &Piece) -> bool {
         self.isolated == other.isolated && (!self.isolated || self.job == other.job)
