Keep an ending entry up until the answers that it has handed out are written

Callers saw: nothing shown on a network; the drain took an answer for done once the HTTP library had taken its bytes, with up to some 400 KB of it still unwritten, and could end the process. Evidence: a test with the whole accounting and a pipe of 64 bytes: without the new count the drain sees no request while the caller has 32 bytes of an answer of 100 KiB. Change: an answer counts until its connection has written all bytes or ends; the drain waits for these too, within its grace.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -19,6 +19,7 @@
             phase: AtomicU8::new(Phase::Serving as u8),
             closing: Notify::new(),
             requests: AtomicUsize::new(0),
+            unwritten: AtomicUsize::new(0),
             ended: AtomicU64::new(0),
             ended_ms: AtomicU64::new(0),
         }
@@ -45,6 +46,8 @@
     phase: AtomicU8,
     closing: Notify,
     requests: AtomicUsize,
+    /// The answers that are not written to their callers yet, with those in progress.
+    unwritten: AtomicUsize,
     /// The requests that have ended since [`Drain::take_mean_duration`], and how long they took together.
     ended: AtomicU64,
     ended_ms: AtomicU64,
@@ -83,6 +86,22 @@
         self.inner.requests.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of answers that are not written to their callers yet.
+    pub(crate) fn unwritten(&self) -> usize {
+        self.inner.unwritten.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether no request is in flight and all answers are written.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.in_flight() == 0 && self.unwritten() == 0
+    }
+
+    /// Counts an answer as not written until the returned guard is dropped.
+    pub(crate) fn track_answer(&self) -> UnwrittenAnswer {
+        self.inner.unwritten.fetch_add(1, Ordering::Relaxed);
+        UnwrittenAnswer(Arc::clone(&self.inner))
+    }
+
     /// Counts a request as in flight until the returned guard is dropped.
     pub(crate) fn track_request(&self) -> InFlight {
         self.inner.requests.fetch_add(1, Ordering::Relaxed);
@@ -112,3 +131,13 @@
         self.inner.ended_ms.fetch_add(ms, Ordering::Relaxed);
     }
 }
+
+/// Counts an answer as not written until it is dropped.
+#[derive(Debug)]
+pub(crate) struct UnwrittenAnswer(Arc<Inner>);
+
+impl Drop for UnwrittenAnswer {
+    fn drop(&mut self) {
+        self.0.unwritten.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -99,13 +99,14 @@
         let body_tracker = body_tracker.clone();
         let (mut guard, panics) = (watched.watch(), panics.clone());
         async move {
+            let unwritten = shared.drain.track_answer();
             let takes_less = buffer < buffer_bytes(&shared.caller_limits.get());
             let handler = answer(shared, streams, seen, request, &mut guard);
             let mut reply = answer_anyway(handler, &panics).await;
             if takes_less {
                 announce_close(&mut reply);
             }
-            reply.body_mut().track_writes(body_tracker);
+            reply.body_mut().track_writes(body_tracker, unwritten);
             reply.body_mut().watch_answer(guard);
             Ok::<_, Infallible>(reply)
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -34,7 +34,7 @@
 /// time, so they are refused while it is certain that they did not run.
 const ACCEPT_TIME: Duration = Duration::from_millis(2_900);
 
-/// How long the entry must have had no request in flight before it ends.
+/// How long the entry must have had no request in flight, and no answer to write, before it ends.
 const QUIET_TIME: Duration = Duration::from_millis(700);
 
 /// How much earlier than it would be killed the entry ends by itself.
@@ -141,8 +141,8 @@
     }
 
     /// Drains the entry without cutting off a request. It first reports that it is not ready, then
-    /// announces in answers that their connection closes. Returns when no request is left, or
-    /// `grace` is almost over.
+    /// announces in answers that their connection closes. Returns when no request is left and all
+    /// answers are written, or `grace` is almost over.
     pub async fn drain(&self, grace: Duration) {
         let start = Instant::now();
         self.shared.drain.enter_phase(Phase::Leaving);
@@ -158,13 +158,13 @@
             if now + FINAL_ANSWERS_TIME >= end {
                 self.shared.drain.enter_phase(Phase::Closing);
             }
-            if self.shared.drain.in_flight() > 0 {
+            if !self.shared.drain.is_idle() {
                 last_busy = now;
             }
             let quiet = now.duration_since(last_busy) >= QUIET_TIME;
             if now >= end || (quiet && now.duration_since(start) >= BALANCER_REMOVAL_TIME) {
                 log::info!(requests = self.shared.drain.in_flight(),
-                    ms = start.elapsed().as_millis() as u64; "drained the entry");
+                    unwritten = self.shared.drain.unwritten(), ms = start.elapsed().as_millis() as u64; "drained the entry");
                 return;
             }
         }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -10,9 +10,9 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
-use crate::drain::InFlight;
+use crate::drain::{InFlight, UnwrittenAnswer};
 use crate::unanswered::AnswerGuard;
-use crate::write_tracker::WriteTracker;
+use crate::write_tracker::{TrackedAnswer, WriteTracker};
 
 #[cfg(test)]
 mod tests;
@@ -46,6 +46,7 @@
     source: Source,
     write_tracker: WriteTracker,
     _in_flight: Option<InFlight>,
+    _tracked: Option<TrackedAnswer>,
     guard: Option<AnswerGuard>,
 }
 
@@ -70,12 +71,19 @@
     }
 
     fn new(source: Source) -> Self {
-        Self { source, write_tracker: WriteTracker::default(), _in_flight: None, guard: None }
+        Self {
+            source,
+            write_tracker: WriteTracker::default(),
+            _in_flight: None,
+            _tracked: None,
+            guard: None,
+        }
     }
 
     /// Sets the write tracker of the connection. An error is then held back until the connection
-    /// has written the bytes before it.
-    pub(crate) fn track_writes(&mut self, write_tracker: WriteTracker) {
+    /// has written the bytes before it, and `answer` counts as unwritten until all are written.
+    pub(crate) fn track_writes(&mut self, write_tracker: WriteTracker, answer: UnwrittenAnswer) {
+        self._tracked = Some(TrackedAnswer::new(write_tracker.clone(), answer));
         self.write_tracker = write_tracker;
     }
 
--- a/crates/gateway/src/reply/tests.rs
+++ b/crates/gateway/src/reply/tests.rs
@@ -8,6 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
 
 use super::*;
+use crate::drain::Drain;
 use crate::guard::{GuardedStream, LengthConflict};
 use crate::head_timeout::ReadCounter;
 use crate::write_tracker::WriteTracker;
@@ -82,6 +83,56 @@
         sender.send(Err(Truncated)).await.expect("the channel is open");
     }
     let mut body = ReplyBody::stream(receiver);
-    body.track_writes(write_tracker);
+    body.track_writes(write_tracker, Drain::default().track_answer());
     Response::new(body)
 }
+
+/// A large answer, in bytes: more than a caller's pipe takes, and less than the server buffers.
+const LARGE_BYTES: usize = 100 << 10;
+
+fn whole_body() -> ReplyBody {
+    ReplyBody::whole(Bytes::from(vec![b'x'; LARGE_BYTES]))
+}
+
+fn stream_body() -> ReplyBody {
+    let (sender, receiver) = mpsc::channel(8);
+    for _ in 0..8 {
+        let sent = sender.try_send(Ok(Bytes::from(vec![b'x'; LARGE_BYTES / 8])));
+        sent.expect("room in the channel");
+    }
+    ReplyBody::stream(receiver)
+}
+
+/// Guards against a process that ends while a slow caller has not got all of an answer: one that was
+/// handed out whole to the server still counts until its bytes are written.
+#[tokio::test]
+async fn an_answer_counts_until_all_its_bytes_are_written() {
+    for (name, body) in [("whole", whole_body as fn() -> ReplyBody), ("stream", stream_body)] {
+        let (mut caller, entry) = duplex(64);
+        let (drain, write_tracker) = (Drain::default(), WriteTracker::default());
+        let stream = GuardedStream::new(
+            entry,
+            LengthConflict::default(),
+            ReadCounter::default(),
+            write_tracker.clone(),
+        );
+        let tracked = drain.clone();
+        let service = service_fn(move |_| {
+            let mut reply = Response::new(body());
+            reply.body_mut().track_writes(write_tracker.clone(), tracked.track_answer());
+            reply.body_mut().hold_in_flight(tracked.track_request());
+            async move { Ok::<_, Infallible>(reply) }
+        });
+        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        let ask = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        caller.write_all(ask).await.expect("asked");
+        let mut first = [0; 32];
+        caller.read_exact(&mut first).await.expect("the first bytes");
+        while drain.in_flight() > 0 {
+            tokio::task::yield_now().await;
+        }
+        assert!(!drain.is_idle(), "{name}: the process may end, and its caller has 32 bytes");
+        caller.read_to_end(&mut Vec::new()).await.expect("the rest");
+        assert!(drain.is_idle(), "{name}: it counts still");
+    }
+}
