--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::request::Parts;
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -21,14 +22,17 @@
 use crate::directory::Directory;
 use crate::guard::{GuardedStream, LengthConflict};
 use crate::head_timeout::{HeadTimer, ReadCounter};
+use crate::origin::Origin;
+use crate::panics::answer_anyway;
 use crate::plain;
 use crate::plan::{Limits, RouteKind};
-use crate::reply::{Refusal, Reply, ReplyBody};
+use crate::reply::{Refusal, Reply, ReplyBody, announce_close};
 use crate::request::CallerRequest;
 use crate::room;
 use crate::shared::Shared;
 use crate::stream::Streams;
 use crate::unanswered::{AnswerGuard, Dropped, Unanswered};
+use crate::unread::{drop_rest, expects_permission};
 use crate::write_tracker::WriteTracker;
 
 /// The pause after a failed accept.
@@ -88,14 +92,16 @@
     let write_tracker = WriteTracker::default();
     let body_tracker = write_tracker.clone();
     let (unanswered, metrics) = (Unanswered::default(), shared.metrics.clone());
+    let panics = metrics.panics.clone();
     let watched = unanswered.clone();
     let service = service_fn(move |request| {
         let (shared, streams, seen) = (Arc::clone(&shared), Arc::clone(&streams), seen.clone());
         let body_tracker = body_tracker.clone();
-        let mut guard = watched.watch();
+        let (mut guard, panics) = (watched.watch(), panics.clone());
         async move {
             let takes_less = buffer < buffer_bytes(&shared.caller_limits.get());
-            let mut reply = answer(shared, streams, seen, request, &mut guard).await;
+            let handler = answer(shared, streams, seen, request, &mut guard);
+            let mut reply = answer_anyway(handler, &panics).await;
             if takes_less {
                 announce_close(&mut reply);
             }
@@ -137,6 +143,8 @@
 ) -> Reply {
     let in_flight = shared.drain.track_request();
     let arrived = Instant::now();
+    let (parts, mut body) = request.into_parts();
+    let waits = expects_permission(&parts.headers);
     let mut close = false;
     let mut reply = if conflict.is_seen() {
         close = true;
@@ -144,14 +152,15 @@
     } else {
         let routed = match shared.drain.is_refusing() {
             true => Err(Refusal::Ending),
-            false => route(&shared, &streams, request, arrived, guard).await,
+            false => route(&shared, &streams, (parts, &mut body), arrived, guard).await,
         };
         match routed {
             Ok(reply) => reply,
             Err(refusal) => {
                 shared.metrics.requests.with_label_values(&["any", refusal.name()]).inc();
-                close =
-                    matches!(refusal, Refusal::TooLarge | Refusal::SlowBody | Refusal::NoMemory);
+                close = shared.drain.is_ending()
+                    || matches!(refusal, Refusal::TooLarge | Refusal::SlowBody | Refusal::NoMemory)
+                    || !drop_rest(waits, &mut body).await;
                 refusal.reply()
             }
         }
@@ -164,21 +173,44 @@
     reply
 }
 
-fn announce_close(reply: &mut Reply) {
-    reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+/// A request that may be run.
+struct Prepared {
+    request: CallerRequest,
+    service: Arc<str>,
+    origin: Option<Origin>,
 }
 
 async fn route<D: Dialect>(
     shared: &Arc<Shared<D>>,
     streams: &Arc<Streams<D>>,
-    request: Request<Incoming>,
+    call: (Parts, &mut Incoming),
     arrived: Instant,
     guard: &mut AnswerGuard,
 ) -> Result<Reply, Refusal> {
+    let prepared = tokio::select! {
+        prepared = prepare(shared, streams, call, arrived, guard) => prepared?,
+        // Without this, a request that waits for its body or the plan would be cut off by the end
+        // of the process.
+        () = shared.drain.closing() => return Err(Refusal::Ending),
+    };
+    run(shared, streams, prepared).await
+}
+
+/// Reads a request and checks whether it may be run.
+async fn prepare<D: Dialect>(
+    shared: &Arc<Shared<D>>,
+    streams: &Arc<Streams<D>>,
+    (parts, body): (Parts, &mut Incoming),
+    arrived: Instant,
+    guard: &mut AnswerGuard,
+) -> Result<Prepared, Refusal> {
     let plan = shared.wait_for_plan().await.ok_or(Refusal::NoPlan)?;
-    let request =
-        CallerRequest::read::<D>(plan, request, arrived, shared.body_memory.reserve()).await?;
+    let memory = shared.body_memory.reserve();
+    let request = CallerRequest::read::<D>(plan, parts, body, arrived, memory).await?;
     guard.set_attempt(&request.head.attempt);
+    if Instant::now() >= request.deadline {
+        return Err(Refusal::Late);
+    }
     let origin = streams.origin(&request).await?;
     let service = match &origin {
         Some(origin) => Some(origin.service.as_str().into()),
@@ -198,6 +230,16 @@
     if let Some(left) = pause.filter(|it| now + *it > request.target()) {
         return Err(Refusal::Paused(left));
     }
+    Ok(Prepared { request, service, origin })
+}
+
+/// Runs a request.
+async fn run<D: Dialect>(
+    shared: &Arc<Shared<D>>,
+    streams: &Arc<Streams<D>>,
+    Prepared { request, service, origin }: Prepared,
+) -> Result<Reply, Refusal> {
+    let arrived = request.arrived;
     let engine = request.plan.services.get(&service).is_some_and(|it| it.engine.is_some());
     let (attempt, deadline) = (request.head.attempt.clone(), request.first_event_by);
     let (kind, late) = (request.route.kind, request.timeout_watch());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod metrics;
 mod offers;
 pub mod origin;
+mod panics;
 pub mod partition;
 pub mod path;
 pub mod pause;
@@ -46,6 +47,7 @@
 mod stages;
 mod stream;
 mod unanswered;
+mod unread;
 pub mod upstream;
 mod write_tracker;
 
