Reproduce: a stream whose forwarding panics looks complete

A task that sends an event and panics lets the body of the answer end (`None`), so that its caller takes the stream for whole.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -9,6 +9,9 @@
 mod silence;
 mod tries;
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -36,7 +39,7 @@
 
 use self::choice::{Criteria, engines};
 use self::open::{EngineAnswer, open};
-use self::pump::Pump;
+use self::pump::{Pump, spawn_forwarding};
 use self::tries::{MAX_STAGE_RUNS, Resumption, Tries, due};
 
 /// The number of events buffered for a slow caller before reading from the engine pauses.
@@ -84,7 +87,7 @@
             events,
             heard: Instant::now(),
         };
-        tokio::spawn(pump.run(attached));
+        spawn_forwarding(pump.events.clone(), pump.run(attached));
         Ok(reply)
     }
 
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -33,6 +33,14 @@
     pub(super) heard: Instant,
 }
 
+/// Starts to forward a stream to its caller, to whom `events` lead.
+pub(super) fn spawn_forwarding(
+    _events: mpsc::Sender<Result<Bytes, Truncated>>,
+    run: impl Future<Output = ()> + Send + 'static,
+) {
+    tokio::spawn(run);
+}
+
 /// The part of a stream that one engine sends.
 pub(super) struct Part {
     pub(super) upstream: Arc<Upstream>,
