Leave a silent owner of a stage only for one that completes the job

Cause: a job was cancelled at an owner that was silent for 0.42 s before another one had it; without a permit to submit it again nobody had it.

Change: a job at a silent owner goes on; another owner may get it beside that (permit and number of owners count as before), the first result of a piece counts, and the job is cancelled at the others once it is complete. Where no other owner may get it, it stays until the deadline of its results. What is heard of a job at an owner stands in client/submitted.rs.

Conclusion: an owner that stands still ends no request that has time left, while it goes on.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -2,41 +2,36 @@
 
 mod job;
 mod loan;
+mod submitted;
 mod unwilling;
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use rand::seq::IteratorRandom;
 use registry::{RegistryState, Relay, RequestDigest};
 use tokio::sync::{Notify, mpsc, watch};
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout, timeout_at};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 use wire::{Hello, Secret};
 
-use crate::batch::link::{HEARTBEAT_INTERVAL, Link, Sinks};
+use crate::batch::link::{Link, Sinks};
 use crate::batch::message::{Submission, ToOwner};
 use crate::batch::owner::{LOCAL_ORIGIN, Owner, OwnerEvent};
-use crate::budget::{RetryPermit, Spender};
+use crate::budget::Spender;
 use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput};
 use crate::place::score;
 use crate::section::Section;
 use crate::shared::Shared;
 
 use self::job::{JobEnd, LocalJob, Progress, RemoteJob, job_message};
+use self::submitted::{Heard, Holder, Owners, Submitted, unavailable};
 use self::unwilling::UnwillingLenders;
 
-/// How long an owner may take to accept a job. Leaves time for a lost packet in each direction,
-/// which is sent again after 200 ms. With less, entries on a lossy link skip healthy owners, and
-/// two owners send calls to the same upstreams.
-const ACCEPT_TIMEOUT: Duration = Duration::from_millis(420);
-
-/// How long an owner with open jobs may be silent: several heartbeats and the retransmission of a
-/// lost packet.
-const SILENCE_TIMEOUT: Duration = HEARTBEAT_INTERVAL.saturating_mul(7);
-
 /// How long an owner that failed to answer is skipped.
 const SUSPECT_PERIOD: Duration = Duration::from_millis(1_500);
 
@@ -147,48 +142,94 @@
             let now = Instant::now();
             self.shared.budget.record(&spec.service, Spender::Submitter, spec.pieces, now);
         }
-        let mut resubmitted = spec.again;
-        let mut permit: Option<Arc<RetryPermit>> = None;
-        let mut owners = 0;
-        while owners < MAX_OWNERS {
-            let last = owners + 1 == MAX_OWNERS;
-            let section = self.shared.section(&spec.service, spec.domain.as_deref(), spec.rank);
-            let Some(address) = self.owner_of(&section, last) else { break };
-            let count = progress.left.len() as u32;
-            if resubmitted && permit.is_none() {
-                permit = self.take_retries(&spec.service, Spender::Submitter, count).await;
-                if permit.is_none() {
-                    break;
-                }
+        let mut owners = Owners { resubmitted: spec.again, ..Owners::default() };
+        let mut jobs = FuturesUnordered::new();
+        let mut wanted = true;
+        loop {
+            if wanted && let Some(job) = self.submit(spec, &mut owners, &progress).await {
+                jobs.push(job.next(spec.deadline));
             }
-            let end = self.run_at(address, section, spec, resubmitted, &mut progress).await;
-            // An owner that can't be reached sends nothing. Others send pieces for as long as the job runs.
-            if let Some(permit) = permit.take_if(|_| !matches!(end, JobEnd::Unreachable)) {
-                permit.begin_send(Instant::now());
+            let Some((mut job, heard)) = jobs.next().await else {
+                return Err(PieceFailure::Failed);
+            };
+            let silent = matches!(heard, Heard::Silent);
+            let end = match heard {
+                Heard::Answer(answer) => progress.handle_answer(answer),
+                Heard::Silent => None,
+                Heard::Ended(end) => Some(end),
+            };
+            if matches!(end, Some(JobEnd::Unreachable)) {
+                owners.permit = job.take_permit();
+            } else {
+                job.record_sent();
             }
-            match end {
-                JobEnd::Done => {
+            wanted = match &end {
+                None => silent,
+                Some(JobEnd::Done) => {
                     let done = std::mem::take(&mut progress.done);
                     let first = progress.first.unwrap_or_else(Instant::now);
                     let handles = done.into_values().collect();
                     return Ok(JobResults { handles, first, times: progress.times });
                 }
-                JobEnd::Failed(failure) => return Err(failure),
-                JobEnd::Silent => {
-                    self.suspect(address, &spec.service, "silent");
-                    resubmitted = true;
-                    owners += 1;
-                }
-                // An unreachable owner says nothing about the others and cost next to no time, so
-                // it does not count.
-                JobEnd::Unreachable => self.suspect(address, &spec.service, "unreachable"),
-                JobEnd::Refused => {
-                    self.suspect(address, &spec.service, "ending");
-                    owners += 1;
+                // Another owner that has the job may still complete it.
+                Some(JobEnd::Failed(failure))
+                    if jobs.is_empty() || *failure == PieceFailure::InputGone =>
+                {
+                    return Err(*failure);
                 }
+                Some(JobEnd::Failed(_)) => false,
+                Some(JobEnd::Silent | JobEnd::Unreachable | JobEnd::Refused) => true,
+            };
+            if let Some(cause) = unavailable(silent, end.as_ref()) {
+                self.suspect(job.address, &spec.service, cause);
+            }
+            owners.record(silent, end.as_ref());
+            match end {
+                None => jobs.push(job.next(spec.deadline)),
+                Some(_) => owners.holders.retain(|it| *it != job.address),
             }
         }
-        Err(PieceFailure::Failed)
+    }
+
+    /// Submits the outstanding pieces to the next owner, if there is one and they may be sent again.
+    async fn submit(
+        &self,
+        spec: &JobSpec,
+        owners: &mut Owners,
+        progress: &Progress<'_, D>,
+    ) -> Option<Submitted> {
+        if owners.count >= MAX_OWNERS {
+            return None;
+        }
+        let last = owners.count + 1 == MAX_OWNERS;
+        let section = self.shared.section(&spec.service, spec.domain.as_deref(), spec.rank);
+        let address = self.owner_of(&section, last)?;
+        if owners.holders.contains(&address) {
+            return None;
+        }
+        let count = progress.left.len() as u32;
+        if owners.resubmitted && owners.permit.is_none() {
+            let permit = self.take_retries(&spec.service, Spender::Submitter, count).await;
+            owners.permit = Some(permit?);
+        }
+        owners.holders.push(address);
+        let id = self.next_number();
+        let job = job_message(id, spec, owners.resubmitted, &progress.left);
+        let domain = section.domain.as_ref().map(ToString::to_string);
+        let message = ToOwner::SubmitWithDigest(Submission { domain, digest: spec.digest, job });
+        let (replies, answers) = mpsc::unbounded_channel();
+        let holder = if address == self.own_address {
+            self.owner.send(OwnerEvent::Message(LOCAL_ORIGIN, message, replies));
+            Holder::Local(LocalJob { owner: self.owner.clone(), id })
+        } else {
+            let link = self.link(address);
+            // Without it, the answers end at once.
+            if link.register(id, replies) {
+                link.send(message);
+            }
+            Holder::Remote(RemoteJob { link, id })
+        };
+        Some(Submitted::new(address, holder, answers, owners.permit.take()))
     }
 
     /// Releases results: the owners of their sections tell the upstreams that store them.
@@ -308,57 +349,4 @@
         };
         Arc::clone(links.entry(address).or_insert_with(open))
     }
-
-    async fn run_at(
-        &self,
-        address: SocketAddr,
-        section: Section,
-        spec: &JobSpec,
-        resubmitted: bool,
-        progress: &mut Progress<'_, D>,
-    ) -> JobEnd {
-        let id = self.next_id.fetch_add(1, Ordering::Relaxed) + 1;
-        let job = job_message(id, spec, resubmitted, &progress.left);
-        let domain = section.domain.as_ref().map(ToString::to_string);
-        let message = ToOwner::SubmitWithDigest(Submission { domain, digest: spec.digest, job });
-        let (replies, mut answers) = mpsc::unbounded_channel();
-        if address == self.own_address {
-            let _guard = LocalJob { owner: &self.owner, id };
-            self.owner.send(OwnerEvent::Message(LOCAL_ORIGIN, message, replies));
-            while let Some(answer) = answers.recv().await {
-                if let Some(ended) = progress.handle_answer(answer) {
-                    return ended;
-                }
-            }
-            return JobEnd::Silent;
-        }
-        let link = self.link(address);
-        let _guard = RemoteJob { link: &link, id };
-        let lost = || if link.is_refused() { JobEnd::Unreachable } else { JobEnd::Silent };
-        if !link.register(id, replies) {
-            return lost();
-        }
-        link.send(message);
-        let mut by = Instant::now() + ACCEPT_TIMEOUT;
-        let mut accepted = false;
-        loop {
-            match timeout_at(by, answers.recv()).await {
-                Ok(Some(answer)) => {
-                    accepted = true;
-                    if let Some(ended) = progress.handle_answer(answer) {
-                        return ended;
-                    }
-                    by = Instant::now() + SILENCE_TIMEOUT;
-                }
-                Ok(None) => return lost(),
-                Err(_) => {
-                    let heard = link.last_heard().filter(|_| accepted);
-                    match heard.map(|it| it + SILENCE_TIMEOUT).filter(|it| *it > Instant::now()) {
-                        Some(later) => by = later,
-                        None => return JobEnd::Silent,
-                    }
-                }
-            }
-        }
-    }
 }
--- a/crates/gateway/src/batch/client/job.rs
+++ b/crates/gateway/src/batch/client/job.rs
@@ -1,6 +1,7 @@
 //! The progress of one job at one owner, and its end.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
@@ -111,12 +112,12 @@
 
 /// A job at this entry's own owner. Dropping it, when its request ends, cancels it, so that no
 /// piece runs for a caller that left.
-pub(super) struct LocalJob<'a> {
-    pub(super) owner: &'a Owner,
+pub(super) struct LocalJob {
+    pub(super) owner: Owner,
     pub(super) id: u64,
 }
 
-impl Drop for LocalJob<'_> {
+impl Drop for LocalJob {
     fn drop(&mut self) {
         let (replies, _) = mpsc::unbounded_channel();
         self.owner.send(OwnerEvent::Message(LOCAL_ORIGIN, ToOwner::Cancel(self.id), replies));
@@ -124,12 +125,12 @@
 }
 
 /// A job at another entry. Dropping it, when its request ends, cancels it.
-pub(super) struct RemoteJob<'a> {
-    pub(super) link: &'a Link,
+pub(super) struct RemoteJob {
+    pub(super) link: Arc<Link>,
     pub(super) id: u64,
 }
 
-impl Drop for RemoteJob<'_> {
+impl Drop for RemoteJob {
     fn drop(&mut self) {
         self.link.forget(self.id);
         self.link.send(ToOwner::Cancel(self.id));
--- a/crates/gateway/src/batch/client/loan.rs
+++ b/crates/gateway/src/batch/client/loan.rs
@@ -159,7 +159,7 @@
     }
 
     /// Returns the number of the next message that is answered.
-    fn next_number(&self) -> u64 {
+    pub(super) fn next_number(&self) -> u64 {
         self.next_id.fetch_add(1, Ordering::Relaxed) + 1
     }
 
