Keep a relayed connection while an entry at its end stands still

Callers of an entry that is cut off saw 502 "failed, may have run", or a stream without its rest, with seconds of their time left and their upstream at work, because the entry that relays, or their own one, stood still for 1.7 s.

The two entries' wire counts as silent after 2 s without a byte; heartbeats come each 0.5 s, so that a stand-still of 1.5 s is enough. Its end is the end of the relayed connection, which is the only holder of the request.

Change: a side of a wire connection may allow more silence (`Sender::allow_silence`); relays do on both sides, 10 s. All others keep their 2 s. A VM that is gone is still found in 2 s, since heartbeats stay unacknowledged; a request whose upstream is silent goes elsewhere as it does on a direct connection.

--- a/crates/gateway/src/path/relay.rs
+++ b/crates/gateway/src/path/relay.rs
@@ -10,6 +10,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +20,11 @@
 /// The number of bytes passed on in one message at most.
 const MAX_CHUNK_BYTES: usize = 32 << 10;
 
+/// How long an entry at the other end of a relayed connection may be silent. A sound one may stand still
+/// for a second or so, while the upstream works on the request. If its VM is gone, sent bytes stay
+/// unacknowledged, which ends the connection sooner.
+const MAX_SILENCE: Duration = Duration::from_secs(10);
+
 /// A message to the entry that relays.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum ToRelay {
--- a/crates/gateway/src/path/relay/client.rs
+++ b/crates/gateway/src/path/relay/client.rs
@@ -21,7 +21,7 @@
 use tokio_util::sync::{PollSendError, PollSender};
 use wire::{Hello, Kind, Receiver, Secret, Sender};
 
-use super::{FromRelay, MAX_CHUNK_BYTES, RelayFailure, RelayState, ToRelay};
+use super::{FromRelay, MAX_CHUNK_BYTES, MAX_SILENCE, RelayFailure, RelayState, ToRelay};
 use crate::batch::message::{FromOwner, RELAY_LEVEL, ToOwner};
 use crate::upstream::ConnectError;
 
@@ -147,6 +147,7 @@
             Err(_) => return Asked::Unable,
         };
         let (sender, mut receiver) = connection.split::<ToOwner, FromOwner>();
+        sender.allow_silence(MAX_SILENCE);
         sender.wait_level(LEVEL_TIMEOUT).await;
         let open = ToOwner::Relayed(ToRelay::Open(upstream));
         if sender.level() < RELAY_LEVEL || sender.send(&open).await.is_err() {
--- a/crates/gateway/src/path/relay/server.rs
+++ b/crates/gateway/src/path/relay/server.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, interval, timeout_at};
 use wire::{Receiver, Sender};
 
-use super::{FromRelay, MAX_CHUNK_BYTES, RelayFailure, ToRelay};
+use super::{FromRelay, MAX_CHUNK_BYTES, MAX_SILENCE, RelayFailure, ToRelay};
 use crate::batch::message::{FromOwner, ToOwner};
 use crate::dialect::Dialect;
 use crate::drain::Drain;
@@ -44,6 +44,7 @@
     (sender, receiver): (Sender<FromOwner>, Receiver<ToOwner>),
     address: SocketAddr,
 ) {
+    sender.allow_silence(MAX_SILENCE);
     let permit = Arc::clone(&shared.relays.0).try_acquire_owned();
     let opened = match &permit {
         Ok(_) => open(shared, address).await,
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -209,6 +209,13 @@
         self.shared.cause()
     }
 
+    /// Changes the time without a byte after which this side counts the connection as silent, which
+    /// is [`SILENCE_TIMEOUT`] at first. Sent bytes that stay unacknowledged for that time still end
+    /// the connection.
+    pub fn allow_silence(&self, limit: Duration) {
+        self.shared.silence.set(limit);
+    }
+
     /// Ends the connection at once, for all halves. Queued messages are lost.
     pub fn abort(&self) {
         self.shared.end(WireError::Closed);
--- a/crates/wire/src/io_tasks.rs
+++ b/crates/wire/src/io_tasks.rs
@@ -12,7 +12,7 @@
 use crate::frame::HEARTBEAT_TAG;
 use crate::frame_writer::FrameWriter;
 use crate::handshake::{Frames, Reader};
-use crate::meter::{ByteMeter, Metered};
+use crate::meter::{ByteMeter, Metered, SilenceLimit};
 use crate::traffic::QueuedBytes;
 use crate::{HEARTBEAT_INTERVAL, LEVEL, WireError};
 
@@ -56,6 +56,7 @@
     pub(crate) level: watch::Sender<Option<u8>>,
     /// Counts the received bytes.
     pub(crate) received: ByteMeter,
+    pub(crate) silence: SilenceLimit,
 }
 
 impl Shared {
@@ -134,13 +135,14 @@
         space: Arc::new(Semaphore::new(QUEUE_UNITS as usize)),
         level: watch::Sender::new(None),
         received: reader.get_ref().meter(),
+        silence: SilenceLimit::default(),
     });
     let permit = permit.map(Arc::new);
     let (own, other_permit) = (Arc::clone(&shared), permit.clone());
     tokio::spawn(async move {
         let _permit = other_permit;
         let cause = tokio::select! {
-            cause = read(reader, from_read, &own.level) => cause,
+            cause = read(reader, from_read, &own) => cause,
             () = own.ended.cancelled() => return,
         };
         own.end(cause);
@@ -149,7 +151,7 @@
     tokio::spawn(async move {
         let _permit = permit;
         let cause = tokio::select! {
-            cause = write(writer, to_write, &own.receiver_dropped) => cause,
+            cause = write(writer, to_write, &own) => cause,
             () = own.ended.cancelled() => return,
         };
         own.end(cause);
@@ -162,22 +164,18 @@
 }
 
 /// Reads until the connection ends; returns the cause.
-async fn read(
-    mut reader: Reader,
-    queue: mpsc::Sender<Queued>,
-    level: &watch::Sender<Option<u8>>,
-) -> WireError {
+async fn read(mut reader: Reader, queue: mpsc::Sender<Queued>, shared: &Shared) -> WireError {
     let meter = reader.get_ref().meter();
     let space = Arc::new(Semaphore::new(QUEUE_UNITS as usize));
     loop {
-        let frame = match meter.watch(reader.next()).await {
+        let frame = match meter.watch(&shared.silence, reader.next()).await {
             Ok(Some(Ok(frame))) => frame.freeze(),
             Ok(Some(Err(error))) => return error.into(),
             Ok(None) => return WireError::Closed,
             Err(silent) => return silent,
         };
         let is_heartbeat = frame.first() == Some(&HEARTBEAT_TAG);
-        record_level(level, frame.get(1).filter(|_| is_heartbeat).copied());
+        record_level(&shared.level, frame.get(1).filter(|_| is_heartbeat).copied());
         if is_heartbeat {
             continue;
         }
@@ -203,8 +201,9 @@
 async fn write(
     mut writer: SocketWriter,
     mut queue: mpsc::Receiver<Queued>,
-    receiver_dropped: &CancellationToken,
+    shared: &Shared,
 ) -> WireError {
+    let Shared { receiver_dropped, silence, .. } = shared;
     let meter = writer.io().meter();
     if let Err(error) = write_queued(&mut writer, None, &mut queue).await {
         return error.into();
@@ -221,13 +220,13 @@
             }
             Err(_) => None,
         };
-        match meter.watch(write_queued(&mut writer, next, &mut queue)).await {
+        match meter.watch(silence, write_queued(&mut writer, next, &mut queue)).await {
             Ok(Ok(())) => {}
             Ok(Err(error)) => return error.into(),
             Err(silent) => return silent,
         }
     }
-    match meter.watch(writer.shutdown()).await {
+    match meter.watch(silence, writer.shutdown()).await {
         Ok(Err(error)) => error.into(),
         Ok(Ok(())) => WireError::Closed,
         Err(silent) => silent,
--- a/crates/wire/src/meter.rs
+++ b/crates/wire/src/meter.rs
@@ -6,14 +6,37 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::timeout;
 
 use crate::{SILENCE_TIMEOUT, WireError, traffic};
 
-/// The number of checks for progress within [`SILENCE_TIMEOUT`].
-const CHECKS_PER_TIMEOUT: u32 = 4;
+/// The interval of checks for progress.
+const CHECK_INTERVAL: Duration = SILENCE_TIMEOUT.checked_div(4).expect("not zero");
+
+/// The time without progress after which a connection counts as silent.
+#[derive(Debug)]
+pub(crate) struct SilenceLimit(AtomicU64);
+
+impl Default for SilenceLimit {
+    fn default() -> Self {
+        let limit = Self(AtomicU64::new(0));
+        limit.set(SILENCE_TIMEOUT);
+        limit
+    }
+}
+
+impl SilenceLimit {
+    pub(crate) fn set(&self, limit: Duration) {
+        self.0.store(limit.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> Duration {
+        Duration::from_millis(self.0.load(Ordering::Relaxed))
+    }
+}
 
 /// Counts the bytes that move in one direction.
 #[derive(Clone, Debug, Default)]
@@ -33,18 +56,22 @@
     ///
     /// A device between the two ends may lose track of a connection: the kernel accepts writes, reads
     /// wait forever, and no error is reported. Heartbeats keep bytes moving on a healthy connection,
-    /// so none within [`SILENCE_TIMEOUT`] means that it is dead. Bytes are counted instead of frames,
-    /// because a large frame may take longer.
-    pub(crate) async fn watch<T>(&self, work: impl Future<Output = T>) -> Result<T, WireError> {
+    /// so none within `limit` means that it is dead. Bytes are counted instead of frames, because a
+    /// large frame may take longer.
+    pub(crate) async fn watch<T>(
+        &self,
+        limit: &SilenceLimit,
+        work: impl Future<Output = T>,
+    ) -> Result<T, WireError> {
         let mut work = pin!(work);
         let mut seen = self.get();
-        let mut idle = 0;
-        while idle < CHECKS_PER_TIMEOUT {
-            if let Ok(done) = timeout(SILENCE_TIMEOUT / CHECKS_PER_TIMEOUT, &mut work).await {
+        let mut idle = Duration::ZERO;
+        while idle < limit.get() {
+            if let Ok(done) = timeout(CHECK_INTERVAL, &mut work).await {
                 return Ok(done);
             }
             let now = self.get();
-            idle = if now == seen { idle + 1 } else { 0 };
+            idle = if now == seen { idle + CHECK_INTERVAL } else { Duration::ZERO };
             seen = now;
         }
         Err(WireError::Silent)
--- a/crates/wire/tests/connection.rs
+++ b/crates/wire/tests/connection.rs
@@ -114,6 +114,25 @@
     assert!(sender.try_send(&2).is_err());
 }
 
+/// Guards against ending the connection to a peer that stands still, by a side that allows that, and
+/// against keeping a dead one forever.
+#[tokio::test]
+async fn a_side_that_allows_silence_waits_longer() {
+    let mut listener = listen().await;
+    let forwarder = Forwarder::spawn(listener.address()).await;
+    let (dialed, accepted) = pair(&mut listener, forwarder.address).await;
+    let (sender, mut receiver) = dialed.split::<u64, u64>();
+    let (_answer, mut other) = accepted.split::<u64, u64>();
+    sender.allow_silence(SILENCE_TIMEOUT * 3);
+    forwarder.stop();
+    let far = within("the acceptor finds it", other.recv()).await.unwrap_err();
+    assert_eq!(cause(&far), WireError::Silent);
+    let early = tokio::time::timeout(SILENCE_TIMEOUT / 2, receiver.recv()).await;
+    assert!(early.is_err(), "the dialer did not wait: {early:?}");
+    let near = within("the dialer finds it", receiver.recv()).await.unwrap_err();
+    assert_eq!(cause(&near), WireError::Silent);
+}
+
 /// Guards against closing healthy connections without messages for longer than the silence timeout,
 /// which heartbeats prevent.
 #[tokio::test]
