Leave the last engine that may have a stream only at the deadline

Callers: a stream whose first engine was left for a second one that was silent too was cut when the second one's event was due, with seconds left. Cause: the due time of a resume is there to try the next engine, and there was none: the last holder was given up. The new case of a_stream_outlasts_the_silence_of_its_engine had events 1 to 5 of 6 before, and is whole now.

--- a/crates/gateway/src/stream/seek.rs
+++ b/crates/gateway/src/stream/seek.rs
@@ -196,10 +196,13 @@
     /// Returns where the stream goes on, beside its own engine that is `silent` or after it.
     fn resumption(&self, silent: bool, part: &Part) -> Resumption {
         let now = Instant::now();
+        // No other engine may have it after the last one.
+        let is_last = self.tries.runs + 1 >= self.request.route.attempts;
+        let due = if is_last { self.request.deadline } else { self.request.next_event_by(now) };
         Resumption {
             last_event: self.last_event,
             version: part.upstream.version.clone(),
-            due: self.request.next_event_by(now),
+            due,
             heard_since: now.checked_sub(HEARD_TIME).filter(|_| silent),
             sends: Arc::default(),
         }
