Go on elsewhere at once where an upstream turns a request away and does not end that answer

Callers: a stream beside its silent engine was cut, and a request that must not be repeated waited for its deadline, because the body of the other upstream's 503 never came: the rest of the answer was read before the refusal counted. It is read in the background now, for half a second at most. A stale connection, on which nothing was written, no longer counts as sent either.

--- a/crates/gateway/src/budget/permit.rs
+++ b/crates/gateway/src/budget/permit.rs
@@ -87,12 +87,19 @@
         if !self.sent.swap(true, Ordering::Relaxed) {
             let account = (&self.service, self.spender);
             self.accounts.with(account, |it| it.settle(self.charge, now));
-            if let Some(watch) = self.watch.get() {
-                watch.send_replace(Some(now));
-            }
+        }
+        if let Some(watch) = self.watch.get() {
+            watch.send_replace(Some(now));
         }
         true
     }
+
+    /// Shows that nothing is on the way: the connection ended before a byte was written.
+    pub fn show_unsent(&self) {
+        if let Some(watch) = self.watch.get() {
+            watch.send_replace(None);
+        }
+    }
 }
 
 impl Drop for RetryPermit {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -21,6 +21,9 @@
 /// The timeout of a call that frees results.
 const FREE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// How long the rest of an answer that is not forwarded may take to keep its connection.
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+
 /// How long a kept connection may bring no answer before the path to its upstream is checked.
 const SILENCE_TIME: Duration = Duration::from_millis(500);
 
@@ -169,6 +172,7 @@
                 // The upstream closed an idle connection before any byte was written; tries the
                 // next one.
                 Some(unsent) => {
+                    permits.iter().for_each(|it| it.show_unsent());
                     request = unsent;
                     continue;
                 }
@@ -235,7 +239,7 @@
     let opened = send::<D>(upstream, request, attempt, permits, times).await?;
     if opened.head.not_run {
         let status = opened.response.status();
-        discard(opened, times.head).await;
+        discard(opened);
         return Err(Fault::refused(status));
     }
     if !opened.head.same_attempt {
@@ -286,12 +290,15 @@
     }
 }
 
-/// Reads the rest of an answer that is not forwarded, and keeps its connection.
-pub(crate) async fn discard(opened: Opened, deadline: Instant) {
-    let Opened { mut response, lease, head } = opened;
-    if read_short(response.body_mut(), deadline).await.is_ok() {
-        lease.keep(head.keep_alive);
-    }
+/// Reads the rest of an answer that is not forwarded in the background, and keeps its connection.
+pub(crate) fn discard(opened: Opened) {
+    tokio::spawn(async move {
+        let Opened { mut response, lease, head } = opened;
+        let deadline = Instant::now() + DISCARD_TIME;
+        if read_short(response.body_mut(), deadline).await.is_ok() {
+            lease.keep(head.keep_alive);
+        }
+    });
 }
 
 /// Sends pieces to an upstream; the answer must have one result for each.
@@ -306,7 +313,7 @@
     let status = opened.response.status();
     if status != StatusCode::OK {
         if opened.head.not_run {
-            discard(opened, deadline).await;
+            discard(opened);
             return Err(Fault::refused(status));
         }
         return Err(Fault::unknown(Cause::Malformed("a status other than 200")));
