Let a stream in progress wait for room as long as for its next event

Callers: a stream whose engine was lost ended at once where the others had no room at that moment, since it could wait only until its first event had been due. Room is also claimed only once a retry is granted: it can't be given back.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -130,14 +130,12 @@
                 let engines: Vec<_> = engines(&directory, service, version).cloned().collect();
                 borrowed = self.batches.borrow_room(&engines, tries.offers.tried()).await;
                 if borrowed.is_none() {
-                    Self::wait_for_room(request, &engines, tries).await?;
+                    let begun = resumption.filter(|it| it.last_event.is_some());
+                    let latest = begun.map_or(request.target(), |it| it.due);
+                    Self::wait_for_room(&engines, tries, latest).await?;
                 }
                 continue;
             };
-            let now = Instant::now();
-            if !has_loan && !upstream.claim_room(now) {
-                continue;
-            }
             let permit = match tries.reached_upstream {
                 true => self.batches.take_retries(service, Spender::Entry, 1).await,
                 false => None,
@@ -146,6 +144,10 @@
                 self.shared.metrics.calls.with_label_values(&["no budget"]).inc();
                 return Err(if tries.runs > 0 { Refusal::Failed } else { Refusal::NoUpstream });
             }
+            // Room that is claimed can't be given back.
+            if !has_loan && !upstream.claim_room(Instant::now()) {
+                continue;
+            }
             if let (Some(permit), Some(it)) = (&permit, resumption) {
                 permit.show_in(&it.sends);
             }
@@ -213,12 +215,12 @@
 
     /// Waits until a cold engine may get a request for which no engine could be chosen.
     async fn wait_for_room(
-        request: &CallerRequest,
         engines: &[Arc<Upstream>],
         tries: &Tries,
+        latest: Instant,
     ) -> Result<(), Refusal> {
         let tried = tries.offers.tried();
-        let waited = room::wait_for_room(engines, tried, request.target()).await;
+        let waited = room::wait_for_room(engines, tried, latest).await;
         waited.map_err(|refusal| if tries.runs > 0 { Refusal::Failed } else { refusal })
     }
 
