Cut a stream whose forwarding panics

What callers would see: a stream that ends properly before its last event.

Cause: the body of an answer ends when nobody can send to it any more, by a panic too.

Evidence: a_stream_whose_forwarding_panics_is_cut failed before: `None` after the first event. It reads the channel of the body now, no longer the body, which holds an error back until a connection has written the bytes before it, and there is none in the test; without the change it still fails with `None`.

Change: a panic is caught, logged, and cuts the stream.

After: the test passes, and so does the one that a stream which ends properly is whole.

Conclusion: holds for streams of engines; the large answers of plain services are forwarded by a task of their own.

--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -1,8 +1,10 @@
 //! Forwards a stream to its caller event by event, from as many engines as needed.
 
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http_body_util::BodyExt;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
@@ -33,12 +35,19 @@
     pub(super) heard: Instant,
 }
 
-/// Starts to forward a stream to its caller, to whom `events` lead.
+/// Starts to forward a stream to its caller, to whom `events` lead. If that panics, the stream is cut: without
+/// an error, it would look complete.
 pub(super) fn spawn_forwarding(
-    _events: mpsc::Sender<Result<Bytes, Truncated>>,
+    events: mpsc::Sender<Result<Bytes, Truncated>>,
     run: impl Future<Output = ()> + Send + 'static,
 ) {
-    tokio::spawn(run);
+    tokio::spawn(async move {
+        if AssertUnwindSafe(run).catch_unwind().await.is_err() {
+            log::error!("the forwarding of a stream panicked");
+            // If it can't be sent, the caller has left.
+            let _ = events.send(Err(Truncated)).await;
+        }
+    });
 }
 
 /// The part of a stream that one engine sends.
