Test what silent connections, shares and loans do to requests in progress

What was suspected: that upstreams which accept no connections or read nothing for a while, a change of an entry's share of connections, or the end of a loan end a request in progress.

Evidence: none of it does. Six changes of share, loan and path while own and borrowed connections are in use end neither.

Conclusion: no fault found here; the tests pass without a change of the code.

--- a/crates/gateway/src/upstream/lending/tests.rs
+++ b/crates/gateway/src/upstream/lending/tests.rs
@@ -2,9 +2,12 @@
 
 use std::net::Ipv4Addr;
 
+use http_body_util::BodyExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
 use super::*;
+use crate::upstream::{ConnectionShare, Lease};
 
 const LASTS: Duration = Duration::from_secs(10);
 
@@ -72,3 +75,76 @@
     drop(first);
     assert!(!upstream.lacks_connections());
 }
+
+/// What comes while requests use their connections.
+struct Change {
+    name: &'static str,
+    act: fn(&Arc<Upstream>),
+}
+
+const CHANGES: &[Change] = &[
+    Change { name: "a lower share", act: |it| it.set_connection_share(share(1)) },
+    Change {
+        name: "a share that is lowered again and again",
+        act: |it| (0..10).for_each(|_| it.set_connection_share(share(1))),
+    },
+    Change {
+        name: "a higher share, and a lower one",
+        act: |it| {
+            it.set_connection_share(share(9));
+            it.set_connection_share(share(1));
+        },
+    },
+    Change {
+        name: "a loan to another entry that ends",
+        act: |it| {
+            it.set_connection_share(share(9));
+            drop(it.lend_connection());
+        },
+    },
+    Change { name: "a cut path", act: |it| it.forget_path() },
+    Change { name: "a drain", act: |it| it.set_draining(true) },
+];
+
+const fn share(most: u32) -> ConnectionShare {
+    ConnectionShare { most, keeps_idle: false }
+}
+
+/// Answers the first request on each connection after a silence that is longer than the loan.
+async fn answer_late(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        tokio::spawn(async move {
+            let mut part = [0; 1024];
+            stream.read(&mut part).await.expect("a request");
+            sleep(SHORT_LOAN * 3).await;
+            let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+            stream.write_all(answer).await.expect("sent");
+        });
+    }
+}
+
+const SHORT_LOAN: Duration = Duration::from_millis(200);
+
+/// Guards against ending a request because its entry may have fewer connections from now on, or because the
+/// time of its loan is over.
+#[tokio::test]
+async fn no_change_of_what_an_entry_may_use_ends_a_request() {
+    for Change { name, act } in CHANGES {
+        let (upstream, listener) = upstream().await;
+        tokio::spawn(answer_late(listener));
+        let now = Instant::now();
+        let by = now + Duration::from_secs(3);
+        let mut own = upstream.connect(by, by).await.expect("its own connection");
+        let _returned = upstream.add_borrowed(now + SHORT_LOAN);
+        let mut borrowed = upstream.connect(by, now + SHORT_LOAN).await.expect("a borrowed one");
+        let request = || http::Request::new(http_body_util::Full::<bytes::Bytes>::default());
+        let mut send = |lease: &mut Lease| lease.sender().expect("open").send_request(request());
+        let (first, second) = (send(&mut own), send(&mut borrowed));
+        act(&upstream);
+        let (first, second) = tokio::join!(first, second);
+        for answer in [first, second] {
+            let body = answer.expect(name).into_body().collect().await.expect(name).to_bytes();
+            assert_eq!(&body[..], b"done", "{name}");
+        }
+    }
+}
