Say that the connection closes after a body that can't be read, and write the panic's text as the cause

A body with an invalid framing got 400 without Connection: close, and its connection closed; not tested by itself. The test of the table of messages took a default text for a message.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -161,7 +161,13 @@
             Err(refusal) => {
                 shared.metrics.requests.with_label_values(&["any", refusal.name()]).inc();
                 close = shared.drain.is_ending()
-                    || matches!(refusal, Refusal::TooLarge | Refusal::SlowBody | Refusal::NoMemory)
+                    || matches!(
+                        refusal,
+                        Refusal::TooLarge
+                            | Refusal::SlowBody
+                            | Refusal::NoMemory
+                            | Refusal::BadHead
+                    )
                     || !drop_rest(waits, &mut body).await;
                 refusal.reply()
             }
--- a/crates/gateway/src/panics.rs
+++ b/crates/gateway/src/panics.rs
@@ -24,7 +24,7 @@
             panics.inc();
             let text = cause.downcast_ref::<&str>().copied();
             let text = text.or_else(|| cause.downcast_ref::<String>().map(String::as_str));
-            log::error!(cause = text.unwrap_or("unknown"); "a request's handler panicked");
+            log::error!(cause = text; "a request's handler panicked");
             let mut reply = Refusal::Panicked.reply();
             // Its body may not have been read.
             announce_close(&mut reply);
