Don't fail a piece for want of inputs while another call has it

Callers: a stage could fail, and run again or be refused, because the call that was too late could no longer fetch the inputs, which had been released once the other call had fetched them.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -172,11 +172,7 @@
                     return Ok(JobResults { handles, first, times: progress.times });
                 }
                 // Another owner that has the job may still complete it.
-                Some(JobEnd::Failed(failure))
-                    if jobs.is_empty() || *failure == PieceFailure::InputGone =>
-                {
-                    return Err(*failure);
-                }
+                Some(JobEnd::Failed(failure)) if jobs.is_empty() => return Err(*failure),
                 Some(JobEnd::Failed(_)) => false,
                 Some(JobEnd::Silent | JobEnd::Unreachable | JobEnd::Refused) => true,
             };
--- a/crates/gateway/src/batch/owner/results.rs
+++ b/crates/gateway/src/batch/owner/results.rs
@@ -225,12 +225,19 @@
                 self.requeue_or_fail(piece, now);
             }
             Err(PieceFailure::Failed) => self.requeue_or_fail(piece, now),
+            // The other call may have fetched the inputs before they were released.
+            Err(PieceFailure::InputGone) if self.is_pending(piece) => {}
             Err(failure) => {
                 self.deliver(piece, Err(failure), now, end.took);
             }
         }
     }
 
+    /// Returns whether another call has the piece, or is to get it.
+    fn is_pending(&self, piece: &Piece) -> bool {
+        self.calls.hold(piece) || self.queues.values().any(|it| it.has_job(piece.job))
+    }
+
     /// Delivers the result of a piece once, after a call that took `took`. Returns whether a
     /// submitter waits for it.
     pub(super) fn deliver(
