--- a/crates/gateway/src/batch/client/job.rs
+++ b/crates/gateway/src/batch/client/job.rs
@@ -67,7 +67,8 @@
                     self.done.insert(segment, handle.into());
                     self.first.get_or_insert_with(Instant::now);
                 }
-                Ok(_) => {}
+                // Another owner has made the same piece.
+                Ok(handle) => self.release_again(segment, handle.into()),
                 Err(failure) => return Some(JobEnd::Failed(failure)),
             }
         }
@@ -75,6 +76,15 @@
     }
 }
 
+impl<D: Dialect> Progress<'_, D> {
+    /// Releases a result that is not used, because the piece has another one.
+    fn release_again(&self, segment: u32, handle: Handle) {
+        if self.done.get(&segment) != Some(&handle) {
+            self.client.free(&[handle]);
+        }
+    }
+}
+
 /// Builds the message that submits the outstanding pieces.
 pub(super) fn job_message(id: u64, spec: &JobSpec, resubmitted: bool, left: &BTreeSet<u32>) -> Job {
     let now = Instant::now();
