Look for another upstream again while one is silent, and forget the silence of a try that has ended

Callers: a request whose upstream was silent stayed with it until the deadline where no other had room, or no retry was granted, at the first look; and an upstream that had answered could count as silent, since the watch outlived its try. Found by the review, by reading; the tests of silent services pass, none covers the second look.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -59,14 +59,23 @@
     context: Context<'a, D>,
     offers: Offers,
     tries: Tries,
-    /// The newest upstream, and when it counts as silent.
-    watched: Option<(Arc<Upstream>, Instant)>,
+    /// The newest try that was sent, and when it counts as silent.
+    watched: Option<Watched>,
+    /// The try beside which another one is looked for, because it is silent.
+    silent: Option<Watched>,
     /// The last answer with a server error.
     fallback: Option<Answer>,
     /// Why the last try failed that may have run.
     fault: Option<Fault>,
 }
 
+/// A try whose silence lets another one begin beside it.
+struct Watched {
+    number: u32,
+    upstream: Arc<Upstream>,
+    silent_at: Instant,
+}
+
 /// What a try needs before it is sent.
 struct Prepared {
     number: u32,
@@ -96,6 +105,7 @@
         offers: Offers::new(MAX_OFFERS),
         tries: Tries::new(if repeats { request.route.attempts } else { 1 }),
         watched: None,
+        silent: None,
         fallback: None,
         fault: None,
     };
@@ -116,16 +126,20 @@
                 Step::Begin => {
                     match self.next_upstream().await? {
                         Some(upstream) => {
+                            self.watched = None;
                             let again = self.tries.needs_permit();
                             prepared.push(prepare(context, self.tries.begin(), upstream, again));
                         }
-                        None => self.tries.record_nobody(),
+                        None => {
+                            self.tries.record_nobody();
+                            self.watched = self.silent.take();
+                        }
                     }
                     continue;
                 }
                 Step::Wait => {}
             }
-            let silent_at = self.watched.as_ref().map(|it| it.1);
+            let silent_at = self.watched.as_ref().map(|it| it.silent_at);
             tokio::select! {
                 Some(called) = calls.next() => {
                     if let Some(answer) = self.handle(called) {
@@ -135,7 +149,10 @@
                 }
                 Some((number, ready)) = prepared.next() => match ready {
                     Some(ready) => calls.push(call(context, self.begin(ready))),
-                    None => self.tries.record_end(number, End::NoPermit),
+                    None => {
+                        self.tries.record_end(number, End::NoPermit);
+                        self.watched = self.silent.take();
+                    }
                 },
                 () = sleep_until(silent_at.unwrap_or(latest)), if silent_at.is_some() => {
                     self.record_silence();
@@ -197,7 +214,11 @@
                 pause_ms = upstream.pause_left(now).map(|it| it.as_millis() as u64),
             tried = self.offers.tried().len(); "chose an upstream");
         let follows = self.tries.may_follow();
-        self.watched = follows.then(|| (Arc::clone(upstream), silent_from(request, now)));
+        self.watched = follows.then(|| Watched {
+            number: prepared.number,
+            upstream: Arc::clone(upstream),
+            silent_at: silent_from(request, now),
+        });
         prepared
     }
 
@@ -246,14 +267,16 @@
         self.tries.record_end(number, end);
         let may_have_run = self.tries.may_have_run();
         self.context.request.may_have_run.store(may_have_run, Ordering::Relaxed);
-        if !self.tries.may_follow() {
-            self.watched = None;
+        for watched in [&mut self.watched, &mut self.silent] {
+            if watched.as_ref().is_some_and(|it| it.number == number) || !self.tries.may_follow() {
+                *watched = None;
+            }
         }
     }
 
     /// Records that the newest upstream is silent, so that another one may get the request beside it.
     fn record_silence(&mut self) {
-        let Some((upstream, _)) = self.watched.take() else { return };
+        let Some(Watched { number, upstream, .. }) = self.watched.take() else { return };
         self.tries.record_silence();
         let request = self.context.request;
         log::info!(request = request.head.attempt.as_str(), upstream:% = upstream.id,
@@ -261,6 +284,8 @@
             "an upstream is silent; another one may get the request beside it");
         upstream.record_failure(false);
         upstream.check_path();
+        let silent_at = silent_from(request, Instant::now());
+        self.silent = Some(Watched { number, upstream, silent_at });
     }
 
     /// Records that `count` tries are dropped, because another one has answered.
