Test when a silent call of a stage is dropped

The decision stands alone: which calls have a piece, what is overdue, what is dropped. Also two remarks of clippy on the test of loans.

--- a/crates/gateway/src/batch/owner/calls.rs
+++ b/crates/gateway/src/batch/owner/calls.rs
@@ -13,6 +13,9 @@
 use crate::section::Section;
 use crate::upstream::Upstream;
 
+#[cfg(test)]
+mod tests;
+
 /// A call in flight.
 pub(super) struct InFlightCall {
     pub(super) call: u64,
--- a/crates/gateway/src/upstream/lending/tests.rs
+++ b/crates/gateway/src/upstream/lending/tests.rs
@@ -115,7 +115,8 @@
     while let Ok((mut stream, _)) = listener.accept().await {
         tokio::spawn(async move {
             let mut part = [0; 1024];
-            stream.read(&mut part).await.expect("a request");
+            let read = stream.read(&mut part).await.expect("a request");
+            assert!(read > 0, "no request");
             sleep(SHORT_LOAN * 3).await;
             let answer = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
             stream.write_all(answer).await.expect("sent");
@@ -138,7 +139,7 @@
         let _returned = upstream.add_borrowed(now + SHORT_LOAN);
         let mut borrowed = upstream.connect(by, now + SHORT_LOAN).await.expect("a borrowed one");
         let request = || http::Request::new(http_body_util::Full::<bytes::Bytes>::default());
-        let mut send = |lease: &mut Lease| lease.sender().expect("open").send_request(request());
+        let send = |lease: &mut Lease| lease.sender().expect("open").send_request(request());
         let (first, second) = (send(&mut own), send(&mut borrowed));
         act(&upstream);
         let (first, second) = tokio::join!(first, second);
