--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -34,8 +34,11 @@
 /// How many upstreams may reject a request before it is refused.
 const MAX_OFFERS: usize = 3;
 
-/// How long before the end of a request's time an answer with a server error is forwarded, if no other
-/// upstream has answered.
+/// How long an answer with a server error waits for a silent upstream. A sound one may be silent for a
+/// second or so.
+const FALLBACK_TIME: Duration = Duration::from_secs(2);
+
+/// How long before the end of a request's time such an answer is forwarded at the latest.
 const FALLBACK_MARGIN: Duration = Duration::from_millis(50);
 
 /// What serves one request.
@@ -63,8 +66,8 @@
     watched: Option<Watched>,
     /// The try beside which another one is looked for, because it is silent.
     silent: Option<Watched>,
-    /// The last answer with a server error.
-    fallback: Option<Answer>,
+    /// The last answer with a server error, and when it is forwarded if no other upstream has answered.
+    fallback: Option<(Answer, Instant)>,
     /// Why the last try failed that may have run.
     fault: Option<Fault>,
 }
@@ -116,7 +119,6 @@
     async fn run(mut self) -> Result<Reply, Refusal> {
         let context = self.context;
         let latest = context.request.deadline;
-        let fallback_at = latest.checked_sub(FALLBACK_MARGIN).unwrap_or(latest);
         // At most one try is being prepared.
         let mut prepared = FuturesUnordered::new();
         let mut calls = FuturesUnordered::new();
@@ -140,6 +142,7 @@
                 Step::Wait => {}
             }
             let silent_at = self.watched.as_ref().map(|it| it.silent_at);
+            let fallback_at = self.fallback.as_ref().map(|it| it.1);
             tokio::select! {
                 Some(called) = calls.next() => {
                     if let Some(answer) = self.handle(called) {
@@ -157,11 +160,11 @@
                 () = sleep_until(silent_at.unwrap_or(latest)), if silent_at.is_some() => {
                     self.record_silence();
                 }
-                () = sleep_until(fallback_at), if self.fallback.is_some() => break,
+                () = sleep_until(fallback_at.unwrap_or(latest)), if fallback_at.is_some() => break,
             }
         }
         match (self.fallback, self.fault) {
-            (Some(answer), _) => Ok(answer.into_reply()),
+            (Some((answer, _)), _) => Ok(answer.into_reply()),
             (None, Some(fault)) => Err(refusal_for(&fault)),
             (None, None) => Err(Refusal::NoUpstream),
         }
@@ -237,7 +240,7 @@
                 }
                 if failed && self.tries.step() != Step::Finish {
                     count("failed");
-                    self.fallback = Some(answer);
+                    self.fallback = Some((answer, fallback_at(request, Instant::now())));
                     return None;
                 }
                 shared.quarantine.record_completed(request);
@@ -341,6 +344,12 @@
     now + patience.min(left.mul_f64(0.6)).max(Duration::from_millis(50))
 }
 
+/// Returns when an answer with a server error that came at `now` is forwarded.
+fn fallback_at(request: &CallerRequest, now: Instant) -> Instant {
+    let latest = request.deadline.checked_sub(FALLBACK_MARGIN).unwrap_or(request.deadline);
+    latest.min(now + FALLBACK_TIME)
+}
+
 /// Logs a failed call, and records it in the metrics and in the upstream's health.
 pub(crate) fn record_failed_call<D: Dialect>(
     shared: &Shared<D>,
