Take connections back from a borrower that has left the list

Cause: the end of the link had the lender look up the borrower's address in the list of entries. A member drops the borrower from that list in the same millisecond; where the new list came first, the lender gave up and kept the connections until the loan's time was over. Its class: a decision that needs knowledge which the same event takes away.

Two more faults of the same look, found by reading: a borrower that answered once as it ended was never asked again, and what had been borrowed by one connection couldn't be returned by the next one.

Change: loans are kept by the process that has borrowed (`owner/loans.rs`), with its address at the time of the loan; a borrower whose connection has ended is asked each 500 ms until it is known to have ended or its last loan is over.

Conclusion: what an event needs is kept with what it is about, not looked up when it comes.

--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -251,9 +251,17 @@
                         | ToOwner::Borrow(_)
                         | ToOwner::BorrowRest(_)
                         | ToOwner::BorrowRoom(_)
-                        | ToOwner::SettleRoom(_)
-                        | ToOwner::BorrowConnection(_)
-                        | ToOwner::ReturnConnection(_) => {}
+                        | ToOwner::SettleRoom(_) => {}
+                        ToOwner::BorrowConnection(loan) => {
+                            let (borrower, loan) = (hello.clone(), loan.clone());
+                            let replies = replies.clone();
+                            owner.send(OwnerEvent::BorrowConnection { borrower, loan, replies });
+                            continue;
+                        }
+                        ToOwner::ReturnConnection(id) => {
+                            owner.send(OwnerEvent::ReturnConnection(hello.clone(), *id));
+                            continue;
+                        }
                         ToOwner::Relayed(ToRelay::Open(address)) => {
                             return relay::serve(&shared, (sender, receiver), *address).await;
                         }
--- a/crates/gateway/src/batch/owner.rs
+++ b/crates/gateway/src/batch/owner.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod jobs;
 mod lending;
+mod loans;
 mod notify;
 mod results;
 mod space;
@@ -13,11 +14,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use wire::{Hello, Secret};
 
-use crate::batch::message::{FromOwner, PiecesDone, ToOwner};
+use crate::batch::message::{ConnectionLoan, FromOwner, PiecesDone, ToOwner};
 use crate::batch::queue::{JobKey, NextCall, Piece, Queue, Target};
 use crate::budget::{Retries, RetryPermit};
 use crate::dialect::{Dialect, Handle, PieceAnswer, PieceFailure, SpaceReport};
@@ -28,8 +29,10 @@
 use crate::upstream::Upstream;
 
 use self::audience::Audience;
+use self::borrower::ProcessState;
 use self::calls::{Calls, InFlightCall};
 use self::jobs::SubmitContext;
+use self::loans::Loans;
 use self::space::SpaceQuery;
 
 /// How often the queues are checked if no event arrives.
@@ -69,10 +72,14 @@
 pub(crate) enum OwnerEvent {
     /// A message from a connection, or from this entry itself.
     Message(u64, ToOwner, Replies),
+    /// An entry asks for one of this entry's connections to an upstream.
+    BorrowConnection { borrower: Hello, loan: ConnectionLoan, replies: Replies },
+    /// An entry returns the connection that it borrowed under this number.
+    ReturnConnection(Hello, u64),
     /// The connection of a process has ended.
     Disconnected(u64, Hello),
-    /// The process that had this connection has ended.
-    BorrowerEnded(u64),
+    /// An entry that has borrowed connections was asked whether it still runs.
+    BorrowerAsked(Hello, ProcessState),
     /// A call has ended.
     CallEnded(CallEnd),
     /// An upstream reported its free space for results, or did not answer.
@@ -127,8 +134,7 @@
     released: HashMap<std::net::SocketAddr, Vec<Handle>>,
     releases_sent: Instant,
     audience: Audience,
-    /// The connections that are lent, by the request for each.
-    lent: HashMap<JobKey, oneshot::Sender<()>>,
+    loans: Loans,
     /// Results that are sent at the end of the step, with those of one job in one message.
     outbox: HashMap<JobKey, (Replies, PiecesDone)>,
     /// Whether waiting jobs were returned to their entries because this entry is shutting down.
@@ -152,7 +158,7 @@
             last_call: 0,
             released: HashMap::new(),
             releases_sent: Instant::now(),
-            lent: HashMap::new(),
+            loans: Loans::default(),
             audience: Audience::default(),
             outbox: HashMap::new(),
             jobs_returned: false,
@@ -226,27 +232,27 @@
                     upstream.record_settled();
                 }
             }
-            OwnerEvent::Message(origin, ToOwner::BorrowConnection(loan), replies) => {
-                self.lend_connection(origin, &loan, &replies);
-            }
-            OwnerEvent::Message(origin, ToOwner::ReturnConnection(id), _) => {
-                // Its task ends the loan.
-                self.lent.remove(&JobKey { origin, id });
-            }
             // The connection's own task handles these.
             OwnerEvent::Message(
                 _,
-                ToOwner::SubscribeRelays | ToOwner::AskLists(_) | ToOwner::Relayed(_),
+                ToOwner::SubscribeRelays
+                | ToOwner::AskLists(_)
+                | ToOwner::Relayed(_)
+                | ToOwner::BorrowConnection(_)
+                | ToOwner::ReturnConnection(_),
                 _,
             ) => {}
+            OwnerEvent::BorrowConnection { borrower, loan, replies } => {
+                self.lend_connection(borrower, &loan, &replies);
+            }
+            OwnerEvent::ReturnConnection(borrower, id) => self.loans.end(&borrower, id),
             OwnerEvent::Disconnected(origin, hello) => {
-                self.check_borrower(origin, &hello);
+                self.watch_borrower(&hello);
                 self.audience.remove(origin);
                 self.jobs.retain(|key, _| key.origin != origin);
                 self.queues.values_mut().for_each(|it| it.drop_jobs(|key| key.origin == origin));
             }
-            // The task of each loan ends it.
-            OwnerEvent::BorrowerEnded(origin) => self.lent.retain(|it, _| it.origin != origin),
+            OwnerEvent::BorrowerAsked(borrower, state) => self.borrower_asked(&borrower, state),
             OwnerEvent::CallEnded(end) => self.call_ended(end),
             OwnerEvent::SpaceReport(upstream, section, report) => {
                 self.handle_space_report(&upstream, &section, report);
--- a/crates/gateway/src/batch/owner/lending.rs
+++ b/crates/gateway/src/batch/owner/lending.rs
@@ -1,16 +1,17 @@
 //! Lends other entries out of what this one may use: retries, room at upstreams, connections.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::oneshot;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use wire::Hello;
 
-use super::borrower::Borrower;
+use super::borrower::{Borrower, ProcessState};
+use super::loans::Loan;
 use super::{OwnerEvent, Replies, State};
-use crate::batch::message::{ConnectionLoan, FromOwner, Loan, RoomLoan};
-use crate::batch::queue::JobKey;
+use crate::batch::message::{self, ConnectionLoan, FromOwner, RoomLoan};
 use crate::budget::Retries;
 use crate::dialect::Dialect;
 use crate::upstream::Upstream;
@@ -18,9 +19,12 @@
 /// The longest time for which a connection is lent.
 const MAX_LOAN_TIME: Duration = Duration::from_secs(60);
 
+/// The pause before an entry whose connection has ended is asked again whether it still runs.
+const ASK_PAUSE: Duration = Duration::from_millis(500);
+
 impl<D: Dialect> State<D> {
     /// Lends another entry retries of the budget, or a part of one.
-    pub(super) fn lend(&self, loan: &Loan, amount: Retries, replies: &Replies) {
+    pub(super) fn lend(&self, loan: &message::Loan, amount: Retries, replies: &Replies) {
         let service: Arc<str> = loan.service.as_str().into();
         let lent = self.shared.budget.lend(&service, loan.spender, amount, Instant::now());
         // The borrower may have ended meanwhile.
@@ -42,7 +46,7 @@
     /// time is over.
     pub(super) fn lend_connection(
         &mut self,
-        origin: u64,
+        borrower: Hello,
         loan: &ConnectionLoan,
         replies: &Replies,
     ) {
@@ -52,8 +56,8 @@
         let _ = replies.send(FromOwner::Lent(loan.id, lent.is_some()));
         let Some(lent) = lent else { return };
         let (returned, when) = oneshot::channel::<()>();
-        self.lent.retain(|_, it| !it.is_closed());
-        self.lent.insert(JobKey { origin, id: loan.id }, returned);
+        let address = self.listed_address(&borrower);
+        self.loans.begin(borrower, loan.id, Loan { address, returned });
         let time = Duration::from_millis(loan.time_ms).min(MAX_LOAN_TIME);
         tokio::spawn(async move {
             // Ends when it is returned, too.
@@ -62,26 +66,47 @@
         });
     }
 
-    /// Takes back what an entry has borrowed whose connection has ended, if the entry has ended too. One
-    /// that still runs goes on using it.
-    pub(super) fn check_borrower(&self, origin: u64, hello: &Hello) {
-        if !self.lent.keys().any(|it| it.origin == origin) {
-            return;
+    /// Finds out whether an entry whose connection has ended has ended too. What it has borrowed comes back
+    /// then; one that still runs goes on using it.
+    pub(super) fn watch_borrower(&mut self, borrower: &Hello) {
+        if self.loans.watch(borrower) {
+            self.ask_borrower(borrower.clone(), Duration::ZERO);
         }
-        let peers = self.shared.peers();
-        let Some(peer) = peers.iter().find(|it| it.name == hello.vm.as_str()) else {
-            log::info!(vm:% = hello.vm; "an entry that has borrowed connections is not listed any more");
-            return;
-        };
+    }
+
+    /// Handles the answer of an entry that has borrowed connections.
+    pub(super) fn borrower_asked(&mut self, borrower: &Hello, state: ProcessState) {
+        if state == ProcessState::Ended {
+            log::info!(peer:% = borrower; "an entry that has borrowed connections has ended");
+            self.loans.end_all(borrower);
+        }
+        if self.loans.is_watched(borrower) {
+            self.ask_borrower(borrower.clone(), ASK_PAUSE);
+        }
+    }
+
+    /// Asks an entry that has borrowed connections whether it still runs.
+    fn ask_borrower(&self, borrower: Hello, pause: Duration) {
+        // An entry that has ended may have left the list before.
+        let address = self.loans.address(&borrower).or_else(|| self.listed_address(&borrower));
         let (secret, own) = self.identity.clone();
-        let borrower = Borrower { address: peer.address, node: hello.node, secret, own };
         let events = self.events.clone();
         tokio::spawn(async move {
-            if borrower.has_ended(Instant::now() + MAX_LOAN_TIME).await {
-                log::info!(peer:% = borrower.address; "an entry that has borrowed connections has ended");
-                // The owner's task ends only with the process.
-                let _ = events.send(OwnerEvent::BorrowerEnded(origin));
-            }
+            sleep(pause).await;
+            let state = match address {
+                Some(address) => {
+                    let hello = borrower.clone();
+                    Borrower { address, hello, secret, own }.ask().await
+                }
+                None => ProcessState::Unknown,
+            };
+            // The owner's task ends only with the process.
+            let _ = events.send(OwnerEvent::BorrowerAsked(borrower, state));
         });
     }
+
+    fn listed_address(&self, entry: &Hello) -> Option<SocketAddr> {
+        let peers = self.shared.peers();
+        peers.iter().find(|it| it.name == entry.vm.as_str()).map(|it| it.address)
+    }
 }
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -43,7 +43,7 @@
 }
 
 /// The identity of a process, covered by the proof of the cluster secret.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Hello {
     /// The kind of the process.
     pub kind: Kind,
