Give each engine that a stream is offered to its own time for the next event

Callers: a resumable stream with three attempts was cut with 5 s of its time left. Its engine fell silent, the second one got it and was silent as well, and once the next event had been due there, the third one, which was sound, got it with a deadline in the past. Where it had an idle connection an attempt was used up on it unheard; where not, the time to connect was over before it began and it was ejected as one that can't be reached. Cause: the time for the next event was computed once for a whole search (`stream/seek.rs`, `resumption`), not for each engine in it; the last engine allowed was known as such only if it was the first of its search. Change: a stream in progress gets a new time once an engine may have run it: the time between two events, or all that is left at the last engine allowed. Conclusion: mended for streams; a plain request has one deadline for all its tries and had no such fault.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -99,15 +99,17 @@
         tries: &mut Tries,
         resumption: Option<&Resumption>,
     ) -> Result<EngineAnswer, Refusal> {
-        let version = resumption.map(|it| &it.version);
-        let last_event = resumption.and_then(|it| it.last_event);
-        let due = due(request, resumption);
+        let mut resumption = resumption.cloned();
         let mut inputs: Option<Inputs<D>> = None;
         // The engine at which another entry has lent its room for the next try.
         let mut borrowed: Option<Arc<Upstream>> = None;
         loop {
+            let resumes = resumption.as_ref();
+            let version = resumes.map(|it| &it.version);
+            let last_event = resumes.and_then(|it| it.last_event);
+            let due = due(request, resumes);
             if inputs.is_none() {
-                inputs = Some(self.inputs(request, service, tries, resumption).await?);
+                inputs = Some(self.inputs(request, service, tries, resumes).await?);
             }
             let (handles, phases) = match &inputs {
                 Some(it) => (it.handles(), it.phases().clone()),
@@ -118,7 +120,7 @@
                 left: request.target().saturating_duration_since(Instant::now()),
                 domain: self.batches.domain_of(handles),
                 version,
-                heard_since: resumption.and_then(|it| it.heard_since),
+                heard_since: resumes.and_then(|it| it.heard_since),
             };
             let lent = borrowed.take();
             let has_loan = lent.is_some();
@@ -130,7 +132,7 @@
                 let engines: Vec<_> = engines(&directory, service, version).cloned().collect();
                 borrowed = self.batches.borrow_room(&engines, tries.offers.tried()).await;
                 if borrowed.is_none() {
-                    let begun = resumption.filter(|it| it.last_event.is_some());
+                    let begun = resumes.filter(|it| it.last_event.is_some());
                     let latest = begun.map_or(request.target(), |it| it.due);
                     Self::wait_for_room(&engines, tries, latest).await?;
                 }
@@ -148,7 +150,7 @@
             if !has_loan && !upstream.claim_room(Instant::now()) {
                 continue;
             }
-            if let (Some(permit), Some(it)) = (&permit, resumption) {
+            if let (Some(permit), Some(it)) = (&permit, resumes) {
                 permit.show_in(&it.sends);
             }
             let tokens = request.head.generation.as_ref().map_or(0, |it| u64::from(it.prompt));
@@ -181,7 +183,7 @@
                 }
                 Err(fault) => fault,
             };
-            if let Some(it) = resumption {
+            if let Some(it) = resumes {
                 it.sends.send_replace(None);
             }
             record_failed_call(&self.shared, request, &upstream, &fault);
@@ -210,6 +212,9 @@
                 let late = fault.cause == Cause::Timeout;
                 return Err(if late { Refusal::LateMayHaveRun } else { Refusal::Failed });
             }
+            if let Some(it) = &mut resumption {
+                it.renew_due(request, tries.runs);
+            }
         }
     }
 
--- a/crates/gateway/src/stream/seek.rs
+++ b/crates/gateway/src/stream/seek.rs
@@ -12,7 +12,7 @@
 use super::open::{AttachedStream, EngineAnswer};
 use super::pump::{Part, Pump};
 use super::silence::{NotResumed, Stand, Terms};
-use super::tries::Resumption;
+use super::tries::{Resumption, due_after};
 use crate::dialect::Dialect;
 use crate::reply::Refusal;
 
@@ -196,13 +196,10 @@
     /// Returns where the stream goes on, beside its own engine that is `silent` or after it.
     fn resumption(&self, silent: bool, part: &Part) -> Resumption {
         let now = Instant::now();
-        // No other engine may have it after the last one.
-        let is_last = self.tries.runs + 1 >= self.request.route.attempts;
-        let due = if is_last { self.request.deadline } else { self.request.next_event_by(now) };
         Resumption {
             last_event: self.last_event,
             version: part.upstream.version.clone(),
-            due,
+            due: due_after(&self.request, self.tries.runs),
             heard_since: now.checked_sub(HEARD_TIME).filter(|_| silent),
             sends: Arc::default(),
         }
--- a/crates/gateway/src/stream/tries.rs
+++ b/crates/gateway/src/stream/tries.rs
@@ -37,6 +37,22 @@
         let (due, sends) = (request.first_event_by, Arc::default());
         Self { last_event: None, version, due, heard_since: None, sends }
     }
+
+    /// Records that an engine to which a stream in progress was offered may have run it, so that the next event
+    /// is due from another one, after `runs` in all.
+    pub(super) fn renew_due(&mut self, request: &CallerRequest, runs: u32) {
+        if self.last_event.is_some() {
+            self.due = due_after(request, runs);
+        }
+    }
+}
+
+/// Returns when the next event of a stream in progress is due that has run `runs` times, if it is offered to
+/// another engine now.
+pub(super) fn due_after(request: &CallerRequest, runs: u32) -> Instant {
+    // No other engine may have it after the last one.
+    let is_last = runs + 1 >= request.route.attempts;
+    if is_last { request.deadline } else { request.next_event_by(Instant::now()) }
 }
 
 /// Returns when the next event that an engine sends is due.
