Give an answer that comes in chunks an explicit end, and cut one without it

Callers: a large plain answer without a length ended as if whole where the task that forwards it panicked: the end of its channel was the end of the answer. Streams had a guard of their own against this; any other sender of chunks that is dropped would have done the same. Change: `reply/chunks.rs`; an answer is whole only once its sender has said so, and is cut where the sender is dropped before. The guard of streams only writes its line now. The tests of streams, of cut answers and of unanswered requests use the new channel; "whole" now needs the explicit end in them, and "cut" is a sender that is dropped, which asks no less of the code. Bytes of a relayed connection still end cleanly where their receiving task panics (path/relay/client.rs).

--- a/crates/gateway/src/plain/call.rs
+++ b/crates/gateway/src/plain/call.rs
@@ -6,13 +6,13 @@
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
 use crate::budget::RetryPermit;
 use crate::dialect::{AnswerHead, Dialect};
 use crate::exchange::{self, Fault, Opened, Read};
-use crate::reply::{Reply, ReplyBody, Truncated, strip_hop_by_hop};
+use crate::reply::chunks::{self, ChunkSender};
+use crate::reply::{Reply, ReplyBody, strip_hop_by_hop};
 use crate::request::CallerRequest;
 use crate::upstream::{Lease, Upstream};
 
@@ -63,8 +63,8 @@
             ReplyBody::whole(bytes)
         }
         Read::More(start) => {
-            let (bytes, receiver) = mpsc::channel(MAX_BUFFERED_CHUNKS);
-            tokio::spawn(pipe(start, response.into_body(), (lease, head), bytes, deadline));
+            let (sender, receiver) = chunks::channel(MAX_BUFFERED_CHUNKS);
+            tokio::spawn(pipe(start, response.into_body(), (lease, head), sender, deadline));
             ReplyBody::stream(receiver)
         }
     };
@@ -77,24 +77,23 @@
     start: Bytes,
     mut body: Incoming,
     (lease, head): (Lease, AnswerHead),
-    bytes: mpsc::Sender<Result<Bytes, Truncated>>,
+    chunks: ChunkSender,
     end: Instant,
 ) {
-    let mut next = Ok(start);
-    loop {
-        let truncated = next.is_err();
-        if bytes.send(next).await.is_err() || truncated {
-            return;
-        }
+    let mut next = start;
+    while chunks.send(next).await.is_ok() {
         let frame = tokio::select! {
             frame = timeout_at(end, body.frame()) => frame,
-            () = bytes.closed() => return,
+            () = chunks.closed() => return,
         };
         next = match frame {
-            Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
-            Ok(None) => break,
-            Ok(Some(Err(_))) | Err(_) => Err(Truncated),
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Ok(None) => {
+                chunks.finish();
+                lease.keep(head.keep_alive);
+                return;
+            }
+            Ok(Some(Err(_))) | Err(_) => return,
         };
     }
-    lease.keep(head.keep_alive);
 }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -8,12 +8,15 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, header};
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
 
 use crate::drain::{InFlight, UnwrittenAnswer};
 use crate::unanswered::AnswerGuard;
 use crate::write_tracker::{TrackedAnswer, WriteTracker};
 
+use self::chunks::ChunkReceiver;
+
+pub(crate) mod chunks;
+
 #[cfg(test)]
 mod tests;
 
@@ -53,7 +56,7 @@
 #[derive(Debug)]
 enum Source {
     Whole(Option<Bytes>),
-    Stream(mpsc::Receiver<Result<Bytes, Truncated>>),
+    Stream(ChunkReceiver),
     /// The answer is cut short, but the error was not returned yet.
     Truncated,
 }
@@ -65,8 +68,8 @@
         Self::new(Source::Whole(bytes))
     }
 
-    /// Creates a body from bytes that arrive through a channel.
-    pub(crate) fn stream(receiver: mpsc::Receiver<Result<Bytes, Truncated>>) -> Self {
+    /// Creates a body from chunks that arrive one after the other.
+    pub(crate) fn stream(receiver: ChunkReceiver) -> Self {
         Self::new(Source::Stream(receiver))
     }
 
@@ -123,7 +126,7 @@
                 self.set_whole();
                 return Poll::Ready(bytes.map(|it| Ok(Frame::data(it))));
             }
-            Source::Stream(receiver) => ready!(receiver.poll_recv(cx)),
+            Source::Stream(receiver) => ready!(receiver.poll_next(cx)),
             Source::Truncated => Some(Err(Truncated)),
         };
         match next {
--- a/crates/gateway/src/reply/tests.rs
+++ b/crates/gateway/src/reply/tests.rs
@@ -1,6 +1,7 @@
 //! What a caller receives of an answer that is cut short.
 
 use std::convert::Infallible;
+use std::sync::Mutex;
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -44,10 +45,16 @@
     }
 }
 
-/// Serves one answer that is complete before the server asks for it, and returns what the caller
+/// Serves the answer of a case, which is complete before the server asks for it, and returns what the caller
 /// reads.
 async fn read_answer(case: &Case) -> String {
-    let (caller, entry) = duplex(case.pipe);
+    let body = ready_body(case.events, case.truncated).await;
+    read_body(case.pipe, body).await
+}
+
+/// Serves one answer through a buffer of `pipe` bytes, and returns what the caller reads.
+async fn read_body(pipe: usize, mut body: ReplyBody) -> String {
+    let (caller, entry) = duplex(pipe);
     let write_tracker = WriteTracker::default();
     let stream = GuardedStream::new(
         entry,
@@ -55,10 +62,11 @@
         ReadCounter::default(),
         write_tracker.clone(),
     );
-    let (events, truncated) = (case.events, case.truncated);
+    body.track_writes(write_tracker, Drain::default().track_answer());
+    let reply = Mutex::new(Some(Response::new(body)));
     let service = service_fn(move |_| {
-        let write_tracker = write_tracker.clone();
-        async move { Ok::<_, Infallible>(ready_answer(events, truncated, write_tracker).await) }
+        let reply = reply.lock().expect("the answer").take().expect("one request");
+        async move { Ok::<_, Infallible>(reply) }
     });
     let server = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     let (mut reader, mut writer) = tokio::io::split(caller);
@@ -73,18 +81,29 @@
     String::from_utf8(read).expect("text")
 }
 
-async fn ready_answer(events: usize, truncated: bool, write_tracker: WriteTracker) -> Reply {
-    let (sender, receiver) = mpsc::channel(events + 1);
+async fn ready_body(events: usize, truncated: bool) -> ReplyBody {
+    let (sender, receiver) = chunks::channel(events + 1);
     for at in 0..events {
         let event = Bytes::from(format!("event {at};"));
-        sender.send(Ok(event)).await.expect("the channel is open");
+        sender.send(event).await.expect("the channel is open");
     }
-    if truncated {
-        sender.send(Err(Truncated)).await.expect("the channel is open");
+    if !truncated {
+        sender.finish();
     }
-    let mut body = ReplyBody::stream(receiver);
-    body.track_writes(write_tracker, Drain::default().track_answer());
-    Response::new(body)
+    ReplyBody::stream(receiver)
+}
+
+/// Guards against an answer without a length that looks complete because the task that forwards it panicked.
+#[tokio::test]
+async fn an_answer_whose_forwarding_panics_is_cut() {
+    let (sender, receiver) = chunks::channel(4);
+    let task = tokio::spawn(async move {
+        sender.send(Bytes::from_static(b"event 0;")).await.expect("the channel is open");
+        panic!("a fault");
+    });
+    assert!(task.await.is_err_and(|it| it.is_panic()));
+    let read = read_body(1 << 16, ReplyBody::stream(receiver)).await;
+    assert!(read.contains("event 0;") && !read.ends_with("0\r\n\r\n"), "{read}");
 }
 
 /// A large answer, in bytes: more than a caller's pipe takes, and less than the server buffers.
@@ -94,12 +113,13 @@
     ReplyBody::whole(Bytes::from(vec![b'x'; LARGE_BYTES]))
 }
 
-fn stream_body() -> ReplyBody {
-    let (sender, receiver) = mpsc::channel(8);
+async fn stream_body() -> ReplyBody {
+    let (sender, receiver) = chunks::channel(8);
     for _ in 0..8 {
-        let sent = sender.try_send(Ok(Bytes::from(vec![b'x'; LARGE_BYTES / 8])));
-        sent.expect("room in the channel");
+        let sent = sender.send(Bytes::from(vec![b'x'; LARGE_BYTES / 8])).await;
+        sent.expect("a receiver");
     }
+    sender.finish();
     ReplyBody::stream(receiver)
 }
 
@@ -107,7 +127,7 @@
 /// handed out whole to the server still counts until its bytes are written.
 #[tokio::test]
 async fn an_answer_counts_until_all_its_bytes_are_written() {
-    for (name, body) in [("whole", whole_body as fn() -> ReplyBody), ("stream", stream_body)] {
+    for (name, body) in [("whole", whole_body()), ("stream", stream_body().await)] {
         let (mut caller, entry) = duplex(64);
         let (drain, write_tracker) = (Drain::default(), WriteTracker::default());
         let stream = GuardedStream::new(
@@ -116,9 +136,10 @@
             ReadCounter::default(),
             write_tracker.clone(),
         );
-        let tracked = drain.clone();
+        let (tracked, body) = (drain.clone(), Mutex::new(Some(body)));
         let service = service_fn(move |_| {
-            let mut reply = Response::new(body());
+            let body = body.lock().expect("the answer").take().expect("one request");
+            let mut reply = Response::new(body);
             reply.body_mut().track_writes(write_tracker.clone(), tracked.track_answer());
             reply.body_mut().hold_in_flight(tracked.track_request());
             async move { Ok::<_, Infallible>(reply) }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,7 +17,6 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode};
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::admission::{self, Forecast, Requirements, Verdict};
@@ -30,7 +29,7 @@
 use crate::phases::Phases;
 use crate::plain::record_failed_call;
 use crate::quarantine::RunTimes;
-use crate::reply::{Refusal, Reply, ReplyBody};
+use crate::reply::{Refusal, Reply, ReplyBody, chunks};
 use crate::request::CallerRequest;
 use crate::room;
 use crate::shared::Shared;
@@ -75,7 +74,7 @@
         };
         self.record_origin(&request, &attached.upstream).await;
         self.shared.metrics.first_byte.observe(request.arrived.elapsed().as_secs_f64());
-        let (events, receiver) = mpsc::channel(MAX_BUFFERED_EVENTS);
+        let (events, receiver) = chunks::channel(MAX_BUFFERED_EVENTS);
         let mut reply = Response::new(ReplyBody::stream(receiver));
         *reply.headers_mut() = attached.headers.clone();
         let pump = Pump {
@@ -87,7 +86,7 @@
             events,
             heard: Instant::now(),
         };
-        spawn_forwarding(pump.events.clone(), pump.run(attached));
+        spawn_forwarding(pump.run(attached));
         Ok(reply)
     }
 
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -3,10 +3,8 @@
 use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use futures_util::FutureExt;
 use http_body_util::BodyExt;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
 use super::Streams;
@@ -17,7 +15,7 @@
 use crate::dialect::Dialect;
 use crate::events::Event;
 use crate::quarantine::RunTimes;
-use crate::reply::Truncated;
+use crate::reply::chunks::ChunkSender;
 use crate::request::CallerRequest;
 use crate::shared::Shared;
 use crate::upstream::Upstream;
@@ -30,22 +28,16 @@
     pub(super) tries: Tries,
     /// The number of the last event sent to the caller.
     pub(super) last_event: Option<u64>,
-    pub(super) events: mpsc::Sender<Result<Bytes, Truncated>>,
+    pub(super) events: ChunkSender,
     /// When bytes of the stream came last.
     pub(super) heard: Instant,
 }
 
-/// Starts to forward a stream to its caller, to whom `events` lead. If that panics, the stream is cut: without
-/// an error, it would look complete.
-pub(super) fn spawn_forwarding(
-    events: mpsc::Sender<Result<Bytes, Truncated>>,
-    run: impl Future<Output = ()> + Send + 'static,
-) {
+/// Starts to forward a stream to its caller. If that panics, the stream is cut, since its sender is dropped.
+pub(super) fn spawn_forwarding(run: impl Future<Output = ()> + Send + 'static) {
     tokio::spawn(async move {
         if AssertUnwindSafe(run).catch_unwind().await.is_err() {
             log::error!("the forwarding of a stream panicked");
-            // If it can't be sent, the caller has left.
-            let _ = events.send(Err(Truncated)).await;
         }
     });
 }
@@ -115,6 +107,7 @@
                         }
                         None => shared.quarantine.record_completed(&self.request),
                     }
+                    self.events.finish();
                     return;
                 }
                 ForwardEnd::CallerLeft => {
@@ -145,8 +138,7 @@
                 parts = self.request.shared_parts_text();
                 "ended a stream before it was complete");
             shared.metrics.streams_cut.with_label_values(&[why]).inc();
-            // The stream is incomplete, so the caller's connection is closed without a proper end.
-            let _ = self.events.send(Err(Truncated)).await;
+            // Without its end, the caller's connection is closed without one as well.
             return;
         }
     }
@@ -263,8 +255,7 @@
         if event.id.is_some() {
             self.last_event = event.id;
         }
-        let sent =
-            tokio::time::timeout_at(self.request.deadline, self.events.send(Ok(event.bytes)));
+        let sent = tokio::time::timeout_at(self.request.deadline, self.events.send(event.bytes));
         match sent.await {
             Ok(Ok(())) => None,
             Ok(Err(_)) => Some(ForwardEnd::CallerLeft),
--- a/crates/gateway/src/unanswered/tests.rs
+++ b/crates/gateway/src/unanswered/tests.rs
@@ -9,12 +9,12 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, duplex};
-use tokio::sync::mpsc;
 
 use super::*;
 use crate::drain::Drain;
 use crate::guard::GuardedStream;
-use crate::reply::{ReplyBody, Truncated};
+use crate::reply::ReplyBody;
+use crate::reply::chunks::{self, ChunkSender};
 use crate::write_tracker::WriteTracker;
 
 /// What a handler does.
@@ -62,23 +62,27 @@
 
 impl Handler {
     /// Returns the body, and what keeps a stream open.
-    async fn body(self) -> (ReplyBody, Option<mpsc::Sender<Result<Bytes, Truncated>>>) {
-        let (sender, receiver) = mpsc::channel(4);
+    async fn body(self) -> (ReplyBody, Option<ChunkSender>) {
+        let (sender, receiver) = chunks::channel(4);
         match self {
             Handler::Empty => return (ReplyBody::whole(Bytes::new()), None),
             Handler::Length => return (ReplyBody::whole(Bytes::from_static(b"an answer")), None),
             Handler::Waits => future::pending::<()>().await,
             Handler::Stream(_) | Handler::Pauses => {
                 for _ in 0..3 {
-                    let sent = sender.try_send(Ok(Bytes::from_static(b"event;")));
-                    sent.expect("room in the channel");
+                    let sent = sender.send(Bytes::from_static(b"event;")).await;
+                    sent.expect("a receiver");
                 }
             }
         }
-        if let Handler::Stream(true) = self {
-            sender.try_send(Err(Truncated)).expect("room in the channel");
-        }
-        let open = matches!(self, Handler::Pauses).then_some(sender);
+        let open = match self {
+            Handler::Pauses => Some(sender),
+            Handler::Stream(false) => {
+                sender.finish();
+                None
+            }
+            _ => None,
+        };
         (ReplyBody::stream(receiver), open)
     }
 }
