Claim room for a plain try only once it may be sent

Callers: beside a silent upstream, each look for another one took room at a cold or limited upstream and lost it where no retry was granted, so that requests which could have gone there at once went to the silent one. Cause: the room was claimed as the upstream was chosen, before the retry was asked for; claimed room can't be given back. Where others have used the room by then, another upstream is chosen. Conclusion: mended for a try's own room. Room that another entry has lent is still lost without a retry.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -2,6 +2,7 @@
 //! if its route allows it.
 
 mod call;
+mod prepare;
 mod tries;
 
 use std::sync::Arc;
@@ -13,7 +14,6 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::batch::BatchClient;
-use crate::budget::{RetryPermit, Spender};
 use crate::dialect::Dialect;
 use crate::exchange::{Cause, Fault};
 use crate::offers::Offers;
@@ -23,9 +23,10 @@
 use crate::request::CallerRequest;
 use crate::room;
 use crate::shared::Shared;
-use crate::upstream::{RunningRequest, Upstream};
+use crate::upstream::Upstream;
 
 use self::call::{Answer, call_once};
+use self::prepare::{Chosen, NotPrepared, Prepared, prepare};
 use self::tries::{End, Step, Tries};
 
 /// A try that may be followed by another counts as silent after this many times the target.
@@ -79,14 +80,6 @@
     silent_at: Instant,
 }
 
-/// What a try needs before it is sent.
-struct Prepared {
-    number: u32,
-    upstream: Arc<Upstream>,
-    permit: Option<Arc<RetryPermit>>,
-    running: RunningRequest,
-}
-
 /// The outcome of a try.
 struct Called {
     number: u32,
@@ -127,10 +120,10 @@
                 Step::Finish => break,
                 Step::Begin => {
                     match self.next_upstream().await? {
-                        Some(upstream) => {
+                        Some(chosen) => {
                             self.watched = None;
                             let again = self.tries.needs_permit();
-                            prepared.push(prepare(context, self.tries.begin(), upstream, again));
+                            prepared.push(prepare(context, self.tries.begin(), chosen, again));
                         }
                         None => {
                             self.tries.record_nobody();
@@ -151,11 +144,14 @@
                     }
                 }
                 Some((number, ready)) = prepared.next() => match ready {
-                    Some(ready) => calls.push(call(context, self.begin(ready))),
-                    None => {
+                    Ok(ready) => calls.push(call(context, self.begin(ready))),
+                    Err(NotPrepared::NoPermit) => {
                         self.tries.record_end(number, End::NoPermit);
                         self.watched = self.silent.take();
                     }
+                    Err(NotPrepared::NoRoom) => {
+                        self.tries.record_end(number, End::NotRun { sent: false, more: true });
+                    }
                 },
                 () = sleep_until(silent_at.unwrap_or(latest)), if silent_at.is_some() => {
                     self.record_silence();
@@ -170,9 +166,9 @@
         }
     }
 
-    /// Chooses the upstream of the next try, with room for it. While the request is at another one, waits
-    /// for none.
-    async fn next_upstream(&self) -> Result<Option<Arc<Upstream>>, Refusal> {
+    /// Chooses the upstream of the next try, which has room for it now. While the request is at another one,
+    /// waits for none.
+    async fn next_upstream(&self) -> Result<Option<Chosen>, Refusal> {
         let Context { shared, batches, request, service } = self.context;
         loop {
             let now = Instant::now();
@@ -199,9 +195,7 @@
                     false => Err(Refusal::Quarantined(it.after)),
                 };
             }
-            if has_loan || upstream.claim_room(now) {
-                return Ok(Some(upstream));
-            }
+            return Ok(Some(Chosen { upstream, has_loan }));
         }
     }
 
@@ -300,27 +294,6 @@
     }
 }
 
-/// Takes what a try needs before it is sent; returns `None` if it may not be sent again.
-async fn prepare<D: Dialect>(
-    context: Context<'_, D>,
-    number: u32,
-    upstream: Arc<Upstream>,
-    again: bool,
-) -> (u32, Option<Prepared>) {
-    let Context { shared, batches, request, service } = context;
-    let permit = match again {
-        true => batches.take_retries(service, Spender::Entry, 1).await,
-        false => None,
-    };
-    if again && permit.is_none() {
-        shared.metrics.calls.with_label_values(&["no budget"]).inc();
-        return (number, None);
-    }
-    let running = upstream.begin_request(0);
-    batches.borrow_connection(&upstream, request.deadline).await;
-    (number, Some(Prepared { number, upstream, permit, running }))
-}
-
 /// Sends a try and waits for its answer.
 async fn call<D: Dialect>(context: Context<'_, D>, prepared: Prepared) -> Called {
     let Prepared { number, upstream, permit, running } = prepared;
