Count a request as one that may have run only once it is sent

Callers: a request that waited for a connection as its entry ended got 504 "late, may have run" although no byte of it had been sent; one that runs at most once could then not be sent again by its caller. Cause: the mark was set as the request to the upstream was built, before the connection was there. Change: the mark travels with the request (`SendMark`) and is set right before it is handed to its connection. Where that connection proves to be closed and nothing was written, the mark stays until the try has its outcome, as before. A plain request has the mark as long as another try of it is open, sent or not.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,6 +13,7 @@
 
 use crate::budget::RetryPermit;
 use crate::dialect::{AnswerHead, Dialect, Handle, PieceAnswer, PieceCall, SpaceReport};
+use crate::request::SendMark;
 use crate::upstream::{ConnectError, Lease, Upstream};
 
 /// The largest answer to one of the entry's own calls, in bytes.
@@ -165,6 +166,7 @@
             lease.keep(None);
             return Err(Fault::held(cause));
         }
+        SendMark::set(&request);
         let answer = timeout_at(deadline, sender.try_send_request(request));
         let response = match watch_silence(upstream, is_kept, answer).await {
             Ok(Ok(response)) => response,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -236,7 +236,7 @@
             last_event,
         };
         D::add_headers(headers, &forward_head);
-        self.may_have_run.store(true, Ordering::Relaxed);
+        request.extensions_mut().insert(SendMark(Arc::clone(&self.may_have_run)));
         request
     }
 
@@ -251,6 +251,19 @@
     }
 }
 
+/// Tells whether a caller's request may have run; it travels with what is sent.
+#[derive(Clone, Debug)]
+pub(crate) struct SendMark(Arc<AtomicBool>);
+
+impl SendMark {
+    /// Records that a request is sent from now on. Requests of the entry itself have no mark.
+    pub(crate) fn set<T>(request: &Request<T>) {
+        if let Some(mark) = request.extensions().get::<Self>() {
+            mark.0.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
 /// Tells whether a request may have run when its time is over.
 pub(crate) struct TimeoutWatch(Arc<AtomicBool>);
 
