Leave lenders of retries alone that refuse or are late

While an entry that lends retries stood still, each failed request of its borrowers waited 120 ms for it before its caller got the answer, up to three such lenders one after the other.

Cause: lenders of connections that refuse or are late are left alone for a while, those of retries were not. Its class: work that grows with the trouble, for want of a memory.

Evidence: a lender that stands still, 36 requests one after the other that fail.

Change: the memory (`unwilling`) knows what was asked for: connections to an upstream, or retries for a service by a spender. A refusal holds for 300 ms for the amount refused and more; less may be asked for. A late lender is asked for nothing for 1 s, whatever it was late with. The cost: where the only lender was late once, nothing is borrowed for that second.

--- a/crates/gateway/src/batch/client.rs
+++ b/crates/gateway/src/batch/client.rs
@@ -91,7 +91,7 @@
     hello: Hello,
     own_address: SocketAddr,
     next_id: AtomicU64,
-    /// The entries that do not lend connections now.
+    /// The entries that do not lend now.
     unwilling: UnwillingLenders,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     suspects: Mutex<HashMap<SocketAddr, Instant>>,
--- a/crates/gateway/src/batch/client/loan.rs
+++ b/crates/gateway/src/batch/client/loan.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::BatchClient;
+use super::unwilling::Item;
 use crate::batch::link::Link;
 use crate::batch::message::{ConnectionLoan, FromOwner, Loan, RestLoan, RoomLoan, ToOwner};
 use crate::brittle::SETTLE_TIME;
@@ -54,6 +55,8 @@
             Err(missing) => missing,
         };
         let lenders = self.shared.budget.lenders(spender);
+        let item = Item::Retries(Arc::clone(service), spender);
+        let lenders = self.unwilling.without(lenders, &item, thousandths(missing), Instant::now());
         let asked = lenders.into_iter().sample(&mut rand::rng(), MAX_LENDERS_ASKED);
         for lender in asked {
             let id = self.next_number();
@@ -81,8 +84,10 @@
     /// Asks an entry for what is missing of retries; returns whether it lends that.
     async fn borrow(&self, lender: SocketAddr, loan: Loan, missing: Retries) -> bool {
         let (id, service) = (loan.id, loan.service.clone());
-        let loan = RestLoan { loan, missing: (missing.0 * 1e3).ceil() as u32 };
+        let item = Item::Retries(service.as_str().into(), loan.spender);
+        let loan = RestLoan { loan, missing: thousandths(missing) };
         let lent = self.ask_loan(lender, id, ToOwner::BorrowRest(loan)).await;
+        self.note_lender(lender, item, thousandths(missing), lent);
         log::info!(peer:% = lender, service:% = service, missing:%, lent = lent.unwrap_or(false),
             in_time = lent.is_some(); "asked another entry for retries");
         lent.unwrap_or(false)
@@ -129,14 +134,15 @@
         let time_ms = (expires - now + RETURN_TIME).as_millis() as u64;
         let own = score(0, &self.own_address.to_string());
         let lenders = self.shared.directory().entry_list().holders(own, CONNECTION_LENDERS);
-        let willing = |it: &SocketAddr| !self.unwilling.contains(*it, upstream.id_hash, now);
-        let lenders = lenders.into_iter().filter(willing);
-        let asked = lenders.sample(&mut rand::rng(), MAX_CONNECTION_LENDERS_ASKED);
+        let item = Item::Connections(upstream.id_hash);
+        let lenders = self.unwilling.without(lenders, &item, 1, now);
+        let asked = lenders.into_iter().sample(&mut rand::rng(), MAX_CONNECTION_LENDERS_ASKED);
         for lender in asked {
             let number = self.next_number();
             let loan = ConnectionLoan { id: number, upstream: upstream.id.to_string(), time_ms };
             let lent = self.ask_loan(lender, number, ToOwner::BorrowConnection(loan)).await;
             self.shared.metrics.loans(lent.into()).inc();
+            self.note_lender(lender, item.clone(), 1, lent);
             let link = self.link(lender);
             match lent {
                 Some(true) => {
@@ -148,16 +154,22 @@
                     });
                     return;
                 }
-                Some(false) => self.unwilling.add_refused(lender, upstream.id_hash, Instant::now()),
-                None => {
-                    self.unwilling.add_late(lender, Instant::now());
-                    // An answer that comes late must not keep the connection.
-                    link.send(ToOwner::ReturnConnection(number));
-                }
+                Some(false) => {}
+                // An answer that comes late must not keep the connection.
+                None => link.send(ToOwner::ReturnConnection(number)),
             }
         }
     }
 
+    /// Remembers an entry that has refused an amount of something, or has not answered in time.
+    fn note_lender(&self, lender: SocketAddr, item: Item, amount: u32, lent: Option<bool>) {
+        match lent {
+            Some(true) => {}
+            Some(false) => self.unwilling.add_refused(lender, item, amount, Instant::now()),
+            None => self.unwilling.add_late(lender, Instant::now()),
+        }
+    }
+
     /// Returns the number of the next message that is answered.
     pub(super) fn next_number(&self) -> u64 {
         self.next_id.fetch_add(1, Ordering::Relaxed) + 1
@@ -181,6 +193,11 @@
     }
 }
 
+/// Returns an amount of retries in thousandths, not less than it is.
+fn thousandths(amount: Retries) -> u32 {
+    (amount.0 * 1e3).ceil() as u32
+}
+
 /// Tells the lender of room at a brittle upstream once the request can no longer be turned away, unless
 /// the upstream has turned one of this entry's away meanwhile.
 async fn settle(lender: Arc<Link>, upstream: Arc<Upstream>) {
