Leave lenders of room alone that refuse or are late

While an entry that lends room at upstreams in need stood still, requests of its borrowers waited 120 ms for it at each such upstream anew, each second, before they were refused or sent elsewhere.

An upstream at which nobody lends is left alone for a second, but the next one asked the same lender again.

Change: loans of room use the memory too, by upstream.

Conclusion: no loan is asked of a lender any more that was late within the last second.

--- a/crates/gateway/src/batch/client/loan.rs
+++ b/crates/gateway/src/batch/client/loan.rs
@@ -106,11 +106,15 @@
         let in_need = open.filter_map(|it| Some((it, it.borrowable(now)?)));
         let (upstream, (need, holders)) =
             in_need.min_by_key(|(it, _)| (it.total_running(), rand::random::<u16>()))?;
+        let item = Item::Room(upstream.id_hash);
+        let holders = self.unwilling.without(holders, &item, 1, now);
         let lenders = holders.into_iter().sample(&mut rand::rng(), MAX_ROOM_LENDERS_ASKED);
         for lender in lenders {
             let number = self.next_number();
             let loan = RoomLoan { id: number, upstream: upstream.id.to_string(), need };
-            if self.ask_loan(lender, number, ToOwner::BorrowRoom(loan)).await == Some(true) {
+            let lent = self.ask_loan(lender, number, ToOwner::BorrowRoom(loan)).await;
+            self.note_lender(lender, item.clone(), 1, lent);
+            if lent == Some(true) {
                 log::info!(peer:% = lender, upstream:% = upstream.id, need:? = need;
                     "another entry lent its room at an upstream in need");
                 if need.brittle.is_some() {
--- a/crates/gateway/src/batch/client/unwilling.rs
+++ b/crates/gateway/src/batch/client/unwilling.rs
@@ -1,4 +1,4 @@
-//! The entries that do not lend at the moment: connections and retries. Without them, a lender that
+//! The entries that do not lend at the moment: connections, retries, room. Without them, a lender that
 //! stands still costs each request the whole time to wait for it, and an entry that is late asks for more
 //! the later it is.
 
@@ -28,6 +28,8 @@
 pub(super) enum Item {
     /// Connections to the upstream with this hash of its id.
     Connections(u64),
+    /// Room at the upstream with this hash of its id.
+    Room(u64),
     /// Retries for a service.
     Retries(Arc<str>, Spender),
 }
--- a/crates/gateway/src/batch/client/unwilling/tests.rs
+++ b/crates/gateway/src/batch/client/unwilling/tests.rs
@@ -6,6 +6,7 @@
 #[derive(Clone, Copy)]
 enum Asked {
     Connections(u64),
+    Room(u64),
     Retries(&'static str, Spender),
 }
 
@@ -30,6 +31,8 @@
     asked: false,
 };
 
+const ROOM: Case = Case { first: Asked::Room(1), next: Asked::Room(1), ..REFUSED };
+
 const ENTRY: Asked = Asked::Retries("app", Spender::Entry);
 
 const RETRIES: Case = Case { first: ENTRY, next: ENTRY, ..REFUSED };
@@ -41,6 +44,11 @@
     Case { name: "late", late: true, ..REFUSED },
     Case { name: "late, another upstream", late: true, next: Asked::Connections(2), ..REFUSED },
     Case { name: "late a while ago", late: true, after_ms: 1_100, asked: true, ..REFUSED },
+    Case { name: "room refused just now", ..ROOM },
+    Case { name: "room refused a while ago", after_ms: 400, asked: true, ..ROOM },
+    Case { name: "room at another upstream", next: Asked::Room(2), asked: true, ..ROOM },
+    Case { name: "room, connections refused", first: Asked::Connections(1), asked: true, ..ROOM },
+    Case { name: "late for room, retries", late: true, next: ENTRY, ..ROOM },
     Case { name: "retries refused just now", ..RETRIES },
     Case { name: "more retries", amount: 3, ..RETRIES },
     Case { name: "fewer retries", amount: 1, asked: true, ..RETRIES },
@@ -58,11 +66,13 @@
         ..RETRIES
     },
     Case { name: "late for retries, fewer", late: true, amount: 1, ..RETRIES },
+    Case { name: "late for retries, room", late: true, next: Asked::Room(1), ..RETRIES },
 ];
 
 fn item(asked: Asked) -> Item {
     match asked {
         Asked::Connections(upstream) => Item::Connections(upstream),
+        Asked::Room(upstream) => Item::Room(upstream),
         Asked::Retries(service, spender) => Item::Retries(service.into(), spender),
     }
 }
