Let an answer that is ready go before the end of the process

Callers: an answer that was ready in the same poll in which the process ended its requests could be replaced by 504 "late, may have run".

Cause: the choice between the two was random (an unbiased `select!`).

Change: `Drain::run_until_closing` asks for the result first.

--- a/crates/gateway/src/drain.rs
+++ b/crates/gateway/src/drain.rs
@@ -7,6 +7,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+#[cfg(test)]
+mod tests;
+
 /// The phase of an entry, and its requests in flight.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Drain {
@@ -81,6 +84,16 @@
         }
     }
 
+    /// Runs `work` until the process is about to end; returns `None` if that comes before its result.
+    pub(crate) async fn run_until_closing<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            // A result that is ready goes first.
+            biased;
+            done = work => Some(done),
+            () = self.closing() => None,
+        }
+    }
+
     /// Returns the number of requests in flight.
     pub(crate) fn in_flight(&self) -> usize {
         self.inner.requests.load(Ordering::Relaxed)
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -260,11 +260,11 @@
             _ => plain::run(shared, &streams.batches, &request, &service).await,
         }
     };
-    let result = tokio::select! {
-        ran = timeout_at(deadline, run) => ran.unwrap_or_else(|_| Err(late.late_refusal())),
-        // Without this, a request that waits for its stages would be cut off by the end of the
-        // process.
-        () = shared.drain.closing() => Err(late.ending_refusal()),
+    // A request that waits for its stages would be cut off by the end of the process.
+    let result = match shared.drain.run_until_closing(timeout_at(deadline, run)).await {
+        Some(Ok(result)) => result,
+        Some(Err(_)) => Err(late.late_refusal()),
+        None => Err(late.ending_refusal()),
     };
     let outcome = match &result {
         Ok(reply) => reply.status().as_str().to_owned(),
