--- a/crates/gateway/tests/crowd_fleet.rs
+++ b/crates/gateway/tests/crowd_fleet.rs
@@ -5,6 +5,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::thread;
 use std::time::Duration;
 
 use gateway::crowd::{Crowd, SAMPLE_PAUSES, Sample};
@@ -344,23 +345,31 @@
 /// knows the loads of the others.
 #[test]
 fn what_crowded_entries_read_is_served_in_time_at_any_size() {
-    for case in CASES {
-        let mut model = Model::new(case, 1);
-        model.run();
-        let timely = model.timely();
-        assert!(timely >= LEAST_TIMELY, "{}: {timely:.3} within their aim", case.name);
-    }
+    thread::scope(|scope| {
+        for case in CASES {
+            scope.spawn(|| {
+                let mut model = Model::new(case, 1);
+                model.run();
+                let timely = model.timely();
+                assert!(timely >= LEAST_TIMELY, "{}: {timely:.3} within their aim", case.name);
+            });
+        }
+    });
 }
 
 /// Guards against an entry that reads all that comes for a moment and nothing the next.
 #[test]
 fn crowded_entries_read_a_steady_number_of_requests() {
-    for case in CASES.iter().filter(|it| it.moves_s.is_none()) {
-        let mut model = Model::new(case, 2);
-        model.run();
-        let reads = model.reads();
-        let mean = reads.iter().sum::<f64>() / reads.len() as f64;
-        let is_steady = |it: &f64| (STEADY.0 * mean..=STEADY.1 * mean).contains(it);
-        assert!(reads.iter().all(is_steady), "{}: {reads:?}", case.name);
-    }
+    thread::scope(|scope| {
+        for case in CASES.iter().filter(|it| it.moves_s.is_none()) {
+            scope.spawn(|| {
+                let mut model = Model::new(case, 2);
+                model.run();
+                let reads = model.reads();
+                let mean = reads.iter().sum::<f64>() / reads.len() as f64;
+                let is_steady = |it: &f64| (STEADY.0 * mean..=STEADY.1 * mean).contains(it);
+                assert!(reads.iter().all(is_steady), "{}: {reads:?}", case.name);
+            });
+        }
+    });
 }
--- a/crates/gateway/tests/gather.rs
+++ b/crates/gateway/tests/gather.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 use gateway::Upstream;
@@ -149,29 +150,35 @@
     outcome
 }
 
+fn check(case: &Case, seed: u64) {
+    let everywhere = play(case, Way::Everywhere, seed);
+    let gathered = play(case, Way::Gathered, seed);
+    let (reads, before) = (gathered.first_reads, everywhere.first_reads);
+    assert!(
+        reads as f64 <= case.most * before as f64,
+        "{}, seed {seed}: {reads} reads of {before}",
+        case.name
+    );
+    let allowed = everywhere.late + gathered.requests / 100;
+    assert!(
+        gathered.late <= allowed,
+        "{}, seed {seed}: {} late, {allowed} allowed",
+        case.name,
+        gathered.late
+    );
+}
+
 /// Guards against a fleet with many more upstreams than its requests keep busy, in which nearly every
 /// request reads the first part of its prompt at an upstream that has not read it.
 #[test]
 fn prompts_that_begin_alike_are_gathered_while_upstreams_are_idle() {
-    for case in CASES {
-        for seed in 0..3 {
-            let everywhere = play(case, Way::Everywhere, seed);
-            let gathered = play(case, Way::Gathered, seed);
-            let (reads, before) = (gathered.first_reads, everywhere.first_reads);
-            assert!(
-                reads as f64 <= case.most * before as f64,
-                "{}, seed {seed}: {reads} reads of {before}",
-                case.name
-            );
-            let allowed = everywhere.late + gathered.requests / 100;
-            assert!(
-                gathered.late <= allowed,
-                "{}, seed {seed}: {} late, {allowed} allowed",
-                case.name,
-                gathered.late
-            );
+    thread::scope(|scope| {
+        for case in CASES {
+            for seed in 0..3 {
+                scope.spawn(move || check(case, seed));
+            }
         }
-    }
+    });
 }
 
 struct Width {
--- a/crates/gateway/tests/origin.rs
+++ b/crates/gateway/tests/origin.rs
@@ -1,6 +1,7 @@
 //! Where streams began, in fleets of entries whose news is late or lost, on virtual time.
 
 use std::net::SocketAddr;
+use std::thread;
 use std::time::Duration;
 
 use gateway::origin::{Origin, OriginTable, StreamKey, asked, keepers};
@@ -246,20 +247,26 @@
     }
 }
 
+fn check(case: &Case) {
+    let (mut taken_up, mut found, mut mixed) = (0, 0, 0);
+    for seed in 0..SEEDS {
+        let counts = Play::new(case, seed).run();
+        (taken_up, found, mixed) = (taken_up + counts.0, found + counts.1, mixed + counts.2);
+    }
+    let Case { name, entries, least, .. } = case;
+    assert_eq!(mixed, 0, "{name}, {entries} entries");
+    assert!(found as f64 >= taken_up as f64 * least, "{name}, {entries} entries: {found}");
+}
+
 /// Guards against streams that are taken up at another version, or can't be, because the entries that
 /// know where they began are gone, or are not found with other lists of entries.
 #[test]
 fn origins_are_found_through_other_entries() {
-    for case in CASES {
-        let (mut taken_up, mut found, mut mixed) = (0, 0, 0);
-        for seed in 0..SEEDS {
-            let counts = Play::new(case, seed).run();
-            (taken_up, found, mixed) = (taken_up + counts.0, found + counts.1, mixed + counts.2);
+    thread::scope(|scope| {
+        for case in CASES {
+            scope.spawn(|| check(case));
         }
-        let Case { name, entries, least, .. } = case;
-        assert_eq!(mixed, 0, "{name}, {entries} entries");
-        assert!(found as f64 >= taken_up as f64 * least, "{name}, {entries} entries: {found}");
-    }
+    });
 }
 
 /// Guards against a table of origins that grows without a bound, or forgets those that are still of use.
--- a/crates/gateway/tests/retry_fleet/main.rs
+++ b/crates/gateway/tests/retry_fleet/main.rs
@@ -3,6 +3,8 @@
 
 mod fleet;
 
+use std::thread;
+
 use fleet::{Fleet, Play, Trouble};
 
 /// A play's entries and load.
@@ -37,29 +39,31 @@
     };
 }
 
-/// Plays a case with several seeds, and fails with all the plays that sent too much.
-fn check(cases: &[Case]) {
-    let wanted: Option<u64> = std::env::var("RETRY_SEEDS").ok().and_then(|it| it.parse().ok());
+/// Plays a case with several seeds; returns the plays that sent too much.
+fn broken(case: &Case, wanted: Option<u64>) -> Vec<String> {
+    // A play of a large fleet takes long in a debug build.
+    let seeds = wanted.unwrap_or(if case.entries < 100 { 3 } else { 1 });
     let mut broken = Vec::new();
-    for case in cases {
-        // A play of a large fleet takes long in a debug build.
-        let seeds = wanted.unwrap_or(if case.entries < 100 { 3 } else { 1 });
-        for seed in 0..seeds {
-            let play = Play {
-                entries: case.entries,
-                rate: case.rate,
-                burst: case.burst,
-                trouble: case.trouble,
-            };
-            let worst = Fleet::new(&play, seed).run().worst_window(case.burst);
-            if worst.sent_again as f64 > worst.allowed {
-                let Case { name, entries, burst, .. } = case;
-                broken.push(format!(
-                    "{name}, {entries} entries, burst {burst}, seed {seed}: {worst:?}"
-                ));
-            }
+    for seed in 0..seeds {
+        let Case { name, entries, rate, burst, trouble } = *case;
+        let play = Play { entries, rate, burst, trouble };
+        let worst = Fleet::new(&play, seed).run().worst_window(burst);
+        if worst.sent_again as f64 > worst.allowed {
+            broken
+                .push(format!("{name}, {entries} entries, burst {burst}, seed {seed}: {worst:?}"));
         }
     }
+    broken
+}
+
+/// Plays the cases side by side, and fails with all the plays that sent too much.
+fn check(cases: &[Case]) {
+    let wanted: Option<u64> = std::env::var("RETRY_SEEDS").ok().and_then(|it| it.parse().ok());
+    let broken: Vec<String> = thread::scope(|scope| {
+        let spawn = |case| scope.spawn(move || broken(case, wanted));
+        let plays: Vec<_> = cases.iter().map(spawn).collect();
+        plays.into_iter().flat_map(|it| it.join().expect("a play")).collect()
+    });
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
