--- a/crates/registry/tests/quarantine_return.rs
+++ b/crates/registry/tests/quarantine_return.rs
@@ -39,7 +39,7 @@
 const TRIAL_WAIT_MS: u64 = 300;
 
 /// How many upstreams one request may be sent to.
-const MAX_ATTEMPTS: u32 = 2;
+const MOST_TRIES: u32 = 2;
 
 /// How long entries take to detect a termination, and the leader's interval of decisions, in ms.
 const DETECTION_MS: u64 = 25;
@@ -410,7 +410,7 @@
                 ages.insert(run.request.digest(), age as u32);
                 by_entry.entry(run.request.entry).or_default().push(run.request);
             }
-            if run.request.attempts < MAX_ATTEMPTS {
+            if run.request.attempts < MOST_TRIES {
                 self.schedule(1, Event::Arrives(run.request));
             }
         }
