Ask a borrower that still runs three times at most

Nobody has seen it: an entry whose link had ended once would have asked a borrower that still runs twice a second for as long as it had any loan, which is as long as a crowd lasts, and the borrower is the entry that has least time to answer.

Cause: asked until the last loan was over, since a process that answers may be about to end; loans of a crowd are renewed all the time. Found by reading the change again.

Evidence: a_process_that_goes_on_running_is_not_watched_for_long with the bound taken out: 1 of 1 run failed.

Change: a borrower that has answered three times, half a second apart, is not watched until its next connection ends.

Conclusion: asking is bounded by the ends of connections again.

--- a/crates/gateway/src/batch/owner/lending.rs
+++ b/crates/gateway/src/batch/owner/lending.rs
@@ -76,9 +76,13 @@
 
     /// Handles the answer of an entry that has borrowed connections.
     pub(super) fn borrower_asked(&mut self, borrower: &Hello, state: ProcessState) {
-        if state == ProcessState::Ended {
-            log::info!(peer:% = borrower; "an entry that has borrowed connections has ended");
-            self.loans.end_all(borrower);
+        match state {
+            ProcessState::Ended => {
+                log::info!(peer:% = borrower; "an entry that has borrowed connections has ended");
+                self.loans.end_all(borrower);
+            }
+            ProcessState::Running => self.loans.record_running(borrower),
+            ProcessState::Unknown => {}
         }
         if self.loans.is_watched(borrower) {
             self.ask_borrower(borrower.clone(), ASK_PAUSE);
--- a/crates/gateway/src/batch/owner/loans.rs
+++ b/crates/gateway/src/batch/owner/loans.rs
@@ -3,7 +3,7 @@
 //! A process may reach this one by several connections, one after the other; what it has borrowed by one
 //! it may return by another.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use tokio::sync::oneshot;
@@ -12,6 +12,9 @@
 #[cfg(test)]
 mod tests;
 
+/// How often a borrower that answers is asked whether it still runs: it may be about to end.
+const MAX_ANSWERS: u32 = 3;
+
 /// A connection that is lent.
 #[derive(Debug)]
 pub(super) struct Loan {
@@ -26,8 +29,8 @@
 pub(super) struct Loans {
     /// By the borrower's number for each.
     borrowers: HashMap<Hello, HashMap<u64, Loan>>,
-    /// The borrowers that are being asked whether they still run.
-    watched: HashSet<Hello>,
+    /// The borrowers that are being asked whether they still run, and how often each has answered.
+    watched: HashMap<Hello, u32>,
 }
 
 impl Loans {
@@ -52,13 +55,26 @@
     /// Begins to watch a process. Returns false if nothing is lent to it, or if it is watched already.
     pub(super) fn watch(&mut self, borrower: &Hello) -> bool {
         self.forget_ended();
-        self.borrowers.contains_key(borrower) && self.watched.insert(borrower.clone())
+        let is_new = self.borrowers.contains_key(borrower) && !self.watched.contains_key(borrower);
+        if is_new {
+            self.watched.insert(borrower.clone(), 0);
+        }
+        is_new
+    }
+
+    /// Records that a watched process still runs. One that has answered often enough is not watched any more.
+    pub(super) fn record_running(&mut self, borrower: &Hello) {
+        let Some(answers) = self.watched.get_mut(borrower) else { return };
+        *answers += 1;
+        if *answers >= MAX_ANSWERS {
+            self.watched.remove(borrower);
+        }
     }
 
-    /// Returns whether a process is watched. That ends with its last loan.
+    /// Returns whether a process is watched. That ends with its last loan, too.
     pub(super) fn is_watched(&mut self, borrower: &Hello) -> bool {
         self.forget_ended();
-        self.watched.contains(borrower)
+        self.watched.contains_key(borrower)
     }
 
     /// Returns where other entries reached a process when something was lent to it.
@@ -71,6 +87,6 @@
             loans.retain(|_, it| !it.returned.is_closed());
         }
         self.borrowers.retain(|_, it| !it.is_empty());
-        self.watched.retain(|it| self.borrowers.contains_key(it));
+        self.watched.retain(|it, _| self.borrowers.contains_key(it));
     }
 }
--- a/crates/gateway/src/batch/owner/loans/tests.rs
+++ b/crates/gateway/src/batch/owner/loans/tests.rs
@@ -3,7 +3,7 @@
 use tokio::sync::oneshot::{self, Receiver};
 use wire::{Hello, Kind};
 
-use super::{Loan, Loans};
+use super::{Loan, Loans, MAX_ANSWERS};
 
 fn process(node: u64) -> Hello {
     Hello { kind: Kind::Entry, vm: "entry-1".parse().expect("a name"), node }
@@ -59,6 +59,22 @@
     assert!(loans.watch(&process(1)), "watched anew");
 }
 
+/// Guards against lenders that ask a borrower again and again because it goes on borrowing.
+#[test]
+fn a_process_that_goes_on_running_is_not_watched_for_long() {
+    let mut loans = Loans::default();
+    let (only, _when) = loan(None);
+    loans.begin(process(1), 1, only);
+    assert!(loans.watch(&process(1)));
+    for _ in 1..MAX_ANSWERS {
+        loans.record_running(&process(1));
+        assert!(loans.is_watched(&process(1)), "it may be about to end");
+    }
+    loans.record_running(&process(1));
+    assert!(!loans.is_watched(&process(1)));
+    assert!(loans.watch(&process(1)), "the end of its next connection");
+}
+
 #[test]
 fn the_address_of_a_borrower_outlasts_the_list() {
     let address = SocketAddr::from(([127, 0, 0, 1], 1));
