--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripts, with the standard library only, into target/review.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+for source in review/harness/*.rs; do
+  name=$(basename "$source" .rs)
+  [ "$name" = lib ] && continue
+  rustc --edition 2024 -O -o "target/review/$name" "$source"
+done
