--- a/review/harness/lib.rs
+++ b/review/harness/lib.rs
@@ -22,6 +22,10 @@
 /// The exit code of a script that could not run.
 pub const CANNOT_RUN: i32 = 2;
 
+/// The period of a gateway's quota of processor time, and how often its use is looked at.
+const QUOTA_PERIOD: Duration = Duration::from_millis(100);
+const QUOTA_CHECK: Duration = Duration::from_millis(2);
+
 const SIGKILL: i32 = 9;
 const SIGSTOP: i32 = 19;
 const SIGCONT: i32 = 18;
@@ -406,6 +410,13 @@
         }
     }
 
+    /// Returns the processor time that the process has used, in ns.
+    fn used_ns(&self) -> Option<u64> {
+        let id = lock(&self.child).as_ref()?.id();
+        let text = fs::read_to_string(format!("/proc/{id}/schedstat")).ok()?;
+        text.split(' ').next()?.parse().ok()
+    }
+
     /// Returns whether the process runs.
     pub fn runs(&self) -> bool {
         let mut child = lock(&self.child);
@@ -447,7 +458,8 @@
             sockets.iter().map(|it| it.local_addr().expect("a port").port()).collect();
         ports.sort_unstable();
         drop(sockets);
-        let (first, front, ready, control, last) = (ports[0], ports[1], ports[2], ports[3], ports[4]);
+        let (first, front, ready, control, last) =
+            (ports[0], ports[1], ports[2], ports[3], ports[4]);
         let seeds: Vec<String> =
             (0..members.min(3)).map(|it| format!("\"{}:{control}\"", ip(it))).collect();
         let losses = (members - 1) / 2;
@@ -497,6 +509,32 @@
         }
     }
 
+    /// Gives each gateway a quota of processor time: it runs at full speed until the quota is used up,
+    /// and then not at all for the rest of that tenth of a second (DEPLOY.md).
+    pub fn limit_gateways(self: &Arc<Self>, cores: f64) {
+        for number in 0..self.gateways.len() {
+            let fleet = Arc::downgrade(self);
+            thread::spawn(move || {
+                loop {
+                    let end = Instant::now() + QUOTA_PERIOD;
+                    let Some(fleet) = fleet.upgrade() else { return };
+                    let gateway = &fleet.gateways[number];
+                    let Some(before) = gateway.used_ns() else { return };
+                    let quota = (QUOTA_PERIOD.as_nanos() as f64 * cores) as u64;
+                    while Instant::now() < end {
+                        if gateway.used_ns().is_some_and(|it| it - before >= quota) {
+                            gateway.stop_running();
+                            thread::sleep(end.saturating_duration_since(Instant::now()));
+                            gateway.go_on();
+                            break;
+                        }
+                        thread::sleep(QUOTA_CHECK);
+                    }
+                }
+            });
+        }
+    }
+
     pub fn front(&self, gateway: usize) -> SocketAddr {
         (self.gateways[gateway].ip, self.front).into()
     }
@@ -552,8 +590,9 @@
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
+impl Fleet {
+    /// Ends all processes, and removes their folder.
+    pub fn end(&self) {
         self.members.iter().chain(&self.gateways).for_each(Process::kill);
         if std::env::var("KEEP_LOGS").is_err() {
             let _ = fs::remove_dir_all(&self.folder);
@@ -561,6 +600,12 @@
     }
 }
 
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
 fn is_ready(address: SocketAddr) -> bool {
     let Ok(mut conn) = Conn::open(address) else { return false };
     conn.set_timeout(Duration::from_secs(1));
@@ -633,6 +678,17 @@
 
     /// Sends one attempt and waits for the whole answer.
     pub fn call(&mut self, id: &str, path: &str, headers: &str, deadline: Duration) -> Outcome {
+        self.call_for(id, path, headers, (deadline, deadline))
+    }
+
+    /// Sends one attempt with a deadline, and leaves if nothing comes for as long as `patience`.
+    pub fn call_for(
+        &mut self,
+        id: &str,
+        path: &str,
+        headers: &str,
+        (deadline, patience): (Duration, Duration),
+    ) -> Outcome {
         let body = format!("order {id}");
         let request = format!(
             "POST {path} HTTP/1.1\r\nHost: shop.example\r\nX-Mothplank-Attempt-Id: {id}\r\n\
@@ -645,7 +701,7 @@
             Ok(conn) => conn,
             Err(_) => return outcome,
         };
-        conn.set_timeout(deadline);
+        conn.set_timeout(patience);
         if conn.send(request.as_bytes()).is_err() {
             return outcome;
         }
--- a/review/harness/own_refusal.rs
+++ b/review/harness/own_refusal.rs
@@ -151,7 +151,7 @@
     for client in clients {
         let _ = client.join();
     }
-    drop(fleet);
+    fleet.end();
 
     let outcomes = lock(&outcomes);
     let runs = lock(&world.runs);
--- a/review/harness/stray_refusal.rs
+++ b/review/harness/stray_refusal.rs
@@ -53,11 +53,16 @@
 
 impl Counter {
     /// Sends an answer, and decides whether a second copy of it follows late.
-    fn answer(&self, attempt: &str, bytes: Vec<u8>, conn: &mut Conn, pending: &mut Pending) -> bool {
+    fn answer(
+        &self,
+        attempt: &str,
+        bytes: Vec<u8>,
+        conn: &mut Conn,
+        pending: &mut Pending,
+    ) -> bool {
         let number = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
-        let twice = self.is_faulty
-            && self.in_trouble.load(Ordering::Relaxed)
-            && number % EXTRA_EVERY == 0;
+        let twice =
+            self.is_faulty && self.in_trouble.load(Ordering::Relaxed) && number % EXTRA_EVERY == 0;
         let sent = conn.send(&bytes).is_ok();
         if twice {
             pending.0 = Some((attempt.to_owned(), bytes));
@@ -181,7 +186,7 @@
         let _ = client.join();
     }
     thread::sleep(Duration::from_millis(500));
-    drop(fleet);
+    fleet.end();
 
     let outcomes = lock(&outcomes);
     let runs = lock(&runs);
@@ -195,7 +200,10 @@
     for it in outcomes.iter().filter(|it| matches!(it.status, 408 | 421 | 429 | 503)) {
         if let Some(of) = runs.get(&it.id) {
             broken += 1;
-            record.line(format!("BROKEN REFUSED: {} was answered {} and ran at {of:?}", it.id, it.status));
+            record.line(format!(
+                "BROKEN REFUSED: {} was answered {} and ran at {of:?}",
+                it.id, it.status
+            ));
         }
     }
     let summary = format!(
--- a/review/harness/stray_results.rs
+++ b/review/harness/stray_results.rs
@@ -339,7 +339,7 @@
     for client in clients {
         let _ = client.join();
     }
-    drop(fleet);
+    fleet.end();
 
     let outcomes = lock(&outcomes);
     let answered = |status: u16| outcomes.iter().filter(|it| it.status == status).count();
