--- a/review/harness/lib.rs
+++ b/review/harness/lib.rs
@@ -12,7 +12,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -450,6 +450,7 @@
         let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_nanos() as u64);
         let folder = std::env::temp_dir().join(format!("review-{id}-{now}"));
         fs::create_dir_all(&folder).expect("a temporary folder");
+        FOLDER.get_or_init(|| folder.clone());
         let subnet = (1 + (now / 1_000 % 250) as u8, (id % 251) as u8);
         let ip = |host: usize| Ipv4Addr::new(127, subnet.0, subnet.1, host as u8 + 1);
         let sockets: Vec<TcpListener> =
@@ -626,8 +627,15 @@
     conn.read_response()
 }
 
+/// The temporary folder of the processes.
+static FOLDER: OnceLock<PathBuf> = OnceLock::new();
+
+/// Ends the script as one that could not run. The processes end with it.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
+    if let Some(folder) = FOLDER.get() {
+        let _ = fs::remove_dir_all(folder);
+    }
     std::process::exit(CANNOT_RUN);
 }
 
