Review: each run.sh reads TROUBLE, and the stand-ins stand with their cases

Cause: TROUBLE was read by the compiled stand-ins alone, so that run.sh did not show it; review/harness looked like a case without a claim. Change: run.sh reads TROUBLE and passes it on; the shared file is review/common.rs, and each case's stand-ins are in its folder.

--- a/review/harness/stray_refusal.rs
+++ b/review/1/stray_refusal.rs
@@ -2,7 +2,7 @@
 //! late, at the point where the next answer on the connection is expected. Counts how often each
 //! request that isn't idempotent runs.
 
-#[path = "lib.rs"]
+#[path = "../common.rs"]
 mod lib;
 
 use std::collections::HashMap;
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,8 +3,6 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/harness/*.rs; do
-  name=$(basename "$source" .rs)
-  [ "$name" = lib ] && continue
-  rustc --edition 2024 -O -o "target/review/$name" "$source"
+for source in review/[1-5]/*.rs; do
+  rustc --edition 2024 -O -o "target/review/$(basename "$source" .rs)" "$source"
 done
--- a/review/harness/lib.rs
+++ b/review/common.rs
@@ -63,9 +63,13 @@
     }
 }
 
-/// Returns whether the disruption is to happen.
+/// Returns whether the disruption is to happen, as the second argument says.
 pub fn has_trouble() -> bool {
-    std::env::var("TROUBLE").map_or(true, |it| it != "0")
+    match std::env::args().nth(2).as_deref() {
+        Some("trouble") => true,
+        Some("calm") => false,
+        _ => cannot_run("the second argument is neither `trouble` nor `calm`"),
+    }
 }
 
 /// A small generator of numbers (xorshift).
