Read whose answer it is before anything else in it

Cause: `exchange::request` believed the mark "did not run" and status 421 before it compared the answer's id with that of the request, and `send` took pause, need, load, cold time and leaving from any answer. A late second copy of another request's refusal therefore counted for the request in flight.

Change: `echo.rs` decides whose answer it is, before anything in it is read. One that names another call is foreign: nothing in it is believed, its connection ends, the call may have run. One without an id is believed as the first on its connection, or from an upstream that has shown to leave ids out; after a refusal without an id the connection is not used again, as a second copy of it could not be told either.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 
+use crate::echo::Echo;
 pub use crate::incarnation::StartTime;
 use crate::plan::Plan;
 use crate::upstream::Need;
@@ -107,8 +108,8 @@
 /// The decoded head of an upstream's answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AnswerHead {
-    /// Whether it repeats the attempt's id.
-    pub same_attempt: bool,
+    /// Whether it names the call.
+    pub echo: Echo,
     /// Whether it bears the upstream's seal.
     pub sealed: bool,
     /// Whether it states that the request did not run.
@@ -239,8 +240,8 @@
     /// Adds the entry's headers.
     fn add_headers(headers: &mut HeaderMap, head: &ForwardHead<'_>);
 
-    /// Decodes the head of an upstream's answer to `attempt`.
-    fn decode_answer(status: StatusCode, headers: &HeaderMap, attempt: &str) -> AnswerHead;
+    /// Decodes the head of an upstream's answer to the call with the id `call`.
+    fn decode_answer(status: StatusCode, headers: &HeaderMap, call: &str) -> AnswerHead;
 
     /// Encodes a call with pieces.
     fn encode_pieces(calls: &[PieceCall]) -> Bytes;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,6 +13,7 @@
 
 use crate::budget::RetryPermit;
 use crate::dialect::{AnswerHead, Dialect, Handle, PieceAnswer, PieceCall, SpaceReport};
+use crate::echo::Echo;
 use crate::request::SendMark;
 use crate::response_limit::{Excess, ResponseLimit, ResponseMeter};
 use crate::upstream::{ConnectError, Lease, Upstream};
@@ -163,9 +164,6 @@
         }
         let is_kept = lease.is_kept();
         let head_limit = lease.head_limit();
-        let Some(sender) = lease.sender() else {
-            return Err(Fault::unsent(ConnectError::Refused));
-        };
         let sent = Instant::now();
         let held = if upstream.pause_end(sent).is_some() {
             Some(Cause::Paused)
@@ -178,7 +176,11 @@
             return Err(Fault::held(cause));
         }
         SendMark::set(&request);
+        let is_first = lease.begin_call();
         head_limit.begin();
+        let Some(sender) = lease.sender() else {
+            return Err(Fault::unsent(ConnectError::Refused));
+        };
         let answer = timeout_at(deadline, sender.try_send_request(request));
         let response = match watch_silence(upstream, is_kept, answer).await {
             Ok(Ok(response)) => response,
@@ -209,6 +211,9 @@
         head_limit.end();
         upstream.record_heard();
         let head = D::decode_answer(response.status(), response.headers(), attempt);
+        if !attempt.is_empty() && !upstream.is_own_answer(head.echo, is_first) {
+            return Err(foreign(upstream, attempt, &response, head.echo));
+        }
         if let Some(left) = head.cold {
             upstream.extend_cold(Instant::now() + left);
         }
@@ -248,8 +253,17 @@
     answer.await
 }
 
+/// Records that an answer belongs to another call than that with the id `call`, whose own answer may
+/// follow it. Nothing in it is believed, and its connection ends with the call.
+fn foreign<T>(upstream: &Upstream, call: &str, answer: &Response<T>, echo: Echo) -> Fault {
+    log::warn!(request = call, upstream:% = upstream.id, service:% = upstream.service,
+        status = answer.status().as_u16(), named = echo != Echo::None;
+        "an upstream sent the answer of another call");
+    Fault::unknown(Cause::Malformed("another request's answer"))
+}
+
 /// Sends a caller's request and waits for the head of its answer, which must repeat the attempt's
-/// id and bear the upstream's seal.
+/// id and bear the upstream's seal. Only a refusal may leave the id out.
 pub(crate) async fn request<D: Dialect>(
     upstream: &Arc<Upstream>,
     request: Request<Full<Bytes>>,
@@ -260,11 +274,13 @@
     let opened = send::<D>(upstream, request, attempt, permits, times).await?;
     if opened.head.not_run {
         let status = opened.response.status();
-        discard(upstream, opened);
+        // A second copy of a refusal without an id would pass for that of the next request.
+        let keeps = opened.head.echo == Echo::Same;
+        discard(upstream, opened, keeps);
         return Err(Fault::refused(status));
     }
-    if !opened.head.same_attempt {
-        return Err(Fault::unknown(Cause::Malformed("another request's answer")));
+    if opened.head.echo != Echo::Same {
+        return Err(Fault::unknown(Cause::Malformed("no id")));
     }
     if !opened.head.sealed {
         return Err(Fault::unknown(Cause::Malformed("no seal")));
@@ -337,13 +353,15 @@
     read_whole(upstream, body, MAX_OWN_ANSWER_BYTES, deadline).await
 }
 
-/// Reads the rest of an answer that is not forwarded in the background, and keeps its connection.
-pub(crate) fn discard(upstream: &Arc<Upstream>, opened: Opened) {
+/// Reads the rest of an answer that is not forwarded in the background, and keeps its connection if
+/// `keeps` is set.
+fn discard(upstream: &Arc<Upstream>, opened: Opened, keeps: bool) {
     let upstream = Arc::clone(upstream);
     tokio::spawn(async move {
         let Opened { mut response, lease, head } = opened;
         let deadline = Instant::now() + DISCARD_TIME;
-        if read_short(&upstream, response.body_mut(), deadline).await.is_ok() {
+        let read = read_short(&upstream, response.body_mut(), deadline).await;
+        if keeps && read.is_ok() {
             lease.keep(head.keep_alive);
         }
     });
@@ -361,7 +379,7 @@
     let status = opened.response.status();
     if status != StatusCode::OK {
         if opened.head.not_run {
-            discard(upstream, opened);
+            discard(upstream, opened, true);
             return Err(Fault::refused(status));
         }
         return Err(Fault::unknown(Cause::Malformed("a status other than 200")));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod dialect;
 mod directory;
 mod drain;
+pub mod echo;
 pub mod events;
 mod exchange;
 mod front;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 use types::SoftwareVersion;
 
+use crate::echo::{Echo, EchoHabit};
 use crate::health::{Tally, Trials};
 use crate::incarnation::{Incarnation, LatestIncarnation, StartTime};
 use crate::path::Paths;
@@ -92,6 +93,7 @@
     lending: Lending,
     gates: Gates,
     told: Mutex<Told>,
+    echo_habit: EchoHabit,
     /// The entries that share what a limit allows.
     entries: Arc<ArcSwap<EntryList>>,
     paths: Arc<Paths>,
@@ -146,6 +148,7 @@
             lending: Lending::default(),
             gates: Gates::default(),
             told: Mutex::default(),
+            echo_habit: EchoHabit::default(),
             entries: Arc::default(),
             paths: Arc::default(),
             cuts: CutCounter::default(),
@@ -266,6 +269,12 @@
         self.close_idle(true);
     }
 
+    /// Decides whether an answer of the upstream belongs to the call that was sent; `is_first` tells that
+    /// nothing was sent on its connection before.
+    pub(crate) fn is_own_answer(&self, echo: Echo, is_first: bool) -> bool {
+        self.echo_habit.is_own(echo, is_first)
+    }
+
     /// Records that something has arrived from the upstream.
     pub(crate) fn record_heard(&self) {
         self.heard_ms.fetch_max(self.age_ms(), Ordering::Relaxed);
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -62,6 +62,8 @@
     task: AbortHandle,
     /// The state of the entry that relays it, if one does.
     relay: Option<Arc<RelayState>>,
+    /// Whether a call was sent on it.
+    is_used: bool,
 }
 
 /// A connection that no request uses.
@@ -209,7 +211,8 @@
                 }
             }
         });
-        Ok(Opened { sender, head_limit, task: task.abort_handle(), relay: None })
+        let task = task.abort_handle();
+        Ok(Opened { sender, head_limit, task, relay: None, is_used: false })
     }
 
     /// Opens a connection through another entry; returns `None` if no entry relays it.
@@ -230,7 +233,7 @@
             let _ = connection.await;
         });
         let (task, relay) = (task.abort_handle(), Some(relayed.state));
-        Some(Ok(Opened { sender, head_limit, task, relay }))
+        Some(Ok(Opened { sender, head_limit, task, relay, is_used: false }))
     }
 
     /// Checks in the background whether the upstream can be reached on the entry's own path, and
@@ -354,6 +357,11 @@
         self.connection.as_mut().map(|it| &mut it.0.sender)
     }
 
+    /// Records that a call is sent on the connection; returns whether it is the first.
+    pub(crate) fn begin_call(&mut self) -> bool {
+        self.connection.as_mut().is_some_and(|it| !std::mem::replace(&mut it.0.is_used, true))
+    }
+
     /// Returns what bounds the heads of the connection's responses.
     pub(crate) fn head_limit(&self) -> HeadLimit {
         self.connection.as_ref().map_or_else(HeadLimit::default, |it| it.0.head_limit.clone())
