Never send a request twice to an engine on one connection

Callers would see: a stream that may run once runs twice, with 200.

Cause: all sends of an attempt bear its id. After 409 (inputs are gone) a request goes to the same engine again, and a stream whose own engine is silent is offered again to engines that had no room; both went out on the connection that had brought the rejection. A late second copy of that rejection then has the right id and passes for the answer to the second send, while the engine runs it.

Change: `Offers::add` tells whether the upstream had the request before, and such a send takes a new connection; where the entry has no more, an idle one is closed for it. Plain services never get a request twice.

`CallTimes` is named `CallTerms`, as it also says which connection.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 use crate::echo::Echo;
 use crate::request::SendMark;
 use crate::response_limit::{Excess, ResponseLimit, ResponseMeter};
-use crate::upstream::{ConnectError, Lease, Upstream};
+use crate::upstream::{ConnectError, Lease, Reuse, Upstream};
 
 /// The largest answer to one of the entry's own calls, in bytes.
 const MAX_OWN_ANSWER_BYTES: usize = 1 << 20;
@@ -128,19 +128,21 @@
     pub(crate) head: AnswerHead,
 }
 
-/// Until when a call may wait, and last.
+/// Until when a call may wait, and last, and on which connection.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct CallTimes {
+pub(crate) struct CallTerms {
     /// When the head of the answer is due.
     pub(crate) head: Instant,
     /// When the answer ends at the latest.
     pub(crate) end: Instant,
+    /// Which connection it may use.
+    pub(crate) reuse: Reuse,
 }
 
-impl From<Instant> for CallTimes {
-    /// Returns the times of a call whose whole answer is due at `end`.
+impl From<Instant> for CallTerms {
+    /// Returns the terms of a call on any connection whose whole answer is due at `end`.
     fn from(end: Instant) -> Self {
-        Self { head: end, end }
+        Self { head: end, end, reuse: Reuse::Any }
     }
 }
 
@@ -150,13 +152,13 @@
     request: Request<Full<Bytes>>,
     attempt: &str,
     permits: &[Arc<RetryPermit>],
-    times: CallTimes,
+    terms: CallTerms,
 ) -> Result<Opened, Fault> {
-    let CallTimes { head: deadline, end } = times;
+    let CallTerms { head: deadline, end, reuse } = terms;
     let mut request = request;
     loop {
         let begun = Instant::now();
-        let mut lease = upstream.connect(deadline, end).await.map_err(Fault::unsent)?;
+        let mut lease = upstream.connect(deadline, end, reuse).await.map_err(Fault::unsent)?;
         let waited = begun.elapsed();
         if waited >= LONG_CONNECT_TIME {
             log::info!(request = attempt, upstream:% = upstream.id,
@@ -269,9 +271,9 @@
     request: Request<Full<Bytes>>,
     attempt: &str,
     permits: &[Arc<RetryPermit>],
-    times: CallTimes,
+    terms: CallTerms,
 ) -> Result<Opened, Fault> {
-    let opened = send::<D>(upstream, request, attempt, permits, times).await?;
+    let opened = send::<D>(upstream, request, attempt, permits, terms).await?;
     if opened.head.not_run {
         let status = opened.response.status();
         // A second copy of a refusal without an id would pass for that of the next request.
--- a/crates/gateway/src/offers.rs
+++ b/crates/gateway/src/offers.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use crate::exchange::{Cause, Fault};
-use crate::upstream::{ConnectError, Upstream};
+use crate::upstream::{ConnectError, Reuse, Upstream};
 
 #[cfg(test)]
 mod tests;
@@ -18,14 +18,17 @@
     /// Whether the newest upstream was ejected when the request was offered to it.
     was_ejected: bool,
     tried: Vec<Arc<str>>,
-    /// Those of them that did not run the request.
+    /// All upstreams that it was ever offered to.
+    offered: Vec<Arc<str>>,
+    /// Those of the tried ones that did not run the request.
     rejected: Vec<Arc<str>>,
 }
 
 impl Offers {
     /// Creates an empty list, for a request that at most `limit` upstreams may reject.
     pub(crate) fn new(limit: usize) -> Self {
-        Self { limit, counted: 0, was_ejected: false, tried: Vec::new(), rejected: Vec::new() }
+        let (tried, offered, rejected) = Default::default();
+        Self { limit, counted: 0, was_ejected: false, tried, offered, rejected }
     }
 
     /// Returns the ids of the upstreams, the newest last.
@@ -33,11 +36,18 @@
         &self.tried
     }
 
-    /// Adds an upstream to which the request is offered now.
-    pub(crate) fn add(&mut self, upstream: &Upstream, now: Instant) {
+    /// Adds an upstream to which the request is offered now. Returns which connection it may use: both
+    /// answers of an upstream to one request have the same id, so a second copy of the first one would pass
+    /// for the second on the connection that brought the first.
+    pub(crate) fn add(&mut self, upstream: &Upstream, now: Instant) -> Reuse {
         self.was_ejected = upstream.is_ejected(now);
         self.counted += 1;
         self.tried.push(Arc::clone(&upstream.id));
+        if self.offered.contains(&upstream.id) {
+            return Reuse::New;
+        }
+        self.offered.push(Arc::clone(&upstream.id));
+        Reuse::Any
     }
 
     /// Removes the newest upstream, so that the request may be offered to it again.
--- a/crates/gateway/src/offers/tests.rs
+++ b/crates/gateway/src/offers/tests.rs
@@ -66,7 +66,7 @@
         let mut offers = Offers::new(3);
         let mut offered = 0;
         while offered < 10 {
-            offers.add(&upstream(case.ejected), now);
+            let _ = offers.add(&upstream(case.ejected), now);
             offered += 1;
             if !offers.record_rejection(&case.fault) {
                 break;
@@ -75,3 +75,17 @@
         assert_eq!(offered, case.offered, "{}", case.name);
     }
 }
+
+/// Guards against two answers with the same id on one connection: a second copy of the first one would pass
+/// for the other.
+#[test]
+fn an_upstream_gets_a_request_again_on_a_new_connection() {
+    let (upstream, now) = (upstream(false), Instant::now());
+    let mut offers = Offers::new(3);
+    assert_eq!(offers.add(&upstream, now), Reuse::Any);
+    offers.take_back();
+    assert_eq!(offers.add(&upstream, now), Reuse::New, "taken back");
+    offers.record_rejection(&Fault::refused(StatusCode::SERVICE_UNAVAILABLE));
+    offers.renew(None);
+    assert_eq!(offers.add(&upstream, now), Reuse::New, "renewed");
+}
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -213,7 +213,8 @@
         let Context { shared, request, .. } = self.context;
         let upstream = &prepared.upstream;
         let now = Instant::now();
-        self.offers.add(upstream, now);
+        // It is never offered to one upstream twice.
+        let _ = self.offers.add(upstream, now);
         if upstream.is_passed_over() {
             shared.metrics.count_trial(&upstream.service);
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -160,7 +160,7 @@
             let running = upstream.begin_request(tokens);
             self.batches.borrow_connection(&upstream, request.deadline).await;
             let now = Instant::now();
-            tries.begin_offer(&upstream, now);
+            let reuse = tries.begin_offer(&upstream, now);
             log::info!(request = request.head.attempt.as_str(), upstream:% = upstream.id,
                 running = upstream.total_running(), tokens = upstream.total_tokens(),
                 limit = upstream.limit_named().map(|it| it.0),
@@ -170,7 +170,7 @@
                 resumes = request.head.resumed.as_deref(), stages:% = phases,
                 age_ms = request.arrived.elapsed().as_millis() as u64; "chose an engine");
             let forward = request.forward::<D>(&upstream, handles, last_event);
-            let call = open::<D>(request, &upstream, forward, permit, running, due);
+            let call = open::<D>(request, &upstream, forward, permit, running, (due, reuse));
             // A request that may have run at another engine keeps its inputs.
             let fetched = inputs.as_mut().filter(|_| tries.runs == 0);
             let opened = self.release_fetched(call, service, fetched, &request.may_have_run).await;
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -12,12 +12,12 @@
 use crate::budget::RetryPermit;
 use crate::dialect::Dialect;
 use crate::events::{Event, EventSplitter};
-use crate::exchange::{self, CallTimes, Cause, Fault, Opened, cut};
+use crate::exchange::{self, CallTerms, Cause, Fault, Opened, cut};
 use crate::quarantine::RunTimes;
 use crate::reply::{Reply, ReplyBody, strip_hop_by_hop};
 use crate::request::CallerRequest;
 use crate::response_limit::{Excess, ResponseLimit, ResponseMeter};
-use crate::upstream::{Lease, RunningRequest, Upstream};
+use crate::upstream::{Lease, Reuse, RunningRequest, Upstream};
 
 /// The largest answer of an engine that is not a stream, in bytes.
 const MAX_ERROR_ANSWER_BYTES: usize = 64 << 10;
@@ -45,19 +45,19 @@
 }
 
 /// Sends the request that counts as `running`, by a permit if it is sent again, and waits for the first
-/// event until `deadline`.
+/// event until the deadline, on a connection that it may use.
 pub(super) async fn open<D: Dialect>(
     request: &CallerRequest,
     upstream: &Arc<Upstream>,
     forward: http::Request<http_body_util::Full<Bytes>>,
     permit: Option<Arc<RetryPermit>>,
     mut running: RunningRequest,
-    deadline: Instant,
+    (deadline, reuse): (Instant, Reuse),
 ) -> Result<EngineAnswer, Fault> {
     let sent = Instant::now();
     let (attempt, permits) = (&request.head.attempt, permit.as_slice());
-    let times = CallTimes { head: deadline, end: request.deadline };
-    let opened = exchange::request::<D>(upstream, forward, attempt, permits, times).await?;
+    let terms = CallTerms { head: deadline, end: request.deadline, reuse };
+    let opened = exchange::request::<D>(upstream, forward, attempt, permits, terms).await?;
     let Opened { mut response, lease, head } = opened;
     let mut headers = std::mem::take(response.headers_mut());
     strip_hop_by_hop(&mut headers);
--- a/crates/gateway/src/stream/tries.rs
+++ b/crates/gateway/src/stream/tries.rs
@@ -9,7 +9,7 @@
 use crate::offers::Offers;
 use crate::reply::Refusal;
 use crate::request::CallerRequest;
-use crate::upstream::Upstream;
+use crate::upstream::{Reuse, Upstream};
 
 #[cfg(test)]
 mod tests;
@@ -93,10 +93,10 @@
         if self.runs > 0 { Refusal::Failed } else { refusal }
     }
 
-    /// Records that the request is offered to an engine from now on.
-    pub(super) fn begin_offer(&mut self, upstream: &Upstream, now: Instant) {
-        self.offers.add(upstream, now);
+    /// Records that the request is offered to an engine from now on; returns which connection it may use.
+    pub(super) fn begin_offer(&mut self, upstream: &Upstream, now: Instant) -> Reuse {
         self.is_offered = true;
+        self.offers.add(upstream, now)
     }
 
     /// Records that the newest offer has an outcome.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -25,7 +25,7 @@
 use crate::quota::EntryList;
 use crate::response_limit::{CutCounter, Excess};
 
-pub(crate) use self::connections::{ConnectError, ConnectionShare, Lease, configure};
+pub(crate) use self::connections::{ConnectError, ConnectionShare, Lease, Reuse, configure};
 pub use self::room::Need;
 pub(crate) use self::running::{InUse, RunningRequest};
 pub use self::told::{Told, paced_load};
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -84,6 +84,15 @@
     pub(crate) keeps_idle: bool,
 }
 
+/// Which connection a call may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reuse {
+    /// One that is kept, or a new one.
+    Any,
+    /// A new one.
+    New,
+}
+
 /// Why no connection is available. No byte of the request was sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ConnectError {
@@ -125,8 +134,14 @@
         (own + self.borrowed_connections()).saturating_sub(self.lent_connections())
     }
 
+    /// Returns a permit that is free, or that of an idle connection, which is closed.
+    pub(super) fn free_permit(&self) -> Option<OwnedSemaphorePermit> {
+        let free = Arc::clone(&self.permits).try_acquire_owned().ok();
+        free.or_else(|| self.release_idle())
+    }
+
     /// Closes an idle connection; returns the permit that it had.
-    pub(super) fn release_idle(&self) -> Option<OwnedSemaphorePermit> {
+    fn release_idle(&self) -> Option<OwnedSemaphorePermit> {
         let mut idle = self.lock_idle();
         let own = idle.iter().rposition(|it| matches!(it.permit, Permit::Own(_)))?;
         let Idle { opened, permit, .. } = idle.remove(own);
@@ -137,17 +152,26 @@
         }
     }
 
-    /// Returns an idle connection, or opens a new one before `deadline`, for a request that ends at `end`.
+    /// Returns an idle connection if `reuse` allows it, or opens a new one before `deadline`, for a request
+    /// that ends at `end`.
     pub(crate) async fn connect(
         self: &Arc<Self>,
         deadline: Instant,
         end: Instant,
+        reuse: Reuse,
     ) -> Result<Lease, ConnectError> {
         let by = deadline.min(Instant::now() + CONNECT_TIMEOUT);
         let permit = loop {
-            if let Some(lease) = self.take_idle(end) {
+            if reuse == Reuse::Any
+                && let Some(lease) = self.take_idle(end)
+            {
                 return Ok(lease);
             }
+            if reuse == Reuse::New
+                && let Some(permit) = self.free_permit()
+            {
+                break Permit::Own(permit);
+            }
             if let Some(borrowed) = self.take_borrowed(end) {
                 break Permit::Borrowed(borrowed);
             }
@@ -160,7 +184,9 @@
                 () = self.idle_added.notified() => {}
             }
         };
-        if let Some(lease) = self.take_idle(end) {
+        if reuse == Reuse::Any
+            && let Some(lease) = self.take_idle(end)
+        {
             return Ok(lease);
         }
         let opened = self.open(by, deadline).await?;
--- a/crates/gateway/src/upstream/lending.rs
+++ b/crates/gateway/src/upstream/lending.rs
@@ -76,8 +76,7 @@
 impl Upstream {
     /// Lends one of this entry's connections, if it uses fewer than it may.
     pub(crate) fn lend_connection(self: &Arc<Self>) -> Option<Lent> {
-        let free = || Arc::clone(&self.permits).try_acquire_owned().ok();
-        let permit = free().or_else(|| self.release_idle())?;
+        let permit = self.free_permit()?;
         self.lending.lent.fetch_add(1, Ordering::Relaxed);
         Some(Lent { upstream: Arc::clone(self), _permit: permit })
     }
--- a/crates/gateway/src/upstream/lending/tests.rs
+++ b/crates/gateway/src/upstream/lending/tests.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpListener;
 
 use super::*;
-use crate::upstream::{ConnectionShare, Lease};
+use crate::upstream::{ConnectionShare, Lease, Reuse};
 
 const LASTS: Duration = Duration::from_secs(10);
 
@@ -32,10 +32,10 @@
     let (upstream, _listener) = upstream().await;
     let now = Instant::now();
     let end = now + Duration::from_secs(3);
-    let first = upstream.connect(end, end).await.expect("its own connection");
+    let first = upstream.connect(end, end, Reuse::Any).await.expect("its own connection");
     let mut returned = upstream.add_borrowed(now + LASTS);
     for _ in 0..3 {
-        let lease = upstream.connect(end, end).await.expect("the borrowed connection");
+        let lease = upstream.connect(end, end, Reuse::Any).await.expect("the borrowed connection");
         lease.keep(None);
         tokio::task::yield_now().await;
         assert!(returned.try_recv().is_err_and(|it| it == oneshot::error::TryRecvError::Empty));
@@ -52,11 +52,14 @@
     let (upstream, _listener) = upstream().await;
     let now = Instant::now();
     let end = now + Duration::from_secs(3);
-    let _first = upstream.connect(end, end).await.expect("its own connection");
+    let _first = upstream.connect(end, end, Reuse::Any).await.expect("its own connection");
     let _returned = upstream.add_borrowed(now + LASTS);
     let late = now + LASTS + Duration::from_secs(1);
-    assert!(upstream.connect(end, late).await.is_err(), "it lasts longer than the loan");
-    assert!(upstream.connect(end, end).await.is_ok());
+    assert!(
+        upstream.connect(end, late, Reuse::Any).await.is_err(),
+        "it lasts longer than the loan"
+    );
+    assert!(upstream.connect(end, end, Reuse::Any).await.is_ok());
 }
 
 /// Guards against requests that wait for a connection although the others have some left: those that begin
@@ -135,9 +138,10 @@
         tokio::spawn(answer_late(listener));
         let now = Instant::now();
         let by = now + Duration::from_secs(3);
-        let mut own = upstream.connect(by, by).await.expect("its own connection");
+        let mut own = upstream.connect(by, by, Reuse::Any).await.expect("its own connection");
         let _returned = upstream.add_borrowed(now + SHORT_LOAN);
-        let mut borrowed = upstream.connect(by, now + SHORT_LOAN).await.expect("a borrowed one");
+        let mut borrowed =
+            upstream.connect(by, now + SHORT_LOAN, Reuse::Any).await.expect("a borrowed one");
         let request = || http::Request::new(http_body_util::Full::<bytes::Bytes>::default());
         let send = |lease: &mut Lease| lease.sender().expect("open").send_request(request());
         let (first, second) = (send(&mut own), send(&mut borrowed));
