Give the entry's own calls an id that their answers repeat

A late second copy of a stage's answer was given to the next call, and the connection stayed one answer behind.

Change: `OwnCall` sends each under an id of its own; an answer that names another one is foreign, ends its connection, and its pieces are queued again. Upstreams that repeat no id are served on kept connections as before (a case of the test); their second copies still can't be told.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
+use types::CallId;
 
 use crate::echo::Echo;
 pub use crate::incarnation::StartTime;
@@ -80,6 +81,8 @@
 pub struct ForwardHead<'a> {
     /// The incarnation of the upstream that must run the request.
     pub upstream: &'a str,
+    /// The id of a call that the entry makes on its own behalf; a request bears its caller's.
+    pub call: Option<CallId>,
     /// The time left until the deadline.
     pub left: Duration,
     /// The customer.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,9 +10,12 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout, timeout_at};
+use types::CallId;
 
 use crate::budget::RetryPermit;
-use crate::dialect::{AnswerHead, Dialect, Handle, PieceAnswer, PieceCall, SpaceReport};
+use crate::dialect::{
+    AnswerHead, Dialect, ForwardHead, Handle, PieceAnswer, PieceCall, SpaceReport,
+};
 use crate::echo::Echo;
 use crate::request::SendMark;
 use crate::response_limit::{Excess, ResponseLimit, ResponseMeter};
@@ -146,7 +149,8 @@
     }
 }
 
-/// Sends a request, by `permits` if it is sent again, and waits for the head of its answer.
+/// Sends a request with the id `attempt`, by `permits` if it is sent again, and waits for the head of its
+/// answer.
 pub(crate) async fn send<D: Dialect>(
     upstream: &Arc<Upstream>,
     request: Request<Full<Bytes>>,
@@ -213,7 +217,7 @@
         head_limit.end();
         upstream.record_heard();
         let head = D::decode_answer(response.status(), response.headers(), attempt);
-        if !attempt.is_empty() && !upstream.is_own_answer(head.echo, is_first) {
+        if !upstream.is_own_answer(head.echo, is_first) {
             return Err(foreign(upstream, attempt, &response, head.echo));
         }
         if let Some(left) = head.cold {
@@ -376,8 +380,8 @@
     permits: &[Arc<RetryPermit>],
     deadline: Instant,
 ) -> Result<PieceAnswer, Fault> {
-    let request = own_call::<D>(upstream, D::PIECES_PATH, D::encode_pieces(calls), deadline);
-    let opened = send::<D>(upstream, request, "", permits, deadline.into()).await?;
+    let call = OwnCall::post(D::PIECES_PATH, D::encode_pieces(calls));
+    let opened = call.send::<D>(upstream, permits, deadline).await?;
     let status = opened.response.status();
     if status != StatusCode::OK {
         if opened.head.not_run {
@@ -405,10 +409,8 @@
     upstream: &Arc<Upstream>,
     deadline: Instant,
 ) -> Result<SpaceReport, Fault> {
-    let mut request = own_call::<D>(upstream, D::REPORT_PATH, Bytes::new(), deadline);
-    *request.method_mut() = Method::GET;
-    let Opened { mut response, lease, head } =
-        send::<D>(upstream, request, "", &[], deadline.into()).await?;
+    let call = OwnCall { method: Method::GET, path: D::REPORT_PATH, body: Bytes::new() };
+    let Opened { mut response, lease, head } = call.send::<D>(upstream, &[], deadline).await?;
     let body = read_short(upstream, response.body_mut(), deadline).await?;
     lease.keep(head.keep_alive);
     match response.status() {
@@ -423,32 +425,45 @@
     handles: &[Handle],
 ) -> Result<(), Fault> {
     let deadline = Instant::now() + FREE_TIMEOUT;
-    let request = own_call::<D>(upstream, D::FREE_PATH, D::encode_free(handles), deadline);
-    let Opened { mut response, lease, head } =
-        send::<D>(upstream, request, "", &[], deadline.into()).await?;
+    let call = OwnCall::post(D::FREE_PATH, D::encode_free(handles));
+    let Opened { mut response, lease, head } = call.send::<D>(upstream, &[], deadline).await?;
     read_short(upstream, response.body_mut(), deadline).await?;
     lease.keep(head.keep_alive);
     Ok(())
 }
 
-/// Builds a request that the entry makes on its own behalf.
-fn own_call<D: Dialect>(
-    upstream: &Upstream,
+/// A call that the entry makes on its own behalf.
+struct OwnCall {
+    method: Method,
     path: &'static str,
     body: Bytes,
-    deadline: Instant,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(body));
-    *request.method_mut() = Method::POST;
-    *request.uri_mut() = Uri::from_static(path);
-    let headers = request.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if let Ok(host) = HeaderValue::from_str(&upstream.address.to_string()) {
-        headers.insert(header::HOST, host);
+}
+
+impl OwnCall {
+    fn post(path: &'static str, body: Bytes) -> Self {
+        Self { method: Method::POST, path, body }
+    }
+
+    /// Sends the call under an id of its own, and waits for the head of its answer.
+    async fn send<D: Dialect>(
+        self,
+        upstream: &Arc<Upstream>,
+        permits: &[Arc<RetryPermit>],
+        deadline: Instant,
+    ) -> Result<Opened, Fault> {
+        let id = CallId::random();
+        let mut request = Request::new(Full::new(self.body));
+        *request.method_mut() = self.method;
+        *request.uri_mut() = Uri::from_static(self.path);
+        let headers = request.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Ok(host) = HeaderValue::from_str(&upstream.address.to_string()) {
+            headers.insert(header::HOST, host);
+        }
+        let left = deadline.saturating_duration_since(Instant::now());
+        let head =
+            ForwardHead { upstream: &upstream.id, call: Some(id), left, ..Default::default() };
+        D::add_headers(headers, &head);
+        send::<D>(upstream, request, &id.to_string(), permits, deadline.into()).await
     }
-    let left = deadline.saturating_duration_since(Instant::now());
-    let forward_head =
-        crate::dialect::ForwardHead { upstream: &upstream.id, left, ..Default::default() };
-    D::add_headers(headers, &forward_head);
-    request
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -243,6 +243,7 @@
         let generates = self.head.generation.is_some();
         let forward_head = ForwardHead {
             upstream: &upstream.id,
+            call: None,
             left,
             customer: self.customer.as_ref().map(|it| &*it.name),
             inputs,
