--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,32 +1,31 @@
-//! Single calls of an upstream, and what a failed call proves: whether the request may have run.
+//! Single calls of an upstream.
+
+mod fault;
+mod own;
 
-use std::fmt;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout, timeout_at};
-use types::CallId;
 
 use crate::budget::RetryPermit;
-use crate::dialect::{
-    AnswerHead, Dialect, ForwardHead, Handle, PieceAnswer, PieceCall, SpaceReport,
-};
+use crate::dialect::{AnswerHead, Dialect};
 use crate::echo::Echo;
 use crate::request::SendMark;
 use crate::response_limit::{Excess, ResponseLimit, ResponseMeter};
 use crate::upstream::{ConnectError, Lease, Reuse, Upstream};
 
+pub(crate) use self::fault::{Cause, Fault};
+pub(crate) use self::own::{free, pieces, query_space};
+
 /// The largest answer to one of the entry's own calls, in bytes.
 const MAX_OWN_ANSWER_BYTES: usize = 1 << 20;
 
-/// The timeout of a call that frees results.
-const FREE_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// How long the rest of an answer that is not forwarded may take to keep its connection.
 const DISCARD_TIME: Duration = Duration::from_millis(500);
 
@@ -36,94 +35,6 @@
 /// How long a request may wait for its connection without a line in the log.
 const LONG_CONNECT_TIME: Duration = Duration::from_millis(250);
 
-/// Why a call brought no answer that can be forwarded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Cause {
-    /// No connection was available.
-    Connect(ConnectError),
-    /// The upstream states that it did not run the request.
-    Refused(StatusCode),
-    /// The connection ended before the answer did.
-    Lost,
-    /// No answer came in time.
-    Timeout,
-    /// What came is not a valid answer to the request.
-    Malformed(&'static str),
-    /// More came than an answer may bring.
-    Excess(Excess),
-    /// The permit to send it again had expired when a connection was there.
-    PermitExpired,
-    /// The upstream had asked for a pause when a connection was there.
-    Paused,
-}
-
-impl fmt::Display for Cause {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Cause::Connect(ConnectError::Refused) => f.write_str("connection refused"),
-            Cause::Connect(ConnectError::TimedOut) => f.write_str("no connection in time"),
-            Cause::Connect(ConnectError::LimitReached) => f.write_str("no free connection"),
-            Cause::Refused(status) => write!(f, "refused with {status}"),
-            Cause::Lost => f.write_str("connection lost"),
-            Cause::Timeout => f.write_str("no answer in time"),
-            Cause::Malformed(why) => write!(f, "invalid answer: {why}"),
-            Cause::Excess(excess) => write!(f, "cut: {excess}"),
-            Cause::PermitExpired => f.write_str("no connection while it might be sent again"),
-            Cause::Paused => f.write_str("the upstream asked for a pause"),
-        }
-    }
-}
-
-/// A failed call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Fault {
-    /// Why the call failed.
-    pub(crate) cause: Cause,
-    /// Whether it is certain that the request did not run: the upstream says so, or no byte of it
-    /// was sent.
-    pub(crate) not_run: bool,
-    /// Whether the upstream can't be reached at all.
-    pub(crate) unreachable: bool,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let evidence = if self.not_run { "did not run" } else { "may have run" };
-        write!(f, "{}; {evidence}", self.cause)
-    }
-}
-
-impl Fault {
-    pub(crate) fn unsent(why: ConnectError) -> Self {
-        let unreachable = why != ConnectError::LimitReached;
-        Self { cause: Cause::Connect(why), not_run: true, unreachable }
-    }
-
-    /// A request that was not sent although a connection was there.
-    fn held(cause: Cause) -> Self {
-        Self { cause, not_run: true, unreachable: false }
-    }
-
-    /// Returns whether the call speaks against the upstream as all entries see it. One that can't
-    /// be connected to is left to each entry: a cut between two failure domains looks the same.
-    pub(crate) fn shows_failure(&self) -> bool {
-        !self.not_run && matches!(self.cause, Cause::Lost | Cause::Timeout | Cause::Malformed(_))
-    }
-
-    /// Returns whether no byte of the request was sent.
-    pub(crate) fn is_unsent(&self) -> bool {
-        matches!(self.cause, Cause::Connect(_) | Cause::PermitExpired | Cause::Paused)
-    }
-
-    pub(crate) fn refused(status: StatusCode) -> Self {
-        Self { cause: Cause::Refused(status), not_run: true, unreachable: false }
-    }
-
-    pub(crate) fn unknown(cause: Cause) -> Self {
-        Self { cause, not_run: false, unreachable: false }
-    }
-}
-
 /// The head of an answer, and its body that is still to be read.
 pub(crate) struct Opened {
     pub(crate) response: Response<Incoming>,
@@ -181,12 +92,12 @@
             lease.keep(None);
             return Err(Fault::held(cause));
         }
-        SendMark::set(&request);
-        let is_first = lease.begin_call();
-        head_limit.begin();
-        let Some(sender) = lease.sender() else {
+        let Some((sender, is_first)) = lease.begin_call() else {
+            permits.iter().for_each(|it| it.show_unsent());
             return Err(Fault::unsent(ConnectError::Refused));
         };
+        SendMark::set(&request);
+        head_limit.begin();
         let answer = timeout_at(deadline, sender.try_send_request(request));
         let response = match watch_silence(upstream, is_kept, answer).await {
             Ok(Ok(response)) => response,
@@ -220,22 +131,8 @@
         if !upstream.is_own_answer(head.echo, is_first) {
             return Err(foreign(upstream, attempt, &response, head.echo));
         }
-        if let Some(left) = head.cold {
-            upstream.extend_cold(Instant::now() + left);
-        }
-        upstream.record_need(head.need, sent);
-        if let Some(load) = head.load {
-            upstream.record_told(load);
-        }
-        if let Some(asked) = head.pause {
-            upstream.record_pause(asked);
-        }
-        if head.leaving {
-            upstream.record_leaving();
-        }
-        if head.not_run && response.status() == StatusCode::SERVICE_UNAVAILABLE {
-            upstream.record_rejected();
-        }
+        let is_rejected = head.not_run && response.status() == StatusCode::SERVICE_UNAVAILABLE;
+        record_state(upstream, &head, is_rejected, sent);
         return Ok(Opened { response, lease, head });
     }
 }
@@ -259,6 +156,26 @@
     answer.await
 }
 
+/// Records what the head of an answer to a call that was `sent` then says of the upstream.
+fn record_state(upstream: &Upstream, head: &AnswerHead, is_rejected: bool, sent: Instant) {
+    if let Some(left) = head.cold {
+        upstream.extend_cold(Instant::now() + left);
+    }
+    upstream.record_need(head.need, sent);
+    if let Some(load) = head.load {
+        upstream.record_told(load);
+    }
+    if let Some(asked) = head.pause {
+        upstream.record_pause(asked);
+    }
+    if head.leaving {
+        upstream.record_leaving();
+    }
+    if is_rejected {
+        upstream.record_rejected();
+    }
+}
+
 /// Records that an answer belongs to another call than that with the id `call`, whose own answer may
 /// follow it. Nothing in it is believed, and its connection ends with the call.
 fn foreign<T>(upstream: &Upstream, call: &str, answer: &Response<T>, echo: Echo) -> Fault {
@@ -372,98 +289,3 @@
         }
     });
 }
-
-/// Sends pieces to an upstream; the answer must have one result for each.
-pub(crate) async fn pieces<D: Dialect>(
-    upstream: &Arc<Upstream>,
-    calls: &[PieceCall],
-    permits: &[Arc<RetryPermit>],
-    deadline: Instant,
-) -> Result<PieceAnswer, Fault> {
-    let call = OwnCall::post(D::PIECES_PATH, D::encode_pieces(calls));
-    let opened = call.send::<D>(upstream, permits, deadline).await?;
-    let status = opened.response.status();
-    if status != StatusCode::OK {
-        if opened.head.not_run {
-            discard(upstream, opened, true);
-            return Err(Fault::refused(status));
-        }
-        return Err(Fault::unknown(Cause::Malformed("a status other than 200")));
-    }
-    let Opened { mut response, lease, head } = opened;
-    let body = read_short(upstream, response.body_mut(), deadline).await?;
-    let answer = D::decode_results(&body).map_err(|why| {
-        log::warn!(upstream:% = upstream.id, cause = why.as_str();
-            "failed to decode the results of a call");
-        Fault::unknown(Cause::Malformed("unreadable results"))
-    })?;
-    if answer.results.len() != calls.len() {
-        return Err(Fault::unknown(Cause::Malformed("wrong number of results")));
-    }
-    lease.keep(head.keep_alive);
-    Ok(answer)
-}
-
-/// Asks an upstream how much space it has left for results.
-pub(crate) async fn query_space<D: Dialect>(
-    upstream: &Arc<Upstream>,
-    deadline: Instant,
-) -> Result<SpaceReport, Fault> {
-    let call = OwnCall { method: Method::GET, path: D::REPORT_PATH, body: Bytes::new() };
-    let Opened { mut response, lease, head } = call.send::<D>(upstream, &[], deadline).await?;
-    let body = read_short(upstream, response.body_mut(), deadline).await?;
-    lease.keep(head.keep_alive);
-    match response.status() {
-        StatusCode::OK => Ok(D::decode_space(&body)),
-        status => Err(Fault::refused(status)),
-    }
-}
-
-/// Tells an upstream that results are not needed any more.
-pub(crate) async fn free<D: Dialect>(
-    upstream: &Arc<Upstream>,
-    handles: &[Handle],
-) -> Result<(), Fault> {
-    let deadline = Instant::now() + FREE_TIMEOUT;
-    let call = OwnCall::post(D::FREE_PATH, D::encode_free(handles));
-    let Opened { mut response, lease, head } = call.send::<D>(upstream, &[], deadline).await?;
-    read_short(upstream, response.body_mut(), deadline).await?;
-    lease.keep(head.keep_alive);
-    Ok(())
-}
-
-/// A call that the entry makes on its own behalf.
-struct OwnCall {
-    method: Method,
-    path: &'static str,
-    body: Bytes,
-}
-
-impl OwnCall {
-    fn post(path: &'static str, body: Bytes) -> Self {
-        Self { method: Method::POST, path, body }
-    }
-
-    /// Sends the call under an id of its own, and waits for the head of its answer.
-    async fn send<D: Dialect>(
-        self,
-        upstream: &Arc<Upstream>,
-        permits: &[Arc<RetryPermit>],
-        deadline: Instant,
-    ) -> Result<Opened, Fault> {
-        let id = CallId::random();
-        let mut request = Request::new(Full::new(self.body));
-        *request.method_mut() = self.method;
-        *request.uri_mut() = Uri::from_static(self.path);
-        let headers = request.headers_mut();
-        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if let Ok(host) = HeaderValue::from_str(&upstream.address.to_string()) {
-            headers.insert(header::HOST, host);
-        }
-        let left = deadline.saturating_duration_since(Instant::now());
-        let head =
-            ForwardHead { upstream: &upstream.id, call: Some(id), left, ..Default::default() };
-        D::add_headers(headers, &head);
-        send::<D>(upstream, request, &id.to_string(), permits, deadline.into()).await
-    }
-}
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -378,14 +378,12 @@
 }
 
 impl Lease {
-    /// Returns the request sender of the connection.
-    pub(crate) fn sender(&mut self) -> Option<&mut ConnectionSender> {
-        self.connection.as_mut().map(|it| &mut it.0.sender)
-    }
-
-    /// Records that a call is sent on the connection; returns whether it is the first.
-    pub(crate) fn begin_call(&mut self) -> bool {
-        self.connection.as_mut().is_some_and(|it| !std::mem::replace(&mut it.0.is_used, true))
+    /// Records that a call is sent on the connection. Returns the request sender, and whether the call is
+    /// the first one.
+    pub(crate) fn begin_call(&mut self) -> Option<(&mut ConnectionSender, bool)> {
+        let (opened, _) = self.connection.as_mut()?;
+        let is_first = !std::mem::replace(&mut opened.is_used, true);
+        Some((&mut opened.sender, is_first))
     }
 
     /// Returns what bounds the heads of the connection's responses.
--- a/crates/gateway/src/upstream/lending/tests.rs
+++ b/crates/gateway/src/upstream/lending/tests.rs
@@ -143,7 +143,7 @@
         let mut borrowed =
             upstream.connect(by, now + SHORT_LOAN, Reuse::Any).await.expect("a borrowed one");
         let request = || http::Request::new(http_body_util::Full::<bytes::Bytes>::default());
-        let send = |lease: &mut Lease| lease.sender().expect("open").send_request(request());
+        let send = |lease: &mut Lease| lease.begin_call().expect("open").0.send_request(request());
         let (first, second) = (send(&mut own), send(&mut borrowed));
         act(&upstream);
         let (first, second) = tokio::join!(first, second);
