Heed what an answer without an id asks for, though it may be another's

The first form of the check dropped all of an answer without an id on a used connection. If an upstream leaves ids out of its rejections alone, the pause or limit in them, or that it leaves, went unheard until a new connection showed that habit: requests would reach an upstream that had asked for none (BUDGET, LIMIT, DRAIN).

Change: three verdicts in place of two. An answer that names another call tells nothing, as before; one that names none is still not believed to say that the call did not run, but what it asks of callers is heeded.

--- a/crates/gateway/src/echo.rs
+++ b/crates/gateway/src/echo.rs
@@ -18,6 +18,18 @@
     None,
 }
 
+/// Whose answer it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answers {
+    /// It answers the call that was sent.
+    This,
+    /// It may answer another call: it is not believed that the call did not run, but what it asks of callers
+    /// is heeded, such as a pause.
+    Unclear,
+    /// It answers another call, and tells nothing.
+    Other,
+}
+
 /// Whether an upstream leaves the ids out of its answers, as its connections have shown.
 #[derive(Debug, Default)]
 pub struct EchoHabit {
@@ -25,17 +37,18 @@
 }
 
 impl EchoHabit {
-    /// Decides whether an answer belongs to the call that was sent. `is_first` tells that nothing was
-    /// sent on its connection before; then an answer without an id can't be that of another call.
-    pub fn is_own(&self, echo: Echo, is_first: bool) -> bool {
+    /// Decides whether an answer is that to the call that was sent. `is_first` tells that nothing was sent
+    /// on its connection before; then an answer without an id can't be that to another call.
+    pub fn judge(&self, echo: Echo, is_first: bool) -> Answers {
         match echo {
-            Echo::Same => true,
-            Echo::Other => false,
+            Echo::Same => Answers::This,
+            Echo::Other => Answers::Other,
             Echo::None if is_first => {
                 self.omits.store(true, Ordering::Relaxed);
-                true
+                Answers::This
             }
-            Echo::None => self.omits.load(Ordering::Relaxed),
+            Echo::None if self.omits.load(Ordering::Relaxed) => Answers::This,
+            Echo::None => Answers::Unclear,
         }
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -15,7 +15,7 @@
 
 use crate::budget::RetryPermit;
 use crate::dialect::{AnswerHead, Dialect};
-use crate::echo::Echo;
+use crate::echo::{Answers, Echo};
 use crate::request::SendMark;
 use crate::response_limit::{Excess, ResponseLimit, ResponseMeter};
 use crate::upstream::{ConnectError, Lease, Reuse, Upstream};
@@ -128,11 +128,14 @@
         head_limit.end();
         upstream.record_heard();
         let head = D::decode_answer(response.status(), response.headers(), attempt);
-        if !upstream.is_own_answer(head.echo, is_first) {
-            return Err(foreign(upstream, attempt, &response, head.echo));
+        let whose = upstream.judge_answer(head.echo, is_first);
+        if whose != Answers::Other {
+            let is_rejected = head.not_run && response.status() == StatusCode::SERVICE_UNAVAILABLE;
+            record_state(upstream, &head, is_rejected, sent);
+        }
+        if whose != Answers::This {
+            return Err(foreign(upstream, attempt, &response, whose));
         }
-        let is_rejected = head.not_run && response.status() == StatusCode::SERVICE_UNAVAILABLE;
-        record_state(upstream, &head, is_rejected, sent);
         return Ok(Opened { response, lease, head });
     }
 }
@@ -176,11 +179,11 @@
     }
 }
 
-/// Records that an answer belongs to another call than that with the id `call`, whose own answer may
-/// follow it. Nothing in it is believed, and its connection ends with the call.
-fn foreign<T>(upstream: &Upstream, call: &str, answer: &Response<T>, echo: Echo) -> Fault {
+/// Records that an answer is not that to the call with the id `call`, whose own answer may follow it. The
+/// connection ends with the call.
+fn foreign<T>(upstream: &Upstream, call: &str, answer: &Response<T>, whose: Answers) -> Fault {
     log::warn!(request = call, upstream:% = upstream.id, service:% = upstream.service,
-        status = answer.status().as_u16(), named = echo != Echo::None;
+        status = answer.status().as_u16(), named = whose == Answers::Other;
         "an upstream sent the answer of another call");
     Fault::unknown(Cause::Malformed("another request's answer"))
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -17,7 +17,7 @@
 use tokio::time::Instant;
 use types::SoftwareVersion;
 
-use crate::echo::{Echo, EchoHabit};
+use crate::echo::{Answers, Echo, EchoHabit};
 use crate::health::{Tally, Trials};
 use crate::incarnation::{Incarnation, LatestIncarnation, StartTime};
 use crate::path::Paths;
@@ -269,10 +269,10 @@
         self.close_idle(true);
     }
 
-    /// Decides whether an answer of the upstream belongs to the call that was sent; `is_first` tells that
+    /// Decides whether an answer of the upstream is that to the call that was sent; `is_first` tells that
     /// nothing was sent on its connection before.
-    pub(crate) fn is_own_answer(&self, echo: Echo, is_first: bool) -> bool {
-        self.echo_habit.is_own(echo, is_first)
+    pub(crate) fn judge_answer(&self, echo: Echo, is_first: bool) -> Answers {
+        self.echo_habit.judge(echo, is_first)
     }
 
     /// Records that something has arrived from the upstream.
