End a wait of the control's tests that nothing answers

Change: a wait for a message ends after 30 s with where it was called and what came meanwhile, and so does the drain at the end of that test.

--- a/crates/control/tests/common/entry.rs
+++ b/crates/control/tests/common/entry.rs
@@ -1,7 +1,9 @@
 //! A fake entry for tests.
 
 use std::collections::BTreeMap;
+use std::panic::Location;
 
+use tokio::time::timeout;
 use types::{
     ClaimAnswer, ClaimKey, ClaimRequest, ClaimTicket, CustomerName, Incarnation, Version, VmName,
 };
@@ -9,7 +11,7 @@
 use wire::session::{ControlMessage, CustomerShare, EntryMessage};
 use wire::{Hello, Kind, Secret};
 
-use super::Cluster;
+use super::{Cluster, TIMEOUT};
 
 /// The entry's side of a session.
 pub(crate) struct Entry {
@@ -39,11 +41,28 @@
 
     /// Waits for the first message for which `pick` returns a value. Load messages are passed to
     /// `pick` as decoded digests.
-    pub(crate) async fn wait<T>(&mut self, pick: impl Fn(ControlMessage) -> Option<T>) -> T {
-        loop {
-            if let Some(found) = pick(self.next().await) {
-                return found;
-            }
+    ///
+    /// # Panics
+    /// Panics after [`TIMEOUT`], with where it was called and what came meanwhile.
+    #[track_caller]
+    pub(crate) fn wait<T>(
+        &mut self,
+        pick: impl Fn(ControlMessage) -> Option<T>,
+    ) -> impl Future<Output = T> {
+        let caller = Location::caller();
+        async move {
+            let mut received = Vec::new();
+            let found = async {
+                loop {
+                    let message = self.next().await;
+                    received.push(format!("{message:?}"));
+                    if let Some(found) = pick(message) {
+                        return found;
+                    }
+                }
+            };
+            let found = timeout(TIMEOUT, found).await;
+            found.unwrap_or_else(|_| panic!("waited in vain at {caller}; received {received:#?}"))
         }
     }
 
--- a/crates/control/tests/single.rs
+++ b/crates/control/tests/single.rs
@@ -174,5 +174,6 @@
 
     let leave = |it| matches!(it, ControlMessage::Leave).then_some(());
     let draining = cluster.running[0].take().expect("it runs");
-    let (_, ()) = tokio::join!(draining.drain(), entry.wait(leave));
+    let left = async { tokio::join!(draining.drain(), entry.wait(leave)) };
+    tokio::time::timeout(TIMEOUT, left).await.expect("the member drains");
 }
