Log and count on what evidence a refusal is believed

The line of a failed call had neither whose id the answer bore, nor whether a mark or the status alone said that the request did not run, nor whether the connection was in use before; an upstream's own 503 that is passed on left only its status.

Now the failed call, the foreign answer and the unmarked promise tell it in one field, `answer`, and mothplank_gateway_answer_evidence_total counts them by identity.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -117,6 +117,8 @@
     pub sealed: bool,
     /// Whether it states that the request did not run.
     pub not_run: bool,
+    /// Whether a mark states it, and not the status alone.
+    pub marked: bool,
     /// How long the upstream keeps the connection idle, if it says so.
     pub keep_alive: Option<Duration>,
     /// How much longer the upstream is cold, if it says so.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -16,9 +16,8 @@
 use crate::path::Paths;
 use crate::plan::Plan;
 use crate::quota::EntryList;
-use crate::response_limit::CutCounter;
 use crate::section::{self, LinkRate, Section};
-use crate::upstream::{ConnectionShare, InUse, Upstream};
+use crate::upstream::{AnswerCounters, ConnectionShare, InUse, Upstream};
 
 #[cfg(test)]
 mod tests;
@@ -48,7 +47,7 @@
     /// The entries among which quotas are divided.
     entries: Arc<ArcSwap<EntryList>>,
     paths: Arc<Paths>,
-    cuts: CutCounter,
+    counters: AnswerCounters,
     /// The outcomes that this entry has not reported yet.
     tally: Arc<Tally>,
 }
@@ -59,9 +58,9 @@
         Self { paths, ..Self::default() }
     }
 
-    /// Returns the directory, which counts cut responses of its upstreams.
-    pub(crate) fn with_cuts(self, cuts: CutCounter) -> Self {
-        Self { cuts, ..self }
+    /// Returns the directory, which counts the answers of its upstreams.
+    pub(crate) fn with_counters(self, counters: AnswerCounters) -> Self {
+        Self { counters, ..self }
     }
 
     /// Creates the next directory. Known incarnations of upstreams keep their connections and
@@ -76,10 +75,10 @@
     ) -> Self {
         let (in_use, entry_list) = (Arc::clone(&self.in_use), Arc::clone(&self.entries));
         let listed = registry_state.upstreams_stamp;
-        let (paths, cuts) = (Arc::clone(&self.paths), self.cuts.clone());
+        let (paths, counters) = (Arc::clone(&self.paths), self.counters.clone());
         let tally = Arc::clone(&self.tally);
         let mut next =
-            Self { listed, in_use, entries: entry_list, paths, cuts, tally, ..Self::default() };
+            Self { listed, in_use, entries: entry_list, paths, counters, tally, ..Self::default() };
         next.update_entries(registry_state, cold.own);
         let known = next.entries.load_full();
         let context =
@@ -94,7 +93,7 @@
                     Upstream::new(it, connection_share.most)
                         .with_lists(&self.in_use, &self.entries)
                         .with_paths(&self.paths)
-                        .with_cuts(&self.cuts)
+                        .with_counters(&self.counters)
                         .with_tally(&self.tally),
                 ),
             };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Single calls of an upstream.
 
+mod evidence;
 mod fault;
 mod own;
 
@@ -18,8 +19,9 @@
 use crate::echo::{Answers, Echo};
 use crate::request::SendMark;
 use crate::response_limit::{Excess, ResponseLimit, ResponseMeter};
-use crate::upstream::{ConnectError, Lease, Reuse, Upstream};
+use crate::upstream::{ConnectError, Lease, Reuse, Taken, Upstream};
 
+pub(crate) use self::evidence::Evidence;
 pub(crate) use self::fault::{Cause, Fault};
 pub(crate) use self::own::{free, pieces, query_space};
 
@@ -40,6 +42,7 @@
     pub(crate) response: Response<Incoming>,
     pub(crate) lease: Lease,
     pub(crate) head: AnswerHead,
+    pub(crate) evidence: Evidence,
 }
 
 /// Until when a call may wait, and last, and on which connection.
@@ -128,15 +131,19 @@
         head_limit.end();
         upstream.record_heard();
         let head = D::decode_answer(response.status(), response.headers(), attempt);
+        let evidence = Evidence::new(response.status(), &head, is_first);
         let whose = upstream.judge_answer(head.echo, is_first);
         if whose != Answers::Other {
             let is_rejected = head.not_run && response.status() == StatusCode::SERVICE_UNAVAILABLE;
             record_state(upstream, &head, is_rejected, sent);
         }
         if whose != Answers::This {
-            return Err(foreign(upstream, attempt, &response, whose));
+            return Err(foreign(upstream, attempt, evidence));
         }
-        return Ok(Opened { response, lease, head });
+        if head.not_run {
+            upstream.record_taken(Taken::Refusal, &evidence);
+        }
+        return Ok(Opened { response, lease, head, evidence });
     }
 }
 
@@ -181,11 +188,11 @@
 
 /// Records that an answer is not that to the call with the id `call`, whose own answer may follow it. The
 /// connection ends with the call.
-fn foreign<T>(upstream: &Upstream, call: &str, answer: &Response<T>, whose: Answers) -> Fault {
+fn foreign(upstream: &Upstream, call: &str, evidence: Evidence) -> Fault {
+    upstream.record_taken(Taken::Foreign, &evidence);
     log::warn!(request = call, upstream:% = upstream.id, service:% = upstream.service,
-        status = answer.status().as_u16(), named = whose == Answers::Other;
-        "an upstream sent the answer of another call");
-    Fault::unknown(Cause::Malformed("another request's answer"))
+        answer:% = evidence; "an upstream sent the answer of another call");
+    Fault::unknown(Cause::Malformed("another request's answer")).with_evidence(evidence)
 }
 
 /// Sends a caller's request and waits for the head of its answer, which must repeat the attempt's
@@ -202,18 +209,30 @@
         let status = opened.response.status();
         // A second copy of a refusal without an id would pass for that of the next request.
         let keeps = opened.head.echo == Echo::Same;
+        let evidence = opened.evidence;
         discard(upstream, opened, keeps);
-        return Err(Fault::refused(status));
+        return Err(Fault::refused(status).with_evidence(evidence));
     }
+    let invalid = |why| Fault::unknown(Cause::Malformed(why)).with_evidence(opened.evidence);
     if opened.head.echo != Echo::Same {
-        return Err(Fault::unknown(Cause::Malformed("no id")));
+        return Err(invalid("no id"));
     }
     if !opened.head.sealed {
-        return Err(Fault::unknown(Cause::Malformed("no seal")));
+        return Err(invalid("no seal"));
     }
     Ok(opened)
 }
 
+/// Records an answer to a caller's request whose status promises that the request did not run, without the
+/// mark that states it.
+pub(crate) fn record_unmarked(upstream: &Upstream, attempt: &str, evidence: &Evidence) {
+    if evidence.is_unmarked_promise() {
+        upstream.record_taken(Taken::UnmarkedPromise, evidence);
+        log::info!(request = attempt, upstream:% = upstream.id, service:% = upstream.service,
+            answer:% = evidence; "an upstream refused a request without the mark that it did not run");
+    }
+}
+
 /// What was read of a body.
 pub(crate) enum Read {
     /// The whole body.
@@ -284,7 +303,7 @@
 fn discard(upstream: &Arc<Upstream>, opened: Opened, keeps: bool) {
     let upstream = Arc::clone(upstream);
     tokio::spawn(async move {
-        let Opened { mut response, lease, head } = opened;
+        let Opened { mut response, lease, head, .. } = opened;
         let deadline = Instant::now() + DISCARD_TIME;
         let read = read_short(&upstream, response.body_mut(), deadline).await;
         if keeps && read.is_ok() {
--- a/crates/gateway/src/exchange/fault.rs
+++ b/crates/gateway/src/exchange/fault.rs
@@ -4,6 +4,7 @@
 
 use http::StatusCode;
 
+use super::Evidence;
 use crate::response_limit::Excess;
 use crate::upstream::ConnectError;
 
@@ -55,6 +56,8 @@
     pub(crate) not_run: bool,
     /// Whether the upstream can't be reached at all.
     pub(crate) unreachable: bool,
+    /// What the answer shows, if a head of one came.
+    pub(crate) evidence: Option<Evidence>,
 }
 
 impl fmt::Display for Fault {
@@ -67,12 +70,12 @@
 impl Fault {
     pub(crate) fn unsent(why: ConnectError) -> Self {
         let unreachable = why != ConnectError::LimitReached;
-        Self { cause: Cause::Connect(why), not_run: true, unreachable }
+        Self { cause: Cause::Connect(why), not_run: true, unreachable, evidence: None }
     }
 
     /// A request that was not sent although a connection was there.
     pub(super) fn held(cause: Cause) -> Self {
-        Self { cause, not_run: true, unreachable: false }
+        Self { cause, not_run: true, unreachable: false, evidence: None }
     }
 
     /// Returns whether the call speaks against the upstream as all entries see it. One that can't
@@ -87,10 +90,16 @@
     }
 
     pub(crate) fn refused(status: StatusCode) -> Self {
-        Self { cause: Cause::Refused(status), not_run: true, unreachable: false }
+        let cause = Cause::Refused(status);
+        Self { cause, not_run: true, unreachable: false, evidence: None }
     }
 
     pub(crate) fn unknown(cause: Cause) -> Self {
-        Self { cause, not_run: false, unreachable: false }
+        Self { cause, not_run: false, unreachable: false, evidence: None }
+    }
+
+    /// Returns the fault with what the answer shows.
+    pub(super) fn with_evidence(self, evidence: Evidence) -> Self {
+        Self { evidence: Some(evidence), ..self }
     }
 }
--- a/crates/gateway/src/exchange/own.rs
+++ b/crates/gateway/src/exchange/own.rs
@@ -28,13 +28,15 @@
     let opened = call.send::<D>(upstream, permits, deadline).await?;
     let status = opened.response.status();
     if status != StatusCode::OK {
+        let evidence = opened.evidence;
         if opened.head.not_run {
             discard(upstream, opened, true);
-            return Err(Fault::refused(status));
+            return Err(Fault::refused(status).with_evidence(evidence));
         }
-        return Err(Fault::unknown(Cause::Malformed("a status other than 200")));
+        let cause = Cause::Malformed("a status other than 200");
+        return Err(Fault::unknown(cause).with_evidence(evidence));
     }
-    let Opened { mut response, lease, head } = opened;
+    let Opened { mut response, lease, head, .. } = opened;
     let body = read_short(upstream, response.body_mut(), deadline).await?;
     let answer = D::decode_results(&body).map_err(|why| {
         log::warn!(upstream:% = upstream.id, cause = why.as_str();
@@ -54,7 +56,7 @@
     deadline: Instant,
 ) -> Result<SpaceReport, Fault> {
     let call = OwnCall { method: Method::GET, path: D::REPORT_PATH, body: Bytes::new() };
-    let Opened { mut response, lease, head } = call.send::<D>(upstream, &[], deadline).await?;
+    let Opened { mut response, lease, head, .. } = call.send::<D>(upstream, &[], deadline).await?;
     let body = read_short(upstream, response.body_mut(), deadline).await?;
     lease.keep(head.keep_alive);
     match response.status() {
@@ -70,7 +72,7 @@
 ) -> Result<(), Fault> {
     let deadline = Instant::now() + FREE_TIMEOUT;
     let call = OwnCall::post(D::FREE_PATH, D::encode_free(handles));
-    let Opened { mut response, lease, head } = call.send::<D>(upstream, &[], deadline).await?;
+    let Opened { mut response, lease, head, .. } = call.send::<D>(upstream, &[], deadline).await?;
     read_short(upstream, response.body_mut(), deadline).await?;
     lease.keep(head.keep_alive);
     Ok(())
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -75,6 +75,9 @@
     pub(crate) streams_cut: IntCounterVec,
     /// Responses of upstreams that were cut because they did not end, by cause.
     pub(crate) responses_cut: IntCounterVec,
+    /// Answers of upstreams that could be taken for what they are not, by what became of them and by what
+    /// shows whose they are.
+    pub(crate) evidence: IntCounterVec,
     /// Callers' connections that ended with a request in progress.
     pub(crate) unanswered: IntCounter,
     /// Requests whose handling panicked.
@@ -151,6 +154,10 @@
             "mothplank_gateway_responses_cut_total",
             "Responses of upstreams that were cut because they did not end, by cause",
         );
+        let evidence = Opts::new(
+            "mothplank_gateway_answer_evidence_total",
+            "Refusals, foreign answers and unmarked promises of upstreams, by what shows whose they are",
+        );
         let told = Opts::new(
             "mothplank_gateway_told_load",
             "Load that upstreams told within the last second, by service and figure",
@@ -204,6 +211,7 @@
             .map_err(fault)?,
             streams_cut: IntCounterVec::new(streams_cut, &["cause"]).map_err(fault)?,
             responses_cut: IntCounterVec::new(responses_cut, &["cause"]).map_err(fault)?,
+            evidence: IntCounterVec::new(evidence, &["answer", "identity"]).map_err(fault)?,
             unanswered: IntCounter::new(
                 "mothplank_gateway_unanswered_total",
                 "Connections of callers that ended with a request in progress",
@@ -249,6 +257,7 @@
         registry.register(Box::new(it.unread.clone())).map_err(fault)?;
         registry.register(Box::new(it.streams_cut.clone())).map_err(fault)?;
         registry.register(Box::new(it.responses_cut.clone())).map_err(fault)?;
+        registry.register(Box::new(it.evidence.clone())).map_err(fault)?;
         registry.register(Box::new(it.unanswered.clone())).map_err(fault)?;
         registry.register(Box::new(it.panics.clone())).map_err(fault)?;
         registry.register(Box::new(it.lag.clone())).map_err(fault)?;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -366,7 +366,8 @@
     let outcome = if fault.not_run { "not run" } else { "unknown" };
     shared.metrics.calls.with_label_values(&[outcome]).inc();
     log::info!(request = request.head.attempt.as_str(), upstream:% = upstream.id,
-        service:% = upstream.service, cause:% = fault, digest:% = request.digest(),
+        service:% = upstream.service, cause:% = fault,
+        answer = fault.evidence.map(|it| it.to_string()), digest:% = request.digest(),
         path = request.uri.path(), parts = request.shared_parts_text(), age_ms = request.arrived.elapsed().as_millis() as u64;
         "a call of an upstream failed");
     if fault.unreachable || !fault.not_run {
--- a/crates/gateway/src/plain/call.rs
+++ b/crates/gateway/src/plain/call.rs
@@ -52,7 +52,8 @@
     let deadline = request.deadline;
     let opened =
         exchange::request::<D>(upstream, forward, attempt, permits, deadline.into()).await?;
-    let Opened { mut response, lease, head } = opened;
+    let Opened { mut response, lease, head, evidence } = opened;
+    exchange::record_unmarked(upstream, attempt, &evidence);
     let status = response.status();
     let mut headers = std::mem::take(response.headers_mut());
     strip_hop_by_hop(&mut headers);
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -27,8 +27,8 @@
 use crate::plan::Plan;
 use crate::prefill::PrefillTimes;
 use crate::quarantine::Quarantine;
-use crate::response_limit::CutCounter;
 use crate::section::{self, LinkRate, Section};
+use crate::upstream::AnswerCounters;
 
 mod capacity;
 mod crowd;
@@ -101,7 +101,7 @@
             caller_limits: CallerLimits::default(),
             directory: ArcSwap::from_pointee(
                 Directory::new(Arc::clone(&paths))
-                    .with_cuts(CutCounter::new(&metrics.responses_cut)),
+                    .with_counters(AnswerCounters::new(&metrics)),
             ),
             paths,
             relays: RelayPermits::default(),
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -58,9 +58,10 @@
     let (attempt, permits) = (&request.head.attempt, permit.as_slice());
     let terms = CallTerms { head: deadline, end: request.deadline, reuse };
     let opened = exchange::request::<D>(upstream, forward, attempt, permits, terms).await?;
-    let Opened { mut response, lease, head } = opened;
+    let Opened { mut response, lease, head, evidence } = opened;
     let mut headers = std::mem::take(response.headers_mut());
     strip_hop_by_hop(&mut headers);
+    exchange::record_unmarked(upstream, attempt, &evidence);
     if !response.status().is_success() {
         let body = response.body_mut();
         let body = exchange::read_whole(upstream, body, MAX_ERROR_ANSWER_BYTES, deadline).await?;
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,6 +1,7 @@
 //! One incarnation of an upstream: its connections, its load from this entry, and its health.
 
 mod connections;
+mod counters;
 mod fleet;
 mod lending;
 mod room;
@@ -18,14 +19,16 @@
 use types::SoftwareVersion;
 
 use crate::echo::{Answers, Echo, EchoHabit};
+use crate::exchange::Evidence;
 use crate::health::{Tally, Trials};
 use crate::incarnation::{Incarnation, LatestIncarnation, StartTime};
 use crate::path::Paths;
 use crate::place::score;
 use crate::quota::EntryList;
-use crate::response_limit::{CutCounter, Excess};
+use crate::response_limit::Excess;
 
 pub(crate) use self::connections::{ConnectError, ConnectionShare, Lease, Reuse, configure};
+pub(crate) use self::counters::{AnswerCounters, Taken};
 pub use self::room::Need;
 pub(crate) use self::running::{InUse, RunningRequest};
 pub use self::told::{Told, paced_load};
@@ -97,7 +100,7 @@
     /// The entries that share what a limit allows.
     entries: Arc<ArcSwap<EntryList>>,
     paths: Arc<Paths>,
-    cuts: CutCounter,
+    counters: AnswerCounters,
 }
 
 /// The requests that other entries have in flight, as last reported.
@@ -151,7 +154,7 @@
             echo_habit: EchoHabit::default(),
             entries: Arc::default(),
             paths: Arc::default(),
-            cuts: CutCounter::default(),
+            counters: AnswerCounters::default(),
         }
     }
 
@@ -166,14 +169,19 @@
         Self { paths: Arc::clone(paths), ..self }
     }
 
-    /// Returns the upstream, whose cut responses are counted by `cuts`.
-    pub(crate) fn with_cuts(self, cuts: &CutCounter) -> Self {
-        Self { cuts: cuts.clone(), ..self }
+    /// Returns the upstream, whose answers are counted by `counters`.
+    pub(crate) fn with_counters(self, counters: &AnswerCounters) -> Self {
+        Self { counters: counters.clone(), ..self }
+    }
+
+    /// Counts an answer that could be taken for what it is not.
+    pub(crate) fn record_taken(&self, taken: Taken, evidence: &Evidence) {
+        self.counters.record_taken(taken, evidence);
     }
 
     /// Records that a response of the upstream is cut.
     pub(crate) fn record_cut(&self, excess: Excess) {
-        self.cuts.record(excess);
+        self.counters.record_cut(excess);
         log::warn!(upstream:% = self.id, service:% = self.service, cause:% = excess;
             "cut a response that does not end");
     }
