Don't believe by habit that a request did not run

What a caller would see: its booking runs at two upstreams and is answered 200, or runs and is answered 503. An answer without an id on a used connection can be a copy of the answer to any call without an id; a habit of the upstream says nothing about which. So it proves nothing for a request that may run once; where an upstream leaves ids out of refusals, such requests get new connections, on which no other answer can come.

--- a/crates/gateway/src/echo.rs
+++ b/crates/gateway/src/echo.rs
@@ -6,6 +6,9 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
+#[cfg(test)]
+mod tests;
+
 /// The id in an answer, compared with that of the call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Echo {
@@ -30,25 +33,62 @@
     Other,
 }
 
-/// Whether an upstream leaves the ids out of its answers, as its connections have shown.
+/// What is called, which decides how much an answer without an id proves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// A call that the entry makes on its own behalf.
+    Own,
+    /// A caller's request that may run again.
+    Repeatable,
+    /// A caller's request that may run once at most.
+    Once,
+}
+
+/// Which ids an upstream leaves out of its answers, as its connections have shown.
 #[derive(Debug, Default)]
 pub struct EchoHabit {
-    omits: AtomicBool,
+    /// Whether those of calls that the entry makes on its own behalf.
+    own_calls: AtomicBool,
+    /// Whether those of requests that it refuses.
+    refusals: AtomicBool,
 }
 
 impl EchoHabit {
     /// Decides whether an answer is that to the call that was sent. `is_first` tells that nothing was sent
-    /// on its connection before; then an answer without an id can't be that to another call.
-    pub fn judge(&self, echo: Echo, is_first: bool) -> Answers {
+    /// on its connection before; then an answer without an id can't be that to another call. `is_refusal`
+    /// tells that the answer states that the call did not run.
+    ///
+    /// By habit alone, nothing shows that a request did not run that may run once: on a used connection, the
+    /// answer could be a copy of that to any call without an id.
+    pub fn judge(&self, echo: Echo, is_first: bool, is_refusal: bool, kind: CallKind) -> Answers {
+        let was_habit = self.learn(echo, is_first, is_refusal, kind);
         match echo {
             Echo::Same => Answers::This,
             Echo::Other => Answers::Other,
-            Echo::None if is_first => {
-                self.omits.store(true, Ordering::Relaxed);
-                Answers::This
-            }
-            Echo::None if self.omits.load(Ordering::Relaxed) => Answers::This,
+            Echo::None if is_first || was_habit && kind != CallKind::Once => Answers::This,
             Echo::None => Answers::Unclear,
         }
     }
+
+    /// Learns from an answer; returns what was known before.
+    fn learn(&self, echo: Echo, is_first: bool, is_refusal: bool, kind: CallKind) -> bool {
+        let (habit, shown) = match kind {
+            CallKind::Own => (&self.own_calls, (is_first && echo == Echo::None).then_some(true)),
+            CallKind::Repeatable | CallKind::Once => {
+                let clear = is_refusal && echo != Echo::Other;
+                (&self.refusals, clear.then_some(echo == Echo::None))
+            }
+        };
+        let was_habit = habit.load(Ordering::Relaxed);
+        if let Some(omits) = shown.filter(|it| *it != was_habit) {
+            habit.store(omits, Ordering::Relaxed);
+        }
+        was_habit
+    }
+
+    /// Returns whether a call needs a connection that has not been used, because a refusal without an id
+    /// proves nothing on another one.
+    pub fn needs_new(&self, kind: CallKind) -> bool {
+        kind == CallKind::Once && self.refusals.load(Ordering::Relaxed)
+    }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -16,7 +16,7 @@
 
 use crate::budget::RetryPermit;
 use crate::dialect::{AnswerHead, Dialect};
-use crate::echo::{Answers, Echo};
+use crate::echo::{Answers, CallKind, Echo};
 use crate::request::SendMark;
 use crate::response_limit::{Excess, ResponseLimit, ResponseMeter};
 use crate::upstream::{ConnectError, Lease, Reuse, Taken, Upstream};
@@ -54,12 +54,14 @@
     pub(crate) end: Instant,
     /// Which connection it may use.
     pub(crate) reuse: Reuse,
+    /// What is called.
+    pub(crate) kind: CallKind,
 }
 
-impl From<Instant> for CallTerms {
+impl CallTerms {
     /// Returns the terms of a call on any connection whose whole answer is due at `end`.
-    fn from(end: Instant) -> Self {
-        Self { head: end, end, reuse: Reuse::Any }
+    pub(crate) fn until(end: Instant, kind: CallKind) -> Self {
+        Self { head: end, end, reuse: Reuse::Any, kind }
     }
 }
 
@@ -72,10 +74,11 @@
     permits: &[Arc<RetryPermit>],
     terms: CallTerms,
 ) -> Result<Opened, Fault> {
-    let CallTerms { head: deadline, end, reuse } = terms;
+    let CallTerms { head: deadline, end, reuse, kind } = terms;
     let mut request = request;
     loop {
         let begun = Instant::now();
+        let reuse = upstream.reuse_for(kind, reuse);
         let mut lease = upstream.connect(deadline, end, reuse).await.map_err(Fault::unsent)?;
         let waited = begun.elapsed();
         if waited >= LONG_CONNECT_TIME {
@@ -132,7 +135,7 @@
         upstream.record_heard();
         let head = D::decode_answer(response.status(), response.headers(), attempt);
         let evidence = Evidence::new(response.status(), &head, is_first);
-        let whose = upstream.judge_answer(head.echo, is_first);
+        let whose = upstream.judge_answer(&head, is_first, kind);
         if whose != Answers::Other {
             let is_rejected = head.not_run && response.status() == StatusCode::SERVICE_UNAVAILABLE;
             record_state(upstream, &head, is_rejected, sent);
--- a/crates/gateway/src/exchange/own.rs
+++ b/crates/gateway/src/exchange/own.rs
@@ -9,9 +9,10 @@
 use tokio::time::Instant;
 use types::CallId;
 
-use super::{Cause, Fault, Opened, discard, read_short, send};
+use super::{CallTerms, Cause, Fault, Opened, discard, read_short, send};
 use crate::budget::RetryPermit;
 use crate::dialect::{Dialect, ForwardHead, Handle, PieceAnswer, PieceCall, SpaceReport};
+use crate::echo::CallKind;
 use crate::upstream::Upstream;
 
 /// The timeout of a call that frees results.
@@ -110,6 +111,7 @@
         let head =
             ForwardHead { upstream: &upstream.id, call: Some(id), left, ..Default::default() };
         D::add_headers(headers, &head);
-        send::<D>(upstream, request, &id.to_string(), permits, deadline.into()).await
+        let terms = CallTerms::until(deadline, CallKind::Own);
+        send::<D>(upstream, request, &id.to_string(), permits, terms).await
     }
 }
--- a/crates/gateway/src/plain/call.rs
+++ b/crates/gateway/src/plain/call.rs
@@ -7,7 +7,7 @@
 
 use crate::budget::RetryPermit;
 use crate::dialect::{AnswerHead, Dialect};
-use crate::exchange::{self, Fault, Opened, Read};
+use crate::exchange::{self, CallTerms, Fault, Opened, Read};
 use crate::reply::chunks::{self, ChunkSender};
 use crate::reply::{Reply, ReplyBody, strip_hop_by_hop};
 use crate::request::CallerRequest;
@@ -50,8 +50,8 @@
     let forward = request.forward::<D>(upstream, &[], None);
     let (attempt, permits) = (&request.head.attempt, permit.as_slice());
     let deadline = request.deadline;
-    let opened =
-        exchange::request::<D>(upstream, forward, attempt, permits, deadline.into()).await?;
+    let terms = CallTerms::until(deadline, request.call_kind());
+    let opened = exchange::request::<D>(upstream, forward, attempt, permits, terms).await?;
     let Opened { mut response, lease, head, evidence } = opened;
     exchange::record_unmarked(upstream, attempt, &evidence);
     let status = response.status();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,6 +14,7 @@
 
 use crate::body_memory::Reservation;
 use crate::dialect::{Dialect, ForwardHead, Generation, Handle, RequestHead};
+use crate::echo::CallKind;
 use crate::origin::StreamKey;
 use crate::plan::{Customer, Plan, Route, RouteKind};
 use crate::quarantine::part_digests;
@@ -198,6 +199,11 @@
         self.route.is_repeatable() && !self.is_trial()
     }
 
+    /// Returns what a call with the request is.
+    pub(crate) fn call_kind(&self) -> CallKind {
+        if self.is_repeatable() { CallKind::Repeatable } else { CallKind::Once }
+    }
+
     /// Returns whether the request may be a trial at an upstream that is passed over: if that
     /// fails, it is sent to another one.
     pub(crate) fn may_try_failing(&self) -> bool {
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -100,8 +100,7 @@
             plan: ArcSwapOption::empty(),
             caller_limits: CallerLimits::default(),
             directory: ArcSwap::from_pointee(
-                Directory::new(Arc::clone(&paths))
-                    .with_counters(AnswerCounters::new(&metrics)),
+                Directory::new(Arc::clone(&paths)).with_counters(AnswerCounters::new(&metrics)),
             ),
             paths,
             relays: RelayPermits::default(),
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -56,7 +56,8 @@
 ) -> Result<EngineAnswer, Fault> {
     let sent = Instant::now();
     let (attempt, permits) = (&request.head.attempt, permit.as_slice());
-    let terms = CallTerms { head: deadline, end: request.deadline, reuse };
+    let (end, kind) = (request.deadline, request.call_kind());
+    let terms = CallTerms { head: deadline, end, reuse, kind };
     let opened = exchange::request::<D>(upstream, forward, attempt, permits, terms).await?;
     let Opened { mut response, lease, head, evidence } = opened;
     let mut headers = std::mem::take(response.headers_mut());
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -18,7 +18,8 @@
 use tokio::time::Instant;
 use types::SoftwareVersion;
 
-use crate::echo::{Answers, Echo, EchoHabit};
+use crate::dialect::AnswerHead;
+use crate::echo::{Answers, CallKind, EchoHabit};
 use crate::exchange::Evidence;
 use crate::health::{Tally, Trials};
 use crate::incarnation::{Incarnation, LatestIncarnation, StartTime};
@@ -279,8 +280,18 @@
 
     /// Decides whether an answer of the upstream is that to the call that was sent; `is_first` tells that
     /// nothing was sent on its connection before.
-    pub(crate) fn judge_answer(&self, echo: Echo, is_first: bool) -> Answers {
-        self.echo_habit.judge(echo, is_first)
+    pub(crate) fn judge_answer(
+        &self,
+        head: &AnswerHead,
+        is_first: bool,
+        kind: CallKind,
+    ) -> Answers {
+        self.echo_habit.judge(head.echo, is_first, head.not_run, kind)
+    }
+
+    /// Returns which connection a call may use that may use this one otherwise.
+    pub(crate) fn reuse_for(&self, kind: CallKind, otherwise: Reuse) -> Reuse {
+        if self.echo_habit.needs_new(kind) { Reuse::New } else { otherwise }
     }
 
     /// Records that something has arrived from the upstream.
