--- a/crates/gateway/src/echo.rs
+++ b/crates/gateway/src/echo.rs
@@ -6,9 +6,6 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-#[cfg(test)]
-mod tests;
-
 /// The id in an answer, compared with that of the call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Echo {
