Bound the framing of a body by its data

Cause: raw bytes were counted until the head had come, then only what the HTTP library hands out as data; the library bounds neither zeros before a chunk's size nor spaces after it. Now the raw bytes of the body are counted too: 256 KiB, and two for each byte of data.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -86,7 +86,7 @@
                 ms = waited.as_millis() as u64; "a request waited long for its connection");
         }
         let is_kept = lease.is_kept();
-        let head_limit = lease.head_limit();
+        let raw_limit = lease.raw_limit();
         let sent = Instant::now();
         let held = if upstream.pause_end(sent).is_some() {
             Some(Cause::Paused)
@@ -103,7 +103,7 @@
             return Err(Fault::unsent(ConnectError::Refused));
         };
         SendMark::set(&request);
-        head_limit.begin();
+        raw_limit.begin();
         let answer = timeout_at(deadline, sender.try_send_request(request));
         let response = match watch_silence(upstream, is_kept, answer).await {
             Ok(Ok(response)) => response,
@@ -115,7 +115,7 @@
                     request = unsent;
                     continue;
                 }
-                None if head_limit.is_exceeded() => {
+                None if raw_limit.is_exceeded() => {
                     return Err(Fault::unknown(cut(upstream, Excess::Head)));
                 }
                 None if error.error().is_parse() => {
@@ -131,7 +131,7 @@
                 return Err(Fault::unknown(Cause::Timeout));
             }
         };
-        head_limit.end();
+        raw_limit.begin_body();
         upstream.record_heard();
         let head = D::decode_answer(response.status(), response.headers(), attempt);
         let evidence = Evidence::new(response.status(), &head, is_first);
@@ -250,6 +250,11 @@
     Cause::Excess(excess)
 }
 
+/// Returns the cause of a failed call whose answer broke off.
+pub(crate) fn broken_off(upstream: &Upstream, meter: &ResponseMeter) -> Cause {
+    meter.cut().map_or(Cause::Lost, |it| cut(upstream, it))
+}
+
 /// Reads a body until it ends or exceeds `limit` bytes, within what `meter` allows.
 pub(crate) async fn read_body(
     upstream: &Upstream,
@@ -263,7 +268,7 @@
     loop {
         let frame = match timeout_at(deadline, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => return Err(Cause::Lost),
+            Ok(Some(Err(_))) => return Err(broken_off(upstream, meter)),
             Ok(None) => return Ok(Read::Whole(read.freeze())),
             Err(_) => return Err(Cause::Timeout),
         };
@@ -280,11 +285,11 @@
 /// Reads a whole body of at most `most` bytes.
 pub(crate) async fn read_whole(
     upstream: &Upstream,
-    body: &mut Incoming,
+    (body, lease): (&mut Incoming, &Lease),
     most: usize,
     deadline: Instant,
 ) -> Result<Bytes, Fault> {
-    let mut meter = ResponseMeter::new(ResponseLimit::whole(most));
+    let mut meter = lease.meter(ResponseLimit::whole(most));
     let read = read_body(upstream, body, &mut meter, most, deadline).await;
     match read.map_err(Fault::unknown)? {
         Read::Whole(bytes) => Ok(bytes),
@@ -295,10 +300,10 @@
 /// Reads the whole body of an answer to one of the entry's own calls.
 async fn read_short(
     upstream: &Upstream,
-    body: &mut Incoming,
+    (body, lease): (&mut Incoming, &Lease),
     deadline: Instant,
 ) -> Result<Bytes, Fault> {
-    read_whole(upstream, body, MAX_OWN_ANSWER_BYTES, deadline).await
+    read_whole(upstream, (body, lease), MAX_OWN_ANSWER_BYTES, deadline).await
 }
 
 /// Reads the rest of an answer that is not forwarded in the background, and keeps its connection if
@@ -308,7 +313,7 @@
     tokio::spawn(async move {
         let Opened { mut response, lease, head, .. } = opened;
         let deadline = Instant::now() + DISCARD_TIME;
-        let read = read_short(&upstream, response.body_mut(), deadline).await;
+        let read = read_short(&upstream, (response.body_mut(), &lease), deadline).await;
         if keeps && read.is_ok() {
             lease.keep(head.keep_alive);
         }
--- a/crates/gateway/src/exchange/own.rs
+++ b/crates/gateway/src/exchange/own.rs
@@ -38,7 +38,7 @@
         return Err(Fault::unknown(cause).with_evidence(evidence));
     }
     let Opened { mut response, lease, head, .. } = opened;
-    let body = read_short(upstream, response.body_mut(), deadline).await?;
+    let body = read_short(upstream, (response.body_mut(), &lease), deadline).await?;
     let answer = D::decode_results(&body).map_err(|why| {
         log::warn!(upstream:% = upstream.id, cause = why.as_str();
             "failed to decode the results of a call");
@@ -58,7 +58,7 @@
 ) -> Result<SpaceReport, Fault> {
     let call = OwnCall { method: Method::GET, path: D::REPORT_PATH, body: Bytes::new() };
     let Opened { mut response, lease, head, .. } = call.send::<D>(upstream, &[], deadline).await?;
-    let body = read_short(upstream, response.body_mut(), deadline).await?;
+    let body = read_short(upstream, (response.body_mut(), &lease), deadline).await?;
     lease.keep(head.keep_alive);
     match response.status() {
         StatusCode::OK => Ok(D::decode_space(&body)),
@@ -74,7 +74,7 @@
     let deadline = Instant::now() + FREE_TIMEOUT;
     let call = OwnCall::post(D::FREE_PATH, D::encode_free(handles));
     let Opened { mut response, lease, head, .. } = call.send::<D>(upstream, &[], deadline).await?;
-    read_short(upstream, response.body_mut(), deadline).await?;
+    read_short(upstream, (response.body_mut(), &lease), deadline).await?;
     lease.keep(head.keep_alive);
     Ok(())
 }
--- a/crates/gateway/src/plain/call.rs
+++ b/crates/gateway/src/plain/call.rs
@@ -11,7 +11,7 @@
 use crate::reply::chunks::{self, ChunkSender};
 use crate::reply::{Reply, ReplyBody, strip_hop_by_hop};
 use crate::request::CallerRequest;
-use crate::response_limit::{ResponseLimit, ResponseMeter};
+use crate::response_limit::ResponseLimit;
 use crate::upstream::{Lease, Upstream};
 
 use super::rest::{Ended, Rest};
@@ -57,7 +57,7 @@
     let status = response.status();
     let mut headers = std::mem::take(response.headers_mut());
     strip_hop_by_hop(&mut headers);
-    let mut meter = ResponseMeter::new(ResponseLimit::plain(request.plan.limits.body_bytes));
+    let mut meter = lease.meter(ResponseLimit::plain(request.plan.limits.body_bytes));
     let body = response.body_mut();
     let read =
         exchange::read_body(upstream, body, &mut meter, MAX_BUFFERED_ANSWER_BYTES, deadline).await;
--- a/crates/gateway/src/plain/rest.rs
+++ b/crates/gateway/src/plain/rest.rs
@@ -71,7 +71,7 @@
     async fn frame(&mut self, by: Instant) -> Result<Option<Bytes>, Ended> {
         let frame = match timeout_at(by, self.body.frame()).await {
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-            Ok(Some(Err(_))) => return Err(Ended::Lost),
+            Ok(Some(Err(_))) => return Err(self.meter.cut().map_or(Ended::Lost, Ended::Cut)),
             Ok(None) => return Err(Ended::Whole),
             Err(_) => return Ok(None),
         };
--- a/crates/gateway/src/head_limit.rs
+++ b/crates/gateway/src/raw_limit.rs
@@ -1,6 +1,7 @@
-//! Bounds the bytes that come before the head of a response ends.
+//! Bounds the raw bytes of a response, whatever the HTTP library makes of them.
 //!
-//! The HTTP library bounds a head, but reads interim responses before it without a bound.
+//! The HTTP library bounds a head, but neither the interim responses before it nor what stands between the
+//! chunks of a body, such as zeros before the size of a chunk.
 
 #[cfg(test)]
 mod tests;
@@ -21,28 +22,43 @@
 /// end of the head is known here.
 const MAX_BYTES: u64 = 4 * MAX_HEAD_BYTES as u64;
 
-/// The state in which no head is awaited.
+/// The bytes of a body, with its framing, that may come ahead of its data. The library holds up to three
+/// buffers of [`MAX_HEAD_BYTES`] that were not handed out as data.
+const MAX_AHEAD: u64 = 4 * MAX_HEAD_BYTES as u64;
+
+/// How many raw bytes may come for each byte of data: its framing is at most as long as it is.
+const RAW_PER_DATA: u64 = 2;
+
+/// The state in which no response is awaited.
 const UNLIMITED: u64 = u64::MAX;
 
 /// The bytes that a connection may still bring.
 #[derive(Clone, Debug)]
-pub struct HeadLimit(Arc<AtomicU64>);
+pub struct RawLimit(Arc<AtomicU64>);
 
-impl Default for HeadLimit {
+impl Default for RawLimit {
     fn default() -> Self {
         Self(Arc::new(AtomicU64::new(UNLIMITED)))
     }
 }
 
-impl HeadLimit {
+impl RawLimit {
     /// Begins to count when a request is sent.
     pub fn begin(&self) {
         self.0.store(MAX_BYTES, Ordering::Relaxed);
     }
 
-    /// Ends counting when the head of the response has come.
-    pub fn end(&self) {
-        self.0.store(UNLIMITED, Ordering::Relaxed);
+    /// Bounds the body from now on, when the head of the response has come.
+    pub fn begin_body(&self) {
+        self.0.store(MAX_AHEAD, Ordering::Relaxed);
+    }
+
+    /// Records data of the body that the library has handed out.
+    pub fn record_data(&self, bytes: usize) {
+        let more = RAW_PER_DATA * bytes as u64;
+        // What is exceeded stays so.
+        let left = |it: u64| (it != UNLIMITED && it != 0).then(|| it.saturating_add(more));
+        let _ = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, left);
     }
 
     /// Returns whether too many bytes have come.
@@ -58,21 +74,21 @@
     }
 }
 
-/// A connection whose reads fail once too many bytes have come before the head of a response ends.
+/// A connection whose reads fail once too many bytes of a response have come.
 #[derive(Debug)]
-pub struct HeadLimited<S> {
+pub struct RawLimited<S> {
     stream: S,
-    limit: HeadLimit,
+    limit: RawLimit,
 }
 
-impl<S> HeadLimited<S> {
+impl<S> RawLimited<S> {
     /// Creates a connection that counts with `limit`.
-    pub fn new(stream: S, limit: HeadLimit) -> Self {
+    pub fn new(stream: S, limit: RawLimit) -> Self {
         Self { stream, limit }
     }
 }
 
-impl<S: AsyncRead + Unpin> AsyncRead for HeadLimited<S> {
+impl<S: AsyncRead + Unpin> AsyncRead for RawLimited<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -86,12 +102,12 @@
         }
         // A failed read must not have filled the buffer.
         buffer.set_filled(before);
-        let error = "the head of a response does not end";
+        let error = "a response brings too many bytes";
         Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)))
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for HeadLimited<S> {
+impl<S: AsyncWrite + Unpin> AsyncWrite for RawLimited<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/gateway/src/response_limit.rs
+++ b/crates/gateway/src/response_limit.rs
@@ -10,6 +10,8 @@
 
 use prometheus::IntCounterVec;
 
+use crate::raw_limit::RawLimit;
+
 /// How much longer than the largest body of a request the response of a plain service may be, in
 /// bytes.
 const PLAIN_MARGIN_BYTES: usize = 4 << 20;
@@ -38,6 +40,8 @@
     Length,
     /// Its body comes in too many small frames.
     Frames,
+    /// It brings more framing than data.
+    Framing,
     /// An event of a stream is too long.
     Event,
 }
@@ -49,6 +53,7 @@
             Excess::Head => "head too long",
             Excess::Length => "body too long",
             Excess::Frames => "too many small frames",
+            Excess::Framing => "too much framing",
             Excess::Event => "event too long",
         }
     }
@@ -93,17 +98,25 @@
 }
 
 /// Counts what a response has brought.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct ResponseMeter {
     limit: ResponseLimit,
+    /// What bounds the raw bytes of its connection.
+    raw: RawLimit,
     bytes: u64,
     frames: u64,
 }
 
 impl ResponseMeter {
-    /// Creates the meter of a response that has brought nothing yet.
-    pub fn new(limit: ResponseLimit) -> Self {
-        Self { limit, bytes: 0, frames: 0 }
+    /// Creates the meter of a response that has brought nothing yet, on a connection whose raw bytes `raw`
+    /// bounds.
+    pub fn new(limit: ResponseLimit, raw: RawLimit) -> Self {
+        Self { limit, raw, bytes: 0, frames: 0 }
+    }
+
+    /// Returns why the response broke off if its connection was cut.
+    pub fn cut(&self) -> Option<Excess> {
+        self.raw.is_exceeded().then_some(Excess::Framing)
     }
 
     /// Takes the least length that the head announces.
@@ -119,6 +132,7 @@
     /// # Errors
     /// Returns an error if the response is beyond a bound with it.
     pub fn add(&mut self, bytes: usize) -> Result<(), Excess> {
+        self.raw.record_data(bytes);
         self.bytes += bytes as u64;
         self.frames += 1;
         if self.bytes > self.limit.bytes {
--- a/crates/gateway/src/response_limit/tests.rs
+++ b/crates/gateway/src/response_limit/tests.rs
@@ -47,7 +47,7 @@
         case("a stream without end", stream, 0, (200_000, 100), Some(Excess::Length)),
     ];
     for Case { name, limit, announced, frames: (count, bytes), excess } in cases {
-        let mut meter = ResponseMeter::new(limit);
+        let mut meter = ResponseMeter::new(limit, RawLimit::default());
         let took = meter.announce(announced);
         let took = took.and_then(|()| (0..count).try_for_each(|_| meter.add(bytes)));
         assert_eq!(took.err(), excess, "{name}");
@@ -69,7 +69,7 @@
 /// Guards against buffering an event that does not end.
 #[test]
 fn an_event_is_bounded() {
-    let meter = ResponseMeter::new(ResponseLimit::stream());
+    let meter = ResponseMeter::new(ResponseLimit::stream(), RawLimit::default());
     assert_eq!(meter.check_event(MAX_EVENT_BYTES), Ok(()));
     assert_eq!(meter.check_event(MAX_EVENT_BYTES + 1), Err(Excess::Event));
 }
--- a/crates/gateway/src/stream/open.rs
+++ b/crates/gateway/src/stream/open.rs
@@ -65,7 +65,8 @@
     exchange::record_unmarked(upstream, attempt, &evidence);
     if !response.status().is_success() {
         let body = response.body_mut();
-        let body = exchange::read_whole(upstream, body, MAX_ERROR_ANSWER_BYTES, deadline).await?;
+        let read = (body, &lease);
+        let body = exchange::read_whole(upstream, read, MAX_ERROR_ANSWER_BYTES, deadline).await?;
         lease.keep(head.keep_alive);
         let mut reply = Response::new(ReplyBody::whole(body));
         *reply.status_mut() = response.status();
@@ -74,7 +75,7 @@
     }
     let mut body = response.into_body();
     let mut splitter = EventSplitter::default();
-    let mut meter = ResponseMeter::new(ResponseLimit::stream());
+    let mut meter = lease.meter(ResponseLimit::stream());
     let announced = meter.announce(body.size_hint().lower());
     announced.map_err(|it| Fault::unknown(cut(upstream, it)))?;
     let first = loop {
@@ -86,7 +87,9 @@
                 let taken = take_frame(&mut splitter, &mut meter, frame);
                 taken.map_err(|it| Fault::unknown(cut(upstream, it)))?;
             }
-            Ok(Some(Err(_))) => return Err(Fault::unknown(Cause::Lost)),
+            Ok(Some(Err(_))) => {
+                return Err(Fault::unknown(exchange::broken_off(upstream, &meter)));
+            }
             Ok(None) if splitter.has_partial_event() => return Err(Fault::unknown(Cause::Lost)),
             Ok(None) => break None,
             Err(_) => return Err(Fault::unknown(Cause::Timeout)),
--- a/crates/gateway/src/stream/pump.rs
+++ b/crates/gateway/src/stream/pump.rs
@@ -198,7 +198,13 @@
                         return ForwardEnd::Lost(excess.name());
                     }
                 }
-                Some(Err(_)) => return ForwardEnd::Lost("connection lost"),
+                Some(Err(_)) => {
+                    let Some(excess) = own.meter.cut() else {
+                        return ForwardEnd::Lost("connection lost");
+                    };
+                    part.upstream.record_cut(excess);
+                    return ForwardEnd::Lost(excess.name());
+                }
                 None if own.splitter.has_partial_event() => {
                     return ForwardEnd::Lost("ended inside an event");
                 }
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -18,10 +18,11 @@
 
 use super::Upstream;
 use super::lending::{KEEP_TIME, Permit};
-use crate::head_limit::{HeadLimit, HeadLimited, MAX_HEAD_BYTES};
 use crate::partition::Cut;
 use crate::path::relay::RelayState;
 use crate::path::state::Path;
+use crate::raw_limit::{MAX_HEAD_BYTES, RawLimit, RawLimited};
+use crate::response_limit::{ResponseLimit, ResponseMeter};
 
 /// The timeout for opening a connection. A lost SYN packet is sent again only after seconds, so a
 /// second try reaches the upstream sooner.
@@ -52,13 +53,13 @@
 /// The request sender of an HTTP connection.
 pub(crate) type ConnectionSender = SendRequest<Full<Bytes>>;
 
-type HttpConnection<T> = http1::Connection<TokioIo<HeadLimited<T>>, Full<Bytes>>;
+type HttpConnection<T> = http1::Connection<TokioIo<RawLimited<T>>, Full<Bytes>>;
 
 /// An open connection.
 #[derive(Debug)]
 struct Opened {
     sender: ConnectionSender,
-    head_limit: HeadLimit,
+    raw_limit: RawLimit,
     task: AbortHandle,
     /// The state of the entry that relays it, if one does.
     relay: Option<Arc<RelayState>>,
@@ -224,7 +225,7 @@
         };
         self.paths.record_success(&self.service);
         configure(&stream).map_err(|_| ConnectError::Refused)?;
-        let (sender, head_limit, connection) =
+        let (sender, raw_limit, connection) =
             timeout_at(by, start(stream)).await.unwrap_or(Err(ConnectError::TimedOut))?;
         let paths = Arc::clone(&self.paths);
         let task = tokio::spawn(async move {
@@ -238,7 +239,7 @@
             }
         });
         let task = task.abort_handle();
-        Ok(Opened { sender, head_limit, task, relay: None, is_used: false })
+        Ok(Opened { sender, raw_limit, task, relay: None, is_used: false })
     }
 
     /// Opens a connection through another entry; returns `None` if no entry relays it.
@@ -249,8 +250,7 @@
             Err(why) => return Some(Err(why)),
         };
         let started = timeout_at(deadline, start(relayed.stream)).await;
-        let (sender, head_limit, connection) = match started.unwrap_or(Err(ConnectError::TimedOut))
-        {
+        let (sender, raw_limit, connection) = match started.unwrap_or(Err(ConnectError::TimedOut)) {
             Ok(started) => started,
             Err(why) => return Some(Err(why)),
         };
@@ -259,7 +259,7 @@
             let _ = connection.await;
         });
         let (task, relay) = (task.abort_handle(), Some(relayed.state));
-        Some(Ok(Opened { sender, head_limit, task, relay, is_used: false }))
+        Some(Ok(Opened { sender, raw_limit, task, relay, is_used: false }))
     }
 
     /// Checks in the background whether the upstream can be reached on the entry's own path, and
@@ -357,12 +357,12 @@
 /// Starts HTTP on a connection.
 async fn start<T>(
     stream: T,
-) -> Result<(ConnectionSender, HeadLimit, HttpConnection<T>), ConnectError>
+) -> Result<(ConnectionSender, RawLimit, HttpConnection<T>), ConnectError>
 where
     T: AsyncRead + AsyncWrite + Unpin,
 {
-    let limit = HeadLimit::default();
-    let stream = TokioIo::new(HeadLimited::new(stream, limit.clone()));
+    let limit = RawLimit::default();
+    let stream = TokioIo::new(RawLimited::new(stream, limit.clone()));
     let started = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(stream).await;
     let (sender, connection) = started.map_err(|_| ConnectError::Refused)?;
     Ok((sender, limit, connection))
@@ -386,9 +386,14 @@
         Some((&mut opened.sender, is_first))
     }
 
-    /// Returns what bounds the heads of the connection's responses.
-    pub(crate) fn head_limit(&self) -> HeadLimit {
-        self.connection.as_ref().map_or_else(HeadLimit::default, |it| it.0.head_limit.clone())
+    /// Returns what bounds the raw bytes of the connection's responses.
+    pub(crate) fn raw_limit(&self) -> RawLimit {
+        self.connection.as_ref().map_or_else(RawLimit::default, |it| it.0.raw_limit.clone())
+    }
+
+    /// Returns the meter of a response on the connection.
+    pub(crate) fn meter(&self, limit: ResponseLimit) -> ResponseMeter {
+        ResponseMeter::new(limit, self.raw_limit())
     }
 
     /// Returns whether the connection was open before the request, on the entry's own path.
