Leave an upstream that ends new connections before a request is written

What callers saw: a request that may run once ended in 502 "failed, may have run" after up to seventeen connections to one upstream, which ended each as soon as it had accepted it.

Cause: exchange::send opened the next connection whenever the HTTP library handed a request back unwritten, with no bound but the request's time. Each further try risks that the request is written before the end is seen, and then it may have run.

Change: after two new connections, the call has failed as unsent, and the request is offered to another upstream. That counts as one failure of the upstream, of which it may have three in a row: one that has too many connections is not ejected for it at once. Kept connections don't count; there are only so many.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -34,6 +34,11 @@
 /// How long a kept connection may bring no answer before the path to its upstream is checked.
 const SILENCE_TIME: Duration = Duration::from_millis(500);
 
+/// How many new connections a call opens to an upstream that ends each before the request is written. One may
+/// end by chance, and each further try risks that the request is written before the end is seen, after which
+/// it may have run.
+const MAX_NEW_CONNECTIONS: u32 = 2;
+
 /// How long a request may wait for its connection without a line in the log.
 const LONG_CONNECT_TIME: Duration = Duration::from_millis(250);
 
@@ -76,6 +81,7 @@
 ) -> Result<Opened, Fault> {
     let CallTerms { head: deadline, end, reuse, kind } = terms;
     let mut request = request;
+    let mut ended = 0;
     loop {
         let begun = Instant::now();
         let reuse = upstream.reuse_for(kind, reuse);
@@ -108,10 +114,14 @@
         let response = match watch_silence(upstream, is_kept, answer).await {
             Ok(Ok(response)) => response,
             Ok(Err(mut error)) => match error.take_message() {
-                // The upstream closed an idle connection before any byte was written; tries the
-                // next one.
+                // The upstream closed the connection before any byte was written; tries the next one.
                 Some(unsent) => {
                     permits.iter().for_each(|it| it.show_unsent());
+                    ended += u32::from(is_first);
+                    if ended >= MAX_NEW_CONNECTIONS {
+                        upstream.record_failure(false);
+                        return Err(Fault::unsent(ConnectError::Ended));
+                    }
                     request = unsent;
                     continue;
                 }
--- a/crates/gateway/src/exchange/fault.rs
+++ b/crates/gateway/src/exchange/fault.rs
@@ -35,6 +35,7 @@
             Cause::Connect(ConnectError::Refused) => f.write_str("connection refused"),
             Cause::Connect(ConnectError::TimedOut) => f.write_str("no connection in time"),
             Cause::Connect(ConnectError::LimitReached) => f.write_str("no free connection"),
+            Cause::Connect(ConnectError::Ended) => f.write_str("connections ended unused"),
             Cause::Refused(status) => write!(f, "refused with {status}"),
             Cause::Lost => f.write_str("connection lost"),
             Cause::Timeout => f.write_str("no answer in time"),
@@ -69,7 +70,7 @@
 
 impl Fault {
     pub(crate) fn unsent(why: ConnectError) -> Self {
-        let unreachable = why != ConnectError::LimitReached;
+        let unreachable = matches!(why, ConnectError::Refused | ConnectError::TimedOut);
         Self { cause: Cause::Connect(why), not_run: true, unreachable, evidence: None }
     }
 
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -102,6 +102,8 @@
     TimedOut,
     /// All connections that this entry may have are in use.
     LimitReached,
+    /// The upstream ended new connections before the request was written, as one does that has too many.
+    Ended,
 }
 
 impl Upstream {
