Don't believe by habit that a request of one attempt did not run

What callers would see: a request that may run again, on a route with max_attempts 1, runs at two upstreams.

Change: a call with such a request is CallKind::Once. An answer to it without an id proves on a used connection no more than for a request that may run once, and where an upstream leaves the id out of refusals, it goes on a new connection.

--- a/crates/gateway/src/echo.rs
+++ b/crates/gateway/src/echo.rs
@@ -35,9 +35,9 @@
 pub enum CallKind {
     /// A call that the entry makes on its own behalf.
     Own,
-    /// A caller's request that may run again.
+    /// A caller's request that may run again, at several upstreams.
     Repeatable,
-    /// A caller's request that may run once at most.
+    /// A caller's request that may run once at most, or at one upstream at most.
     Once,
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -199,9 +199,10 @@
         self.route.is_repeatable() && !self.is_trial()
     }
 
-    /// Returns what a call with the request is.
+    /// Returns what a call with the request is. One that has a single attempt may run at one upstream only.
     pub(crate) fn call_kind(&self) -> CallKind {
-        if self.is_repeatable() { CallKind::Repeatable } else { CallKind::Once }
+        let repeats = self.is_repeatable() && self.route.attempts > 1;
+        if repeats { CallKind::Repeatable } else { CallKind::Once }
     }
 
     /// Returns whether the request may be a trial at an upstream that is passed over: if that
