Read an engine's last order on a new connection

Cause: the answer to a read bears no id, so that nothing but its connection tells which read it answers. Each read now has a connection of its own, as orders have; polls of loads stay on kept ones, as the next poll, 1 s later, corrects what a copy told.

The cost of a connection for each read (one an engine each 0.5 to 5 s) was not measured.

--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -225,10 +225,8 @@
         }
         for name in self.reads.take_due(now) {
             if let Some((_, upstream)) = self.service.upstream(&name) {
-                let (http, address) = (self.http.clone(), upstream.address);
-                tasks.spawn(async move {
-                    TaskResult::Read(name, poll::read_back(&http, address).await)
-                });
+                let address = upstream.address;
+                tasks.spawn(async move { TaskResult::Read(name, poll::read_back(address).await) });
             }
         }
     }
