Believe "not run" of a control member only where it is stated

Cause: a 503 without the outcome "unknown" counted as one that states that the request did not run. Now only the outcome "not-run" does; any other 503 means that the request may have run, so that it isn't sent again where it may run once, and the exit code is 6. Members state an outcome in each 503.

--- a/crates/mothplank/src/operator.rs
+++ b/crates/mothplank/src/operator.rs
@@ -95,7 +95,7 @@
                     return Ok(response);
                 }
                 Ok(response) => {
-                    maybe_received |= has_unknown_outcome(&response);
+                    maybe_received |= !states_not_run(&response);
                     last_error = format!("{member}: {}", detail(&response));
                 }
                 Err(e) => {
@@ -127,9 +127,11 @@
     ExitError::new(code, format!("refused with status {}: {}", response.status, detail(response)))
 }
 
-fn has_unknown_outcome(response: &HttpResponse) -> bool {
+/// Returns whether a response states that its request did not run. Members state the outcome in each 503; one
+/// without it may come from something else on the way, which says nothing of the request.
+fn states_not_run(response: &HttpResponse) -> bool {
     let body: serde_json::Value = serde_json::from_slice(&response.body).unwrap_or_default();
-    body["outcome"] == "unknown"
+    body["outcome"] == "not-run"
 }
 
 fn detail(response: &HttpResponse) -> String {
