Show that a late copy of an earlier load ends leaving

What callers would see: new work goes to an upstream that is leaving, for up to the time between two polls (1 s; 3 s with 600 upstreams).

Cause: loads are polled on kept connections, and an answer bears no id. A late copy of one from before the upstream drained says that it serves, which clears what it announced.

--- a/crates/fleet/tests/late_answers.rs
+++ b/crates/fleet/tests/late_answers.rs
@@ -1,9 +1,10 @@
-//! Engines that send the answer to an earlier read a second time, where the next answer is expected.
+//! Engines that send the answer to an earlier poll a second time, where the next answer is expected.
 
 mod common;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -12,17 +13,19 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use types::{Fencing, Millis};
+use types::{Fencing, Millis, UpstreamAvailability};
 
-/// An engine that takes orders. The first read after an order gets a copy of the answer to the read before
-/// it on the same connection, and then its own answer.
+/// An engine that takes orders and tells its load. Where a copy is due, the next `GET` gets the first answer
+/// to its like on the same connection, and then its own.
 struct Copier {
     address: SocketAddr,
     shown: Mutex<Value>,
     orders: AtomicUsize,
     reads: AtomicUsize,
-    /// The copies that are still to be sent.
-    due: AtomicUsize,
+    polls: AtomicUsize,
+    draining: AtomicBool,
+    /// Whether a copy is to be sent.
+    is_due: AtomicBool,
 }
 
 impl Copier {
@@ -35,7 +38,9 @@
             shown: Mutex::new(shown),
             orders: AtomicUsize::new(0),
             reads: AtomicUsize::new(0),
-            due: AtomicUsize::new(0),
+            polls: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+            is_due: AtomicBool::new(false),
         });
         let served = Arc::clone(&copier);
         tokio::spawn(async move {
@@ -47,19 +52,29 @@
     }
 
     async fn serve(self: Arc<Self>, mut stream: TcpStream) {
-        let mut last: Option<String> = None;
+        let mut first: HashMap<String, String> = HashMap::new();
         while let Some((head, body)) = read_request(&mut stream).await {
-            let is_read = head.starts_with("GET");
-            let answer = if is_read { self.show() } else { self.take_order(&body) };
-            let is_due = is_read && last.is_some() && self.due.swap(0, Ordering::SeqCst) > 0;
-            let copy = last.take().filter(|_| is_due).unwrap_or_default();
+            let line = head.lines().next().unwrap_or_default().to_owned();
+            let answer = match line.as_str() {
+                "get /v1/load http/1.1" => self.tell_load(),
+                "get /v1/orders http/1.1" => self.show(),
+                _ => self.take_order(&body),
+            };
+            let copy = first.get(&line).filter(|_| self.is_due.swap(false, Ordering::SeqCst));
+            let copy = copy.cloned().unwrap_or_default();
             if stream.write_all(format!("{copy}{answer}").as_bytes()).await.is_err() {
                 return;
             }
-            last = is_read.then_some(answer);
+            first.entry(line).or_insert(answer);
         }
     }
 
+    fn tell_load(&self) -> String {
+        self.polls.fetch_add(1, Ordering::SeqCst);
+        let draining = self.draining.load(Ordering::SeqCst);
+        response(&json!({"running": 0, "waiting": 0, "draining": draining}))
+    }
+
     fn show(&self) -> String {
         self.reads.fetch_add(1, Ordering::SeqCst);
         response(&self.shown.lock().unwrap())
@@ -70,7 +85,7 @@
         order["state"] = json!("ready");
         *self.shown.lock().unwrap() = order;
         self.orders.fetch_add(1, Ordering::SeqCst);
-        self.due.store(1, Ordering::SeqCst);
+        self.is_due.store(true, Ordering::SeqCst);
         response(&json!({}))
     }
 }
@@ -98,7 +113,7 @@
             return None;
         }
     }
-    Some((head.to_uppercase(), bytes.split_off(end)))
+    Some((head, bytes.split_off(end)))
 }
 
 /// Guards against an order that an engine gets twice: a late copy of what it showed before the order is
@@ -123,3 +138,30 @@
     let orders = engine.orders.load(Ordering::SeqCst);
     assert_eq!((orders, shown.as_str()), (1, ""), "orders, and what is still to be ordered");
 }
+
+/// Guards against new work for an upstream that is leaving: a late copy of what it told before says that it
+/// serves.
+#[tokio::test]
+async fn a_late_copy_of_an_earlier_load_ends_no_leaving() {
+    let engine = Copier::spawn().await;
+    let (fleet, _digests) = Fleet::spawn(FleetConfig::default(), Quorum::default());
+    let spec = upstream(engine.address, "a", Fencing::Checks);
+    fleet.lead(Arc::new(service("v1", &[("engine", spec)])));
+    let leaving = || {
+        let view = fleet.view();
+        let status = view.upstreams.get(&name("engine"));
+        status.is_some_and(|it| it.availability == UpstreamAvailability::Leaving)
+    };
+    until("the first poll", || engine.polls.load(Ordering::SeqCst) > 0).await;
+    engine.draining.store(true, Ordering::SeqCst);
+    until("it is leaving", leaving).await;
+    engine.is_due.store(true, Ordering::SeqCst);
+    let before = engine.polls.load(Ordering::SeqCst);
+    let returned = AtomicBool::new(false);
+    until("two more polls", || {
+        returned.fetch_or(!leaving(), Ordering::SeqCst);
+        engine.polls.load(Ordering::SeqCst) > before + 2
+    })
+    .await;
+    assert!(!returned.into_inner(), "it counted as live while it was leaving");
+}
