Poll upstreams and the platform on connections of their own

Cause: polls bear no id, and their connections were kept. Now each call of HttpClient has a connection of its own, reads of orders included, so that no other answer can come on it.

a_late_copy_of_an_earlier_load_ends_no_leaving failed in 5 of 5 runs and passes in 5 of 5; the tests of the crate pass.

--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -1,4 +1,8 @@
-//! An HTTP client for small calls to upstreams and the platform, each with a time limit.
+//! An HTTP client for small calls to upstreams and the platform, each with a time limit and a connection of
+//! its own.
+//!
+//! The answers bear no id. On a kept connection, a late copy of an earlier answer would pass for the one that
+//! is expected.
 
 use std::error::Error;
 use std::io::ErrorKind;
@@ -10,7 +14,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
@@ -19,9 +23,6 @@
 /// The largest response body that is read, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
-/// How long an unused connection is kept open.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-
 /// The header with which an upstream reports that it drains.
 const DRAINING_HEADER: &str = "x-draining";
 
@@ -46,30 +47,18 @@
 }
 
 impl HttpClient {
-    /// Creates a client that reuses connections. A call that runs out of time closes its
-    /// connection, so that a silent one is not used again.
-    pub(crate) fn pooled(limit: Duration) -> Self {
-        Self::new(limit, 1)
-    }
-
-    /// Creates a client whose calls each have their own connection.
+    /// Creates a client.
     ///
     /// `limit` bounds the time to connect, and also the time for which the kernel keeps
     /// retransmitting unacknowledged data: otherwise a call that was given up could still arrive
     /// much later, once a partitioned network heals.
-    pub(crate) fn unpooled(limit: Duration) -> Self {
-        Self::new(limit, 0)
-    }
-
-    fn new(limit: Duration, idle: usize) -> Self {
+    pub(crate) fn new(limit: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(limit));
         connector.set_tcp_user_timeout(Some(limit));
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(idle)
+            .pool_max_idle_per_host(0)
             .retry_canceled_requests(false)
             .build(connector);
         Self { client }
--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -88,7 +88,7 @@
         Self {
             authority: Arc::new(authority),
             platform,
-            http: HttpClient::pooled(POLL_TIMEOUT),
+            http: HttpClient::new(POLL_TIMEOUT),
             view,
             digests,
             state: FleetState::default(),
@@ -225,8 +225,10 @@
         }
         for name in self.reads.take_due(now) {
             if let Some((_, upstream)) = self.service.upstream(&name) {
-                let address = upstream.address;
-                tasks.spawn(async move { TaskResult::Read(name, poll::read_back(address).await) });
+                let (http, address) = (self.http.clone(), upstream.address);
+                tasks.spawn(async move {
+                    TaskResult::Read(name, poll::read_back(&http, address).await)
+                });
             }
         }
     }
--- a/crates/fleet/src/order.rs
+++ b/crates/fleet/src/order.rs
@@ -58,7 +58,7 @@
             return Err(StepError::new("confirm leadership", why).at(&self.upstream));
         }
         let body = Body { fence, target: &self.target };
-        let reply = HttpClient::unpooled(half).post(self.address, ORDERS_PATH, &body, left).await?;
+        let reply = HttpClient::new(half).post(self.address, ORDERS_PATH, &body, left).await?;
         match reply.status {
             StatusCode::OK => Ok(fence),
             StatusCode::CONFLICT => {
--- a/crates/fleet/src/poll.rs
+++ b/crates/fleet/src/poll.rs
@@ -71,10 +71,8 @@
     LoadPoll { answer, calls: Some(load.running.saturating_add(load.waiting)) }
 }
 
-/// Reads an engine's last order, on a new connection: the answer bears no id, and on a kept connection a
-/// late copy of an earlier one could pass for it. An order that was carried out would be repeated.
-pub(crate) async fn read_back(address: SocketAddr) -> StepResult<ReadBack> {
-    let http = HttpClient::unpooled(POLL_TIMEOUT);
+/// Reads an engine's last order.
+pub(crate) async fn read_back(http: &HttpClient, address: SocketAddr) -> StepResult<ReadBack> {
     let reply = http.get(address, order::ORDERS_PATH, POLL_TIMEOUT).await?;
     if reply.status != StatusCode::OK {
         return Err(StepError::new("read order", reply.status.to_string()).at(address));
