--- a/crates/fleet/src/leader.rs
+++ b/crates/fleet/src/leader.rs
@@ -88,7 +88,7 @@
         Self {
             authority: Arc::new(authority),
             platform,
-            http: HttpClient::pooled(POLL_TIMEOUT),
+            http: HttpClient::new(POLL_TIMEOUT),
             view,
             digests,
             state: FleetState::default(),
