Admit requests to their stages by the time that their callers have

What callers saw: under load a request was refused although it would have been served while its caller waited: from 0.45 of the caller's time on, 0.27 and 0.16 of it for less urgent routes, and from 0.8 of the objective on where late pieces were queued. Where a wait was below 250 ms, one whose caller would have left was held and failed later. A repeat, with less time left, met the shares sooner.

Cause: the decision went by shares of the objective and of the caller's time, and by a factor a step of the route's priority; none of them is a caller's reason. Urgency also counted twice: the reported waits are by rank already.

Change: a request is admitted if it is expected to be served before its caller leaves, behind all pieces that go before it at its rank, or if it is in time ahead of late ones. It is refused at once if not even the announced times fit. With nothing ahead of it an estimate alone does not refuse it, since only running corrects the estimate. First tries and repeats with the same time left get the same verdict.

Evidence: the cases of the new tables, put to the old function: a request served at 0.4 of its caller's time was refused at priorities 1 and 2, one served at the last moment at all; one that its caller would not wait for was admitted behind 200 ms; 2,524 of 8,424 decisions of the second table went against the caller's time. Now none does. The cases whose verdict rested on the shares are replaced by ones at the exact bound of the caller's time, so that the tables are stricter.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,37 +1,21 @@
 //! Decides whether a request with stages is admitted or refused on arrival, before any work is done
 //! for it.
 //!
-//! This is load shedding for bursts. If every request were admitted, all would queue, all would be
-//! late, and the work for callers that give up would be lost. The decision uses the queue waits
-//! that the owners of the stages reported within the last half second.
+//! Without this, requests whose callers leave before their turn would wait in vain, and the work that was
+//! begun for them would be lost to others. The decision goes by the time that the caller has and by the work
+//! ahead of the request, which the owners of the stages reported within the last half second. The rank is in
+//! these reports: a request waits behind the pieces of its rank and of those before it.
 
 use std::time::Duration;
 
-/// A queue wait below this is never a reason to refuse a request.
-const NEGLIGIBLE_WAIT: Duration = Duration::from_millis(250);
-
-/// The share of its target within which a request must be finished to be admitted ahead of late
-/// ones. All entries admit requests by the same reports, which are some hundred milliseconds old,
-/// so more requests are admitted in between than can be in time.
-const TIMELY_TARGET_SHARE: f64 = 0.8;
-
-/// A request that will be late is admitted if its stages end within this share of its caller's
-/// patience.
-const LATE_PATIENCE_SHARE: f64 = 0.45;
-
-/// The factor by which [`LATE_PATIENCE_SHARE`] shrinks with each step of lower priority, so that
-/// less urgent requests are refused before more urgent ones.
-const PRIORITY_FACTOR: f64 = 0.6;
-
-/// The priority number from which on the share shrinks no further.
-const LOWEST_PRIORITY: u8 = 2;
-
 /// The longest time after which a refused caller is told to retry.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 
-/// The expected time from now to the first event of a request, under three assumptions.
+/// The expected time from now to the first event of a request, under different assumptions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Forecast {
+    /// The time that its stages take by what their services announce, if nothing delays them.
+    pub least: Duration,
     /// If none of its pieces waits.
     pub unqueued: Duration,
     /// If its pieces wait only behind those that can still be in time. Pieces that can be in time
@@ -41,27 +25,30 @@
     pub behind_all: Duration,
 }
 
-/// The time limits and the priority of a request.
+impl Forecast {
+    /// Returns how long its pieces wait behind all queued ones.
+    pub fn wait(&self) -> Duration {
+        self.behind_all.saturating_sub(self.unqueued)
+    }
+}
+
+/// The time that a request has left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Requirements {
-    /// The time since the request arrived.
-    pub age: Duration,
-    /// The time within which an answer is worth most.
-    pub target: Duration,
-    /// How long the caller waits for the first event.
-    pub patience: Duration,
-    /// The priority of the request's route; 0 goes first.
-    pub priority: u8,
+pub struct TimeLeft {
+    /// Until the latency objective of its route.
+    pub objective: Duration,
+    /// Until its caller leaves without a first event.
+    pub caller: Duration,
 }
 
 /// The outcome of the admission check.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// Admitted: the request is likely to be in time, or hardly waits.
+    /// Admitted: the request is expected to meet its objective.
     Timely,
-    /// Admitted although it will be late: its caller is likely to wait for it.
+    /// Admitted: it is expected to be served after its objective, while its caller still waits.
     Late,
-    /// Refused, because its pieces would wait for the given time.
+    /// Refused, because its pieces would wait for the given time, and its caller would have left.
     Refused(Duration),
 }
 
@@ -85,23 +72,20 @@
     (wait / 2 + lasted).min(MAX_RETRY_AFTER).min(left / 2)
 }
 
-/// Decides whether a request is admitted. One that is likely to be in time is admitted only if its
-/// caller would also wait for it behind all queued ones: a request that just misses its target is
-/// served after them.
-pub fn admit(forecast: &Forecast, requirements: &Requirements) -> Verdict {
-    let wait = forecast.behind_all.saturating_sub(forecast.unqueued);
-    let caller_waits = requirements.age + forecast.behind_all <= requirements.patience;
-    let in_time = requirements.age + forecast.behind_timely
-        <= requirements.target.mul_f64(TIMELY_TARGET_SHARE);
-    let in_time_behind_all = requirements.age + forecast.behind_all <= requirements.target;
-    if wait < NEGLIGIBLE_WAIT || in_time_behind_all || caller_waits && in_time {
-        return Verdict::Timely;
-    }
-    let share = LATE_PATIENCE_SHARE
-        * PRIORITY_FACTOR.powi(requirements.priority.min(LOWEST_PRIORITY).into());
-    let latest = requirements.target.max(requirements.patience.mul_f64(share));
-    if requirements.age + forecast.behind_all <= latest {
-        return Verdict::Late;
+/// Decides whether a request is admitted: if it is expected to be served while its caller waits. Urgency
+/// decides who goes first, not who is turned away.
+///
+/// With nothing ahead of it, a request is admitted whatever is expected, since only running corrects an
+/// estimate that is too long. It is refused all the same if not even the announced times fit.
+pub fn admit(forecast: &Forecast, left: &TimeLeft) -> Verdict {
+    let wait = forecast.wait();
+    if forecast.least > left.caller {
+        Verdict::Refused(wait)
+    } else if forecast.behind_timely <= left.objective.min(left.caller) {
+        Verdict::Timely
+    } else if forecast.behind_all <= left.caller || wait.is_zero() {
+        Verdict::Late
+    } else {
+        Verdict::Refused(wait)
     }
-    Verdict::Refused(wait)
 }
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -14,7 +14,7 @@
 use crate::batch::{BatchClient, JobSpec};
 use crate::dialect::{Dialect, Handle, PieceFailure, PieceInput, Segments};
 use crate::phases::{Phases, StagePhase};
-use crate::plan::{Plan, Route};
+use crate::plan::{BatchSpec, Plan, Route};
 use crate::queue::LARGE_RESULT_BYTES;
 
 use self::chains::longest_after;
@@ -300,13 +300,30 @@
 /// Returns how long the stages of a request are expected to take from now on, with the given wait
 /// for pieces of each service.
 pub(crate) fn expected_time(run: &StageRun<'_>, wait: impl Fn(&Arc<str>) -> Duration) -> Duration {
-    let count = run.route.stages.len();
-    let mut ends: Vec<Duration> = Vec::with_capacity(count);
+    longest_chain(run, |stage| {
+        let waits = match pieces(run.segments, stage) {
+            0 => Duration::ZERO,
+            _ => wait(&run.route.stages[stage].service),
+        };
+        waits + stage_time(run, stage)
+    })
+}
+
+/// Returns how long the stages of a request take at least by what their services announce: each piece has
+/// an upstream of its own at once.
+pub(crate) fn announced_time(run: &StageRun<'_>) -> Duration {
+    longest_chain(run, |stage| match batch_spec(run, stage) {
+        Some(spec) if pieces(run.segments, stage) > 0 => spec.call + spec.item,
+        _ => Duration::ZERO,
+    })
+}
+
+/// Returns the time of the longest chain of stages, where a stage takes `time`.
+fn longest_chain(run: &StageRun<'_>, time: impl Fn(usize) -> Duration) -> Duration {
+    let mut ends: Vec<Duration> = Vec::with_capacity(run.route.stages.len());
     for (stage, it) in run.route.stages.iter().enumerate() {
         let start = it.after.iter().map(|it| ends[*it]).max().unwrap_or_default();
-        let waits =
-            if pieces(run.segments, stage) > 0 { wait(&it.service) } else { Duration::ZERO };
-        ends.push(start + waits + stage_time(run, stage));
+        ends.push(start + time(stage));
     }
     ends.into_iter().max().unwrap_or_default()
 }
@@ -321,9 +338,7 @@
 /// load, calls are full and take longer, and pieces that count as in time at the first stage would
 /// be late at the last.
 fn stage_time(run: &StageRun<'_>, stage: usize) -> Duration {
-    let service = &run.route.stages[stage].service;
-    let spec = run.plan.services.get(service).and_then(|it| it.batch);
-    let Some(spec) = spec else { return Duration::ZERO };
+    let Some(spec) = batch_spec(run, stage) else { return Duration::ZERO };
     let count = pieces(run.segments, stage);
     if count == 0 {
         return Duration::ZERO;
@@ -331,3 +346,8 @@
     let announced = spec.call + spec.call / 2 + spec.item * count;
     announced.max(run.needs.get(stage).copied().unwrap_or_default())
 }
+
+/// Returns how the service of a stage takes calls.
+fn batch_spec(run: &StageRun<'_>, stage: usize) -> Option<BatchSpec> {
+    run.plan.services.get(&run.route.stages[stage].service).and_then(|it| it.batch)
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,7 +20,7 @@
 use http::{Response, StatusCode};
 use tokio::time::Instant;
 
-use crate::admission::{self, Forecast, Requirements, Verdict};
+use crate::admission::{self, Forecast, TimeLeft, Verdict};
 use crate::batch::BatchClient;
 use crate::budget::Spender;
 use crate::dialect::{Dialect, PieceFailure, Segments};
@@ -254,10 +254,7 @@
         checked.map_err(|it| tries.refusal(Refusal::Quarantined(it.after)))
     }
 
-    /// Refuses a request whose stages would take too long, before any work is done for it.
-    ///
-    /// Without this, every request of a burst would queue, all would be late, and the work for
-    /// those whose callers gave up would be lost.
+    /// Refuses a request whose caller would leave before its stages end, before any work is done for it.
     fn admit(
         &self,
         request: &CallerRequest,
@@ -274,6 +271,7 @@
             self.shared.prefill_times.unloaded_first_event(service, it)
         });
         let forecast = Forecast {
+            least: stages::announced_time(&run),
             unqueued: stages::expected_time(&run, |_| Duration::ZERO) + engine,
             behind_timely: stages::expected_time(&run, |it| {
                 backlogs.timely_wait(&section(it), rank)
@@ -281,28 +279,26 @@
             behind_all: stages::expected_time(&run, |it| backlogs.wait(&section(it), rank))
                 + engine,
         };
-        let requirements = Requirements {
-            age: request.arrived.elapsed(),
-            target: request.route.target,
-            patience: request.first_event_by.saturating_duration_since(request.arrived),
-            priority: request.route.priority,
+        let now = Instant::now();
+        let left = TimeLeft {
+            objective: request.target().saturating_duration_since(now),
+            caller: request.first_event_by.saturating_duration_since(now),
         };
-        let verdict = admission::admit(&forecast, &requirements);
-        let (attempt, target) =
-            (request.head.attempt.as_str(), requirements.target.as_millis() as u64);
-        let wait = forecast.behind_all.saturating_sub(forecast.unqueued).as_millis() as u64;
-        let (timely, late) =
-            (forecast.behind_timely.as_millis() as u64, forecast.behind_all.as_millis() as u64);
+        let verdict = admission::admit(&forecast, &left);
+        let ms = |it: Duration| it.as_millis() as u64;
+        let (attempt, target) = (request.head.attempt.as_str(), ms(request.route.target));
+        let (timely, late) = (ms(forecast.behind_timely), ms(forecast.behind_all));
+        let (wait, caller) = (ms(forecast.wait()), ms(left.caller));
         match verdict {
             Verdict::Timely | Verdict::Late => {
                 log::info!(request = attempt, rank, verdict = verdict.name(), wait_ms = wait,
-                    timely_ms = timely, expected_ms = late, target_ms = target;
+                    timely_ms = timely, expected_ms = late, target_ms = target, left_ms = caller;
                     "admitted a request to its stages");
                 Ok(())
             }
             Verdict::Refused(wait) => {
-                log::info!(request = attempt, rank, wait_ms = wait.as_millis() as u64,
-                    timely_ms = timely, expected_ms = late, target_ms = target;
+                log::info!(request = attempt, rank, wait_ms = ms(wait), timely_ms = timely,
+                    expected_ms = late, target_ms = target, left_ms = caller;
                     "refused a request: its stages take too long");
                 let lasted = services(request).map(|it| backlogs.overload_age(&section(it)));
                 let left = request.deadline.saturating_duration_since(Instant::now());
--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -2,87 +2,139 @@
 
 use std::time::Duration;
 
-use gateway::admission::{Forecast, Requirements, Verdict, admit, retry_after};
+use gateway::admission::{Forecast, TimeLeft, Verdict, admit, retry_after};
 
 struct Case {
     name: &'static str,
-    /// The forecast without a wait, behind timely pieces and behind all pieces, in ms.
-    forecast: [u64; 3],
-    priority: u8,
+    /// The forecast: announced, without a wait, behind timely pieces and behind all pieces, in ms.
+    forecast: [u64; 4],
+    /// The time until the objective, and until the caller leaves, in ms.
+    left: [u64; 2],
     verdict: Verdict,
 }
 
+/// A caller with much time, before a route's objective.
+const PATIENT: [u64; 2] = [2_000, 10_000];
+
 const CASES: &[Case] = &[
-    Case { name: "nothing is queued", forecast: [900; 3], priority: 0, verdict: Verdict::Timely },
     Case {
-        name: "a long chain that hardly waits",
-        forecast: [2_500, 2_600, 2_600],
-        priority: 2,
+        name: "nothing is queued",
+        forecast: [600, 900, 900, 900],
+        left: PATIENT,
         verdict: Verdict::Timely,
     },
     Case {
-        name: "a wait within the target",
-        forecast: [900, 1_900, 1_900],
-        priority: 2,
+        name: "a long chain, late even if nothing waits",
+        forecast: [2_000, 2_500, 2_600, 2_600],
+        left: PATIENT,
+        verdict: Verdict::Late,
+    },
+    Case {
+        name: "a wait within the objective",
+        forecast: [600, 900, 1_900, 1_900],
+        left: PATIENT,
         verdict: Verdict::Timely,
     },
     Case {
         name: "only late pieces are queued, which go after it",
-        forecast: [900, 1_200, 9_000],
-        priority: 2,
+        forecast: [600, 900, 1_200, 9_000],
+        left: PATIENT,
         verdict: Verdict::Timely,
     },
     Case {
-        name: "late pieces are queued, and it would only just be in time",
-        forecast: [900, 1_900, 9_000],
-        priority: 2,
-        verdict: Verdict::Refused(Duration::from_millis(8_100)),
+        name: "in time ahead of late pieces, and never behind them",
+        forecast: [600, 900, 1_200, 11_000],
+        left: PATIENT,
+        verdict: Verdict::Timely,
     },
     Case {
-        name: "in time if all goes well, and else too late for its caller",
-        forecast: [900, 1_200, 11_000],
-        priority: 0,
-        verdict: Verdict::Refused(Duration::from_millis(10_100)),
+        name: "late, and its caller waits",
+        forecast: [600, 900, 2_500, 4_000],
+        left: PATIENT,
+        verdict: Verdict::Late,
     },
     Case {
-        name: "late, and its caller waits",
-        forecast: [900, 2_500, 4_000],
-        priority: 0,
+        name: "late, and its caller only just waits",
+        forecast: [600, 900, 2_500, 10_000],
+        left: PATIENT,
         verdict: Verdict::Late,
     },
     Case {
-        name: "late, and less urgent",
-        forecast: [900, 2_500, 4_000],
-        priority: 2,
+        name: "late, and its caller has left",
+        forecast: [600, 900, 2_500, 10_001],
+        left: PATIENT,
+        verdict: Verdict::Refused(Duration::from_millis(9_101)),
+    },
+    Case {
+        name: "the same work for a caller with less time",
+        forecast: [600, 900, 2_500, 4_000],
+        left: [2_000, 3_900],
+        verdict: Verdict::Refused(Duration::from_millis(3_100)),
+    },
+    Case {
+        name: "an objective beyond the time of its caller",
+        forecast: [600, 900, 2_500, 4_000],
+        left: [8_000, 2_400],
         verdict: Verdict::Refused(Duration::from_millis(3_100)),
     },
     Case {
-        name: "too late for any caller",
-        forecast: [900, 5_000, 9_000],
-        priority: 0,
-        verdict: Verdict::Refused(Duration::from_millis(8_100)),
+        name: "a short wait, and its caller has left",
+        forecast: [600, 1_900, 2_100, 2_100],
+        left: [2_000, 2_000],
+        verdict: Verdict::Refused(Duration::from_millis(200)),
+    },
+    Case {
+        name: "nothing ahead, and expected to take too long",
+        forecast: [600, 2_100, 2_100, 2_100],
+        left: [2_000, 2_000],
+        verdict: Verdict::Late,
+    },
+    Case {
+        name: "nothing ahead, and announced to take too long",
+        forecast: [2_050, 2_100, 2_100, 2_100],
+        left: [2_000, 2_000],
+        verdict: Verdict::Refused(Duration::ZERO),
     },
 ];
 
-/// Guards against refusing the least urgent requests for seconds after a burst, although upstreams
-/// could answer them in time. Late pieces of the burst are queued while new requests come at the
-/// usual rate. This happens if the late pieces count as ahead of the new ones, which are served
-/// first.
+fn forecast(case: [u64; 4]) -> Forecast {
+    let [least, unqueued, behind_timely, behind_all] = case.map(Duration::from_millis);
+    Forecast { least, unqueued, behind_timely, behind_all }
+}
+
+fn left(case: [u64; 2]) -> TimeLeft {
+    let [objective, caller] = case.map(Duration::from_millis);
+    TimeLeft { objective, caller }
+}
+
+/// Guards against refusing requests that could be served while their callers wait, and against holding
+/// those that could not.
 #[test]
 fn requests_are_admitted_by_their_expected_time() {
     for case in CASES {
-        let [unqueued, behind_timely, behind_all] = case.forecast.map(Duration::from_millis);
-        let requirements = Requirements {
-            age: Duration::ZERO,
-            target: Duration::from_millis(2_000),
-            patience: Duration::from_millis(10_000),
-            priority: case.priority,
-        };
-        let verdict = admit(&Forecast { unqueued, behind_timely, behind_all }, &requirements);
+        let verdict = admit(&forecast(case.forecast), &left(case.left));
         assert_eq!(verdict, case.verdict, "{}", case.name);
     }
 }
 
+/// Guards against turning callers away by a share of their time or of an objective: whoever is served
+/// before its caller leaves is admitted, whatever the objective of its route.
+#[test]
+fn an_objective_alone_turns_nobody_away() {
+    for caller in [500, 2_000, 6_000, 20_000] {
+        for behind_all in (600..24_000).step_by(200) {
+            let admitted = |objective| {
+                let forecast = forecast([200, 400, behind_all, behind_all]);
+                !matches!(admit(&forecast, &left([objective, caller])), Verdict::Refused(_))
+            };
+            for objective in [0, 100, 300, 1_000, 4_000, 30_000] {
+                let is_served = behind_all <= caller;
+                assert_eq!(admitted(objective), is_served, "{behind_all} {objective} {caller}");
+            }
+        }
+    }
+}
+
 struct BurstCase {
     name: &'static str,
     /// How long the overload lasts, in ms.
