Tell refused callers when they are expected to be served

What callers saw: one that was refused behind 0.9 s of work was told to come back after 0.45 s, when the work ahead of it was half done, and one behind 9 s after 4 s; it was refused again and had no retry left. One whose time was over as it stood was told to come back at once. All that were refused together were told the same moment, up to 0.35 s.

Cause: the time was half of the wait, cut at 4 s and at half of the caller's time; neither says when there is room, and callers wait for a third of their time at the most. The age of an overload counted from a wait of 250 ms, a figure without a source.

Change: the time is that at which the work ahead is done, the expected rest of an overload included, and not later than the last moment at which the request can still be served. A section is overloaded while pieces wait that are late. Each refused caller of a service gets a turn of its own behind the one before, at the rate at which requests of the service begin at this entry.

Evidence: of the five new cases the old function missed all (450 ms, 1.15 s, 4 s, 2.5 s, 0 s for 0.9, 1.6, 9, 5 and 1.6 s). The burst test now also counts that callers wait for a third of their time at most, and asks for a moment at which they can be served; it asked for half of their time before.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -8,9 +8,6 @@
 
 use std::time::Duration;
 
-/// The longest time after which a refused caller is told to retry.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
-
 /// The expected time from now to the first event of a request, under different assumptions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Forecast {
@@ -63,13 +60,15 @@
     }
 }
 
-/// Returns after which time a refused caller should retry, so that it is not refused again.
+/// Returns after which time a refused caller is expected to be served if it comes back: when the work ahead
+/// of it is done.
 ///
 /// An overload that has `lasted` for some time is expected to last about as long again: a caller that
-/// comes back within a burst meets the same queue, and uses up its retries. `left` is the time within
-/// which the request must start again to be served.
-pub fn retry_after(wait: Duration, lasted: Duration, left: Duration) -> Duration {
-    (wait / 2 + lasted).min(MAX_RETRY_AFTER).min(left / 2)
+/// comes back within a burst meets the same queue, and uses up its retries. `latest` is the time within
+/// which the request must begin again to be served; none is left to one that can't be served any more.
+pub fn retry_after(wait: Duration, lasted: Duration, latest: Duration) -> Duration {
+    let served = wait + lasted;
+    if latest.is_zero() { served } else { served.min(latest) }
 }
 
 /// Decides whether a request is admitted: if it is expected to be served while its caller waits. Urgency
--- a/crates/gateway/src/backlog.rs
+++ b/crates/gateway/src/backlog.rs
@@ -14,9 +14,6 @@
 /// wait.
 const REPORT_LIFETIME: Duration = Duration::from_millis(500);
 
-/// The wait of the last rank from which a section counts as overloaded, in ms.
-const OVERLOAD_WAIT_MS: u32 = 250;
-
 /// An owner's report about a section; all values are in ms.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(crate) struct Backlog {
@@ -28,6 +25,13 @@
     pub(crate) need: u32,
 }
 
+impl Backlog {
+    /// Returns whether pieces wait that are late: more is asked than can be made in time.
+    fn is_overloaded(&self) -> bool {
+        self.waits[RANKS - 1] > self.timely[RANKS - 1]
+    }
+}
+
 /// The last reports about all sections.
 #[derive(Debug, Default)]
 pub(crate) struct Backlogs(Mutex<HashMap<Section, Report>>);
@@ -52,8 +56,7 @@
         let mut reports = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let received = Instant::now();
         let before = reports.get(&section).filter(|it| it.is_valid()).and_then(|it| it.overload);
-        let is_overloaded = backlog.waits[RANKS - 1] >= OVERLOAD_WAIT_MS;
-        let overload = is_overloaded.then(|| before.unwrap_or(received));
+        let overload = backlog.is_overloaded().then(|| before.unwrap_or(received));
         reports.insert(section, Report { received, backlog, overload });
     }
 
@@ -74,7 +77,7 @@
         self.latest_report(section, |it| it.need)
     }
 
-    /// Returns for how long pieces have waited longer than usual, or zero without a recent report.
+    /// Returns for how long late pieces have waited, or zero without a recent report.
     pub(crate) fn overload_age(&self, section: &Section) -> Duration {
         let reports = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let valid = reports.get(section).filter(|it| it.is_valid());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -51,6 +51,7 @@
 mod shared;
 mod stages;
 mod stream;
+pub mod turns;
 mod unanswered;
 mod unread;
 pub mod upstream;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -28,6 +28,7 @@
 use crate::prefill::PrefillTimes;
 use crate::quarantine::Quarantine;
 use crate::section::{self, LinkRate, Section};
+use crate::turns::ServiceTurns;
 use crate::upstream::AnswerCounters;
 
 mod capacity;
@@ -82,6 +83,8 @@
     pub(crate) drain: Drain,
     pub(crate) backlogs: Arc<Backlogs>,
     pub(crate) prefill_times: PrefillTimes,
+    /// When refused callers are told to come back.
+    pub(crate) turns: ServiceTurns,
     pub(crate) body_memory: MemoryBudget,
     pub(crate) quarantine: Arc<Quarantine>,
     pub(crate) crowd: Crowd,
@@ -120,6 +123,7 @@
             drain: Drain::default(),
             backlogs: Arc::default(),
             prefill_times: PrefillTimes::default(),
+            turns: ServiceTurns::default(),
             body_memory: MemoryBudget::new(BODY_MEMORY_BYTES),
             quarantine: Arc::new(quarantine),
             crowd: Crowd::new(Instant::now()),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -294,6 +294,7 @@
                 log::info!(request = attempt, rank, verdict = verdict.name(), wait_ms = wait,
                     timely_ms = timely, expected_ms = late, target_ms = target, left_ms = caller;
                     "admitted a request to its stages");
+                self.shared.turns.record_begun(service);
                 Ok(())
             }
             Verdict::Refused(wait) => {
@@ -301,10 +302,10 @@
                     expected_ms = late, target_ms = target, left_ms = caller;
                     "refused a request: its stages take too long");
                 let lasted = services(request).map(|it| backlogs.overload_age(&section(it)));
-                let left = request.deadline.saturating_duration_since(Instant::now());
-                let left = left.saturating_sub(forecast.unqueued);
                 let lasted = lasted.max().unwrap_or_default();
-                Err(Refusal::Overloaded(admission::retry_after(wait, lasted, left)))
+                let latest = left.caller.saturating_sub(forecast.unqueued);
+                let after = admission::retry_after(wait, lasted, latest);
+                Err(Refusal::Overloaded(self.shared.turns.next(service, after, latest)))
             }
         }
     }
--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -143,30 +143,71 @@
     wait: u64,
     /// How long a caller waits for its answer in all, in ms.
     patience: u64,
+    /// The time that its stages take, in ms.
+    work: u64,
     /// The least percentage of refused callers whose first return comes after the burst.
     after: u64,
 }
 
 const BURSTS: &[BurstCase] = &[
-    BurstCase { name: "short", burst: 2_000, wait: 800, patience: 20_000, after: 50 },
-    BurstCase { name: "long", burst: 6_000, wait: 800, patience: 20_000, after: 50 },
-    BurstCase { name: "little patience", burst: 2_000, wait: 800, patience: 5_000, after: 50 },
+    BurstCase { name: "short", burst: 2_000, wait: 800, patience: 20_000, work: 900, after: 50 },
+    BurstCase { name: "long", burst: 6_000, wait: 800, patience: 20_000, work: 900, after: 50 },
+    BurstCase {
+        name: "little patience",
+        burst: 2_000,
+        wait: 800,
+        patience: 5_000,
+        work: 900,
+        after: 50,
+    },
 ];
 
 /// Guards against callers that are told to come back within the burst in which they were refused: they
-/// meet the same queue, are refused again, and have no retry left.
+/// meet the same queue, are refused again, and have no retry left. A caller waits for a third of its time
+/// at the most, and must be told a moment at which it can still be served.
 #[test]
 fn most_refused_callers_return_after_the_burst() {
     for case in BURSTS {
         let refused = (0..case.burst).step_by(10);
         let returns = refused.clone().map(|at| {
-            let [wait, lasted, left] = [case.wait, at, case.patience].map(Duration::from_millis);
-            let after = retry_after(wait, lasted, left);
-            assert!(after <= left / 2, "{}: {after:?} of {left:?}", case.name);
-            at + after.as_millis() as u64
+            let latest = Duration::from_millis(case.patience - case.work);
+            let [wait, lasted] = [case.wait, at].map(Duration::from_millis);
+            let after = retry_after(wait, lasted, latest);
+            assert!((wait..=latest).contains(&after), "{}: {after:?} of {latest:?}", case.name);
+            at + (after.as_millis() as u64).min(case.patience / 3)
         });
         let in_time = returns.filter(|it| *it >= case.burst).count() as u64;
         let share = in_time * 100 / refused.count() as u64;
         assert!(share >= case.after, "{}: {share} in 100", case.name);
     }
 }
+
+struct ReturnCase {
+    name: &'static str,
+    /// The wait, the age of the overload, and the time within which the request must begin, in ms.
+    given: [u64; 3],
+    after: u64,
+}
+
+const RETURNS: &[ReturnCase] = &[
+    ReturnCase { name: "a queue", given: [900, 0, 5_000], after: 900 },
+    ReturnCase { name: "an overload goes on", given: [900, 700, 5_000], after: 1_600 },
+    ReturnCase {
+        name: "a long one, for a patient caller",
+        given: [9_000, 0, 15_000],
+        after: 9_000,
+    },
+    ReturnCase { name: "its last moment", given: [900, 7_000, 5_000], after: 5_000 },
+    ReturnCase { name: "no moment is left", given: [900, 700, 0], after: 1_600 },
+];
+
+/// Guards against telling callers a time at which they would be refused again, or at which their time is
+/// over.
+#[test]
+fn refused_callers_are_told_when_they_can_be_served() {
+    for case in RETURNS {
+        let [wait, lasted, latest] = case.given.map(Duration::from_millis);
+        let after = retry_after(wait, lasted, latest);
+        assert_eq!(after, Duration::from_millis(case.after), "{}", case.name);
+    }
+}
