Count what arrives meanwhile in the wait that late requests are told

What callers saw: in a long overload a request that would be late was admitted behind half a second of work, and its piece was given up seconds later, since others that could be in time had gone before it. It could have been refused at once.

Cause: owners told entries the wait behind what was queued; what they gave up by also counted the pieces that arrive and go first, at their measured rate, for as long as the overload is expected to last.

Change: the wait told for late pieces is reckoned as the owner itself does, for calls and for space. The wait of pieces that can be in time is as before.

Evidence: late_pieces_are_given_up_without_prospect now compares both. With arrivals left out it fails: 'a long overload: 506 ms, admitted in vain', for a piece that is given up with 2.5 s left; it passes now, and where capacity is left, the wait told stays below what the caller has.

--- a/crates/gateway/src/batch/owner/notify.rs
+++ b/crates/gateway/src/batch/owner/notify.rs
@@ -27,7 +27,7 @@
             let available = self.available_upstreams(section, now);
             let ms = |it: Duration| it.as_millis() as u32;
             let backlog = Backlog {
-                waits: queue.backlog(available, &BookedWork::default()).map(ms),
+                waits: queue.backlog(available, &BookedWork::default(), now).map(ms),
                 timely: queue.timely_backlog(available, &BookedWork::default(), now).map(ms),
                 need: ms(queue.min_latency(available)),
             };
--- a/crates/gateway/src/batch/queue/feasible.rs
+++ b/crates/gateway/src/batch/queue/feasible.rs
@@ -51,7 +51,7 @@
     }
 
     /// Returns how long it is expected to go on: as long as it has lasted.
-    fn horizon(self, now: Instant) -> Duration {
+    pub(super) fn horizon(self, now: Instant) -> Duration {
         let lasted = self.0.map_or(Duration::ZERO, |it| now.saturating_duration_since(it.0));
         lasted.min(MAX_HORIZON)
     }
@@ -59,7 +59,10 @@
 
 /// Returns after how many seconds the work `ahead` is done at a `rate` per second while more work
 /// that goes first arrives for `horizon` seconds.
-fn wait(ahead: f64, rate: f64, arriving: f64, horizon: f64) -> f64 {
+pub(super) fn wait(ahead: f64, rate: f64, arriving: f64, horizon: f64) -> f64 {
+    if ahead <= 0.0 {
+        return 0.0;
+    }
     let spare = rate - arriving;
     let during = if spare > 0.0 { ahead / spare } else { f64::INFINITY };
     let after = (ahead + arriving * horizon) / rate.max(f64::MIN_POSITIVE);
--- a/crates/gateway/src/batch/queue/waits.rs
+++ b/crates/gateway/src/batch/queue/waits.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::Instant;
 
+use super::feasible::wait;
 use super::{EFFICIENCY, Piece, Queue, RANKS};
 
 /// The longest wait that is told.
@@ -18,17 +19,37 @@
     pub bytes: [u64; RANKS],
 }
 
+/// The work that arrives and goes before a piece.
+#[derive(Clone, Copy, Debug, Default)]
+struct Arriving {
+    /// The pieces in a second.
+    pieces: f64,
+    /// The bytes of their results in a second.
+    bytes: f64,
+    /// For how long, in seconds.
+    horizon: f64,
+}
+
 impl Queue {
-    /// Returns, for each rank, how long a piece is expected to wait behind the pieces of its rank
+    /// Returns, for each rank, how long a piece that is late is expected to wait behind the pieces of its rank
     /// and of those before it, including `booked` ones: for the calls of these, or for space for
-    /// their results and one large one, whichever is longer.
-    pub fn backlog(&self, upstreams: usize, booked: &BookedWork) -> [Duration; RANKS] {
-        self.waits_by_rank(upstreams, booked, |_| true)
+    /// their results and one large one, whichever is longer. While an overload goes on, pieces that can be
+    /// in time arrive and go before it as well. If they did not count, it would be admitted, wait, and be
+    /// given up.
+    pub fn backlog(
+        &self,
+        upstreams: usize,
+        booked: &BookedWork,
+        now: Instant,
+    ) -> [Duration; RANKS] {
+        let (pieces, bytes) = self.arrivals.rates(now);
+        let horizon = self.overload.horizon(now).as_secs_f64();
+        self.waits_by_rank(upstreams, booked, Arriving { pieces, bytes, horizon }, |_| true)
     }
 
     /// Like [`backlog`](Self::backlog), but for a piece that can still be on time: late pieces go
-    /// after it and do not count. If they did, requests that would be on time would be refused
-    /// after a burst for as long as late ones wait.
+    /// after it and do not count, nor do those that arrive later. If they did, requests that would be on
+    /// time would be refused after a burst for as long as late ones wait.
     pub fn timely_backlog(
         &self,
         upstreams: usize,
@@ -36,13 +57,14 @@
         now: Instant,
     ) -> [Duration; RANKS] {
         let end = self.batch_end(now);
-        self.waits_by_rank(upstreams, booked, |it| it.due > end)
+        self.waits_by_rank(upstreams, booked, Arriving::default(), |it| it.due > end)
     }
 
     fn waits_by_rank(
         &self,
         upstreams: usize,
         booked: &BookedWork,
+        arriving: Arriving,
         counts_for: impl Fn(&Piece) -> bool,
     ) -> [Duration; RANKS] {
         let mut work = *booked;
@@ -61,9 +83,12 @@
             before += u64::from(work.pieces[rank]);
             bytes += work.bytes[rank];
             let missing = (bytes + largest).saturating_sub(free);
+            let time = wait(before as f64, rate, arriving.pieces, arriving.horizon);
             // Without work ahead, the space is not short for long.
-            let space = released.filter(|_| bytes > 0).map_or(0.0, |it| missing as f64 / it);
-            Duration::from_secs_f64((before as f64 / rate).max(space).min(MAX_WAIT_S))
+            let space = released
+                .filter(|_| bytes > 0)
+                .map_or(0.0, |it| wait(missing as f64, it, arriving.bytes, arriving.horizon));
+            Duration::from_secs_f64(time.max(space).min(MAX_WAIT_S))
         })
     }
 
--- a/crates/gateway/tests/queue.rs
+++ b/crates/gateway/tests/queue.rs
@@ -792,7 +792,7 @@
     for case in SPACE_CASES {
         let (mut queue, now) = full_queue(Duration::from_millis(case.hold), Instant::now());
         push(&mut queue, Given { pieces: case.pieces, bytes: case.bytes, ..PLAIN }, now);
-        let wait = queue.backlog(1, &BookedWork::default())[0].as_millis() as u64;
+        let wait = queue.backlog(1, &BookedWork::default(), now)[0].as_millis() as u64;
         assert!((case.wait.0..=case.wait.1).contains(&wait), "{}: {wait} ms", case.name);
         let ended = queue.take_infeasible(1, now);
         let count = ended.len();
@@ -808,18 +808,21 @@
     let now = Instant::now();
     let (queue, _) = full_queue(Duration::from_millis(1_000), now);
     let mut booked = BookedWork::default();
-    assert_eq!(queue.backlog(1, &booked)[0], Duration::ZERO);
+    assert_eq!(queue.backlog(1, &booked, now)[0], Duration::ZERO);
     booked.pieces[1] = 30;
     booked.bytes[1] = 30 * MB;
-    let waits = queue.backlog(1, &booked);
+    let waits = queue.backlog(1, &booked, now);
     assert_eq!(waits[0], Duration::ZERO, "a rank does not wait behind lower ones");
     assert!(waits[1] > Duration::from_secs(2), "{:?}", waits[1]);
     assert_eq!(waits, queue.timely_backlog(1, &booked, now), "booked work can be in time");
 }
 
+/// The pieces that an upstream makes in a second.
+const CAPACITY: u32 = 22;
+
 struct LateCase {
     name: &'static str,
-    /// The pieces that arrive in a second and can be in time. An upstream makes 22 in a second.
+    /// The pieces that arrive in a second and can be in time.
     arriving: u32,
     /// For how many seconds they have arrived.
     seconds: u32,
@@ -835,7 +838,8 @@
 ];
 
 /// Guards against late pieces that wait for seconds behind others that arrive later, until their
-/// deadline; and against late pieces that are given up although capacity is left for them.
+/// deadline; and against late pieces that are given up although capacity is left for them. Entries that are
+/// told the wait must not admit what is given up then.
 #[test]
 fn late_pieces_are_given_up_without_prospect() {
     for case in LATE_CASES {
@@ -858,8 +862,12 @@
             queue.cancel(JobKey { origin: 1, id: 1_000 });
         }
         push(&mut queue, Given { pieces: 9, ..late(2_000) }, now - Duration::from_millis(1_500));
+        let told = queue.backlog(1, &BookedWork::default(), now)[0];
         let ended = queue.take_infeasible(1, now).len();
         assert_eq!(ended > 0, case.given_up, "{}: {ended} given up", case.name);
+        let left = Duration::from_millis(2_500);
+        assert!(told > left || !case.given_up, "{}: {told:?}, admitted in vain", case.name);
+        assert!(told < left || case.arriving > CAPACITY, "{}: {told:?}, refused", case.name);
         if ended == 0 {
             assert!(queue.next_call(&targets, now).is_some(), "{}", case.name);
         }
