Expect stages to take as much longer than forecast as they did lately

What callers saw: under load, requests were admitted by a forecast that was too short, waited, and were given up before their engine; others that could have been served in their place were late.

Cause: owners' reports are some hundred milliseconds old, all entries admit by the same ones, and the work of admitted requests reaches later stages only later. The margin for that had been a fifth of the objective: seconds on a route with a long one, next to nothing on one with a short one, whatever the load.

Change: an entry learns by how much stages took longer than forecast, apart for requests that were expected to go before late pieces and for those behind all, with the smoothing of TCP's round-trip times, and adds mean and one deviation to the next forecasts. What was learned fades within seconds, so that it keeps nobody out for good. Requests that are given up count with the time that they had waited.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod metrics;
 mod offers;
 pub mod origin;
+pub mod overrun;
 pub mod owners;
 mod panics;
 pub mod partition;
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::drain::Drain;
 use crate::health::Mix;
 use crate::metrics::Metrics;
+use crate::overrun::Overruns;
 use crate::path::Paths;
 use crate::path::relay::RelayPermits;
 use crate::plan::Plan;
@@ -85,6 +86,8 @@
     pub(crate) drain: Drain,
     pub(crate) backlogs: Arc<Backlogs>,
     pub(crate) prefill_times: PrefillTimes,
+    /// How much longer stages take than forecast.
+    pub(crate) overruns: Overruns,
     /// How long upstreams of plain services take to answer.
     pub(crate) answer_times: ServiceTimes,
     /// The requests that wait for room at upstreams.
@@ -129,6 +132,7 @@
             drain: Drain::default(),
             backlogs: Arc::default(),
             prefill_times: PrefillTimes::default(),
+            overruns: Overruns::default(),
             answer_times: ServiceTimes::default(),
             lines: Lines::default(),
             turns: ServiceTurns::default(),
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -39,6 +39,11 @@
         self.mean.map(Duration::from_secs_f64)
     }
 
+    /// Returns the mean and one deviation; `None` before the first time.
+    pub fn upper(&self) -> Option<Duration> {
+        Some(Duration::from_secs_f64(self.mean? + self.deviation))
+    }
+
     /// Returns the time within which nearly all end; `None` before the first one.
     pub fn usual(&self) -> Option<Duration> {
         let mean = self.mean?;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -28,6 +28,7 @@
 use crate::health::Outcome;
 use crate::origin::Origin;
 use crate::origin::exchange::Origins;
+use crate::overrun::{Admitted, Behind};
 use crate::phases::Phases;
 use crate::plain::record_failed_call;
 use crate::quarantine::RunTimes;
@@ -68,8 +69,8 @@
         origin: Option<Origin>,
     ) -> Result<Reply, Refusal> {
         let resumption = origin.map(|it| Resumption::taken_up(it.version, &request));
-        self.admit(&request, service, resumption.as_ref())?;
-        let mut tries = Tries::new();
+        let admitted = self.admit(&request, service, resumption.as_ref())?;
+        let mut tries = Tries::new(admitted);
         let answer = self.attach(&request, service, &mut tries, resumption.as_ref()).await?;
         let attached = match answer {
             EngineAnswer::Stream(attached) => attached,
@@ -266,8 +267,8 @@
         request: &CallerRequest,
         service: &Arc<str>,
         resumption: Option<&Resumption>,
-    ) -> Result<(), Refusal> {
-        let Some(segments) = &request.head.segments else { return Ok(()) };
+    ) -> Result<Option<Admitted>, Refusal> {
+        let Some(segments) = &request.head.segments else { return Ok(None) };
         let run = self.stage_run(request, segments, service, resumption);
         let rank = request.rank();
         let section = |it: &Arc<str>| self.shared.section(it, None, rank);
@@ -276,14 +277,15 @@
         let engine = engine.map_or(Duration::ZERO, |it| {
             self.shared.prefill_times.unloaded_first_event(service, it)
         });
+        let behind_timely =
+            stages::expected_time(&run, |it| backlogs.timely_wait(&section(it), rank));
+        let behind_all = stages::expected_time(&run, |it| backlogs.wait(&section(it), rank));
+        let overrun = |behind| self.shared.overruns.expected(service, behind);
         let forecast = Forecast {
             least: stages::announced_time(&run),
             unqueued: stages::expected_time(&run, |_| Duration::ZERO) + engine,
-            behind_timely: stages::expected_time(&run, |it| {
-                backlogs.timely_wait(&section(it), rank)
-            }) + engine,
-            behind_all: stages::expected_time(&run, |it| backlogs.wait(&section(it), rank))
-                + engine,
+            behind_timely: behind_timely + overrun(Behind::Timely) + engine,
+            behind_all: behind_all + overrun(Behind::All) + engine,
         };
         let now = Instant::now();
         let left = TimeLeft {
@@ -301,7 +303,11 @@
                     timely_ms = timely, expected_ms = late, target_ms = target, left_ms = caller;
                     "admitted a request to its stages");
                 self.shared.turns.record_begun(service);
-                Ok(())
+                let (behind, forecast) = match verdict {
+                    Verdict::Timely => (Behind::Timely, behind_timely),
+                    _ => (Behind::All, behind_all),
+                };
+                Ok(Some(Admitted { behind, forecast, at: now }))
             }
             Verdict::Refused(wait) => {
                 log::info!(request = attempt, rank, wait_ms = ms(wait), timely_ms = timely,
@@ -371,7 +377,11 @@
             let mut run = self.stage_run(request, segments, service, resumption);
             run.again = tries.stage_runs > 0;
             tries.stage_runs += 1;
-            match stages::run(&self.batches, &run).await {
+            let ended = stages::run(&self.batches, &run).await;
+            if let Some(it) = tries.admitted.take() {
+                self.shared.overruns.record(service, &it);
+            }
+            match ended {
                 Ok(inputs) => {
                     self.shared.metrics.record_stages(inputs.phases());
                     return Ok(inputs);
--- a/crates/gateway/src/stream/tries.rs
+++ b/crates/gateway/src/stream/tries.rs
@@ -7,6 +7,7 @@
 
 use crate::budget::SendWatch;
 use crate::offers::Offers;
+use crate::overrun::Admitted;
 use crate::reply::Refusal;
 use crate::request::CallerRequest;
 use crate::upstream::{Reuse, Upstream};
@@ -71,14 +72,22 @@
     pub(super) runs: u32,
     pub(super) stage_runs: u32,
     pub(super) reached_upstream: bool,
+    /// The forecast by which the request was admitted to its stages, until they have ended.
+    pub(super) admitted: Option<Admitted>,
     /// Whether the newest offer has no outcome yet.
     is_offered: bool,
 }
 
 impl Tries {
-    pub(super) fn new() -> Self {
-        let offers = Offers::new(MAX_OFFERS);
-        Self { offers, runs: 0, stage_runs: 0, reached_upstream: false, is_offered: false }
+    pub(super) fn new(admitted: Option<Admitted>) -> Self {
+        Self {
+            offers: Offers::new(MAX_OFFERS),
+            runs: 0,
+            stage_runs: 0,
+            reached_upstream: false,
+            admitted,
+            is_offered: false,
+        }
     }
 
     /// Records that an engine runs the request.
--- a/crates/gateway/src/stream/tries/tests.rs
+++ b/crates/gateway/src/stream/tries/tests.rs
@@ -42,7 +42,7 @@
 #[test]
 fn a_request_that_may_have_run_is_never_refused_as_not_run() {
     for case in CASES {
-        let tries = Tries { runs: case.runs, ..Tries::new() };
+        let tries = Tries { runs: case.runs, ..Tries::new(None) };
         assert_eq!(tries.refusal(case.reason), case.refusal, "{}", case.name);
     }
 }
