Run no stages for a request that no engine will take then

What callers saw: while all engines had asked for a pause of 3 s, a request of a route with an objective of 4 s ran its stages first and was refused after them; with an objective of 0.3 s it was refused at once.

Cause: the pause was compared with the objective. Nothing waits for an upstream that pauses, so that what matters is whether the pause is over when the stages are done.

Change: a request whose stages are expected to end before the first pause does is refused at once, with the time of the pause.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -28,7 +28,6 @@
 use crate::plan::{Limits, RouteKind};
 use crate::reply::{Refusal, Reply, ReplyBody, announce_close};
 use crate::request::CallerRequest;
-use crate::room;
 use crate::shared::Shared;
 use crate::stream::Streams;
 use crate::unanswered::{AnswerGuard, Dropped, Unanswered};
@@ -229,16 +228,9 @@
     let admitted = shared.quarantine.admit(&request, &service).await;
     admitted.map_err(|it| Refusal::Quarantined(it.after))?;
     shared.budget.record(&service, Spender::Entry, 1, arrived);
-    let directory = shared.directory();
-    if !can_be_served(&directory, &request, &service) {
+    if !can_be_served(&shared.directory(), &request, &service) {
         return Err(Refusal::NoUpstream);
     }
-    // Its stages would run in vain.
-    let now = Instant::now();
-    let pause = room::shortest_pause(directory.service(&service), now);
-    if let Some(left) = pause.filter(|it| now + *it > request.target()) {
-        return Err(Refusal::Paused(left));
-    }
     Ok(Prepared { request, service, origin })
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -34,6 +34,7 @@
 use crate::quarantine::RunTimes;
 use crate::reply::{Refusal, Reply, ReplyBody, chunks};
 use crate::request::CallerRequest;
+use crate::room;
 use crate::shared::Shared;
 use crate::stages::{self, Inputs, StageFailure, StageRun};
 use crate::upstream::Upstream;
@@ -277,13 +278,21 @@
         let engine = engine.map_or(Duration::ZERO, |it| {
             self.shared.prefill_times.unloaded_first_event(service, it)
         });
+        let stages = stages::expected_time(&run, |_| Duration::ZERO);
+        let engines = self.shared.directory();
+        if let Some(left) = room::shortest_pause(engines.service(service), Instant::now())
+            && left > stages
+        {
+            // No engine would take the request once they have run.
+            return Err(Refusal::Paused(left));
+        }
         let behind_timely =
             stages::expected_time(&run, |it| backlogs.timely_wait(&section(it), rank));
         let behind_all = stages::expected_time(&run, |it| backlogs.wait(&section(it), rank));
         let overrun = |behind| self.shared.overruns.expected(service, behind);
         let forecast = Forecast {
             least: stages::announced_time(&run),
-            unqueued: stages::expected_time(&run, |_| Duration::ZERO) + engine,
+            unqueued: stages + engine,
             behind_timely: behind_timely + overrun(Behind::Timely) + engine,
             behind_all: behind_all + overrun(Behind::All) + engine,
         };
