Try another upstream once an answer is late and can still come in time

What callers saw: a request whose upstream was silent got another one after two objectives, or 0.6 of its caller's time. With an objective of 0.3 s that was 0.6 s, when the answer was late already; where a service takes longer than its objective allows, requests were sent twice without need; and a caller with 1 s of time waited 0.6 s of it whatever an answer takes.

Cause: two figures without a source. An upstream's answers counted as slow from twice the objective too.

Change: an answer is late from the objective on, which is what a route promises, and also for the health of upstreams. Another try begins when an answer is late and takes longer than nearly all answers of the service do (mean and four deviations, as TCP's retransmission timer has it, learned from answers), and soon enough that it can be answered while the caller waits. While nothing is known of a service, both tries have the same time.

Evidence: a table of eight cases on the pure function (plain/silence/tests.rs); the old rule gives 600 ms in seven of them and 300 ms in the eighth (400 ms answers, 500 ms left), and misses all.

--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -4,6 +4,7 @@
 mod call;
 mod prepare;
 mod rest;
+mod silence;
 mod tries;
 
 use std::sync::Arc;
@@ -28,11 +29,9 @@
 
 use self::call::{Answer, call_once};
 use self::prepare::{Chosen, NotPrepared, Prepared, prepare};
+use self::silence::Terms;
 use self::tries::{End, Step, Tries};
 
-/// A try that may be followed by another counts as silent after this many times the target.
-const FIRST_TRY_TARGETS: u32 = 2;
-
 /// How many upstreams may reject a request before it is refused.
 const MAX_OFFERS: usize = 3;
 
@@ -225,6 +224,13 @@
         trial.or_else(|| choose(shared, upstreams, tried, now)).cloned()
     }
 
+    /// Returns when an upstream that gets the request at `sent` counts as silent.
+    fn silent_at(&self, sent: Instant) -> Instant {
+        let Context { shared, request, service, .. } = self.context;
+        let (objective, deadline) = (request.route.target, request.deadline);
+        Terms { sent, objective, deadline, times: shared.answer_times.of(service) }.silent_at()
+    }
+
     /// Returns when a try must be sent, so that its answer is expected while the caller waits.
     fn latest_start(&self) -> Instant {
         let Context { shared, request, service, .. } = self.context;
@@ -251,7 +257,7 @@
         self.watched = follows.then(|| Watched {
             number: prepared.number,
             upstream: Arc::clone(upstream),
-            silent_at: silent_from(request, now),
+            silent_at: self.silent_at(now),
         });
         prepared
     }
@@ -326,7 +332,7 @@
         upstream.record_late();
         self.late.push(number);
         upstream.check_path();
-        let silent_at = silent_from(request, Instant::now());
+        let silent_at = self.silent_at(Instant::now());
         self.silent = Some(Watched { number, upstream, silent_at });
     }
 
@@ -370,13 +376,6 @@
     }
 }
 
-/// Returns when an upstream that gets the request at `now` counts as silent.
-fn silent_from(request: &CallerRequest, now: Instant) -> Instant {
-    let left = request.deadline.saturating_duration_since(now);
-    let patience = request.route.target * FIRST_TRY_TARGETS;
-    now + patience.min(left.mul_f64(0.6)).max(Duration::from_millis(50))
-}
-
 /// Returns when an answer with a server error that came at `now` is forwarded.
 fn fallback_at(request: &CallerRequest, now: Instant) -> Instant {
     let latest = request.deadline.checked_sub(FALLBACK_MARGIN).unwrap_or(request.deadline);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -33,9 +33,6 @@
 /// The last rank; engines distinguish ten.
 const MAX_RANK: u8 = 9;
 
-/// After how many times the target an answer counts as late.
-const LATE_TARGETS: u32 = 2;
-
 /// Callers of streams give up after the longest of this time, [`PATIENCE_TARGETS`] targets and
 /// [`PATIENCE_PAUSES`] pauses of the route.
 const MIN_PATIENCE: Duration = Duration::from_secs(2);
@@ -211,9 +208,9 @@
         self.is_repeatable() && self.route.attempts > 1
     }
 
-    /// Returns after how long an answer counts as late.
+    /// Returns after how long an answer counts as late: the latency objective of the route.
     pub(crate) fn late_after(&self) -> Duration {
-        self.route.target * LATE_TARGETS
+        self.route.target
     }
 
     /// Returns the time up to which an answer is worth most.
