Place prompts by the error of what is expected, not by a share of the objective

What callers saw: a prompt left the engine that had read its shared parts when that was expected to need more than 0.8 of the time until the objective: with 4 s left it went elsewhere 0.8 s early and was read anew there, which delayed others; with 0.4 s left the margin was 80 ms, whatever else was on its way to the engine.

Cause: the margin for what other entries send meanwhile was a share of the time left.

Change: the margin is by how much longer than expected first events took of late, learned at each first event as for stages. A request that is late already goes where it is served soonest, as before; the reason stands there now.

Evidence: five cases in tests/pure.rs that differ in objective, margin and load alone; with the share, 'only just in time' leaves its upstream (3.9 s expected, 3.2 s allowed). The plays of gathered prompts pass with a margin of 160 ms in place of a fifth of 800 ms.

--- a/crates/gateway/examples/place_cost.rs
+++ b/crates/gateway/examples/place_cost.rs
@@ -42,7 +42,8 @@
             let parts = [(1, 2_000), (choice % 97, 4_000), (choice, 500)];
             let parts = parts.map(|(id, tokens)| PromptPart { id, tokens });
             let left = Duration::from_millis(800);
-            let placement = Placement { parts: &parts, left, domain: None, token_ms: 0.02 };
+            let margin = Duration::ZERO;
+            let placement = Placement { parts: &parts, left, margin, domain: None, token_ms: 0.02 };
             black_box(place(&placement, &all, weight, load));
         }
         let each = start.elapsed().as_nanos() as f64 / CHOICES as f64;
--- a/crates/gateway/src/overrun.rs
+++ b/crates/gateway/src/overrun.rs
@@ -1,4 +1,4 @@
-//! Learns by how much longer stages take than forecast.
+//! Learns by how much longer stages, or first events, take than forecast.
 //!
 //! Reports of owners are some hundred milliseconds old, all entries admit by the same ones, and the work of
 //! requests that were admitted reaches later stages only later. How much that adds changes with the load, so
@@ -16,7 +16,7 @@
 /// from being admitted would never be corrected.
 const MEMORY: Duration = Duration::from_secs(5);
 
-/// By how much longer stages took than forecast.
+/// By how much longer work took than forecast.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Overrun {
     spread: Spread,
@@ -24,13 +24,13 @@
 }
 
 impl Overrun {
-    /// Learns from stages that took this long, or longer.
+    /// Learns from work that took this long, or longer.
     pub fn record(&mut self, forecast: Duration, took: Duration, now: Instant) {
         self.spread.record(took.saturating_sub(forecast));
         self.learned = Some(now);
     }
 
-    /// Returns by how much longer than forecast stages are to be expected to take: the mean and its spread.
+    /// Returns by how much longer than forecast work is to be expected to take: the mean and its spread.
     pub fn expected(&self, now: Instant) -> Duration {
         let (Some(upper), Some(learned)) = (self.spread.upper(), self.learned) else {
             return Duration::ZERO;
@@ -41,7 +41,7 @@
 }
 
 /// Whether pieces were forecast to go before those that are late, or behind all.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Behind {
     Timely,
     All,
@@ -56,24 +56,48 @@
     pub(crate) at: Instant,
 }
 
+/// The overruns of one kind of work, by service.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceOverruns(Mutex<HashMap<Arc<str>, Overrun>>);
+
+impl ServiceOverruns {
+    /// Learns from work that took this long, or longer.
+    pub(crate) fn record(&self, service: &Arc<str>, forecast: Duration, took: Duration) {
+        let mut overruns = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let overrun = overruns.entry(Arc::clone(service)).or_default();
+        overrun.record(forecast, took, Instant::now());
+    }
+
+    /// Returns by how much longer than forecast work is to be expected to take.
+    pub(crate) fn expected(&self, service: &str) -> Duration {
+        let overruns = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        overruns.get(service).map_or(Duration::ZERO, |it| it.expected(Instant::now()))
+    }
+}
+
 /// The overruns of the stages before a service.
 #[derive(Debug, Default)]
-pub(crate) struct Overruns(Mutex<HashMap<(Arc<str>, Behind), Overrun>>);
+pub(crate) struct Overruns {
+    timely: ServiceOverruns,
+    all: ServiceOverruns,
+}
 
 impl Overruns {
     /// Learns from a request whose stages have ended, or were given up.
     pub(crate) fn record(&self, service: &Arc<str>, admitted: &Admitted) {
-        let now = Instant::now();
-        let took = now.saturating_duration_since(admitted.at);
-        let mut overruns = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let overrun = overruns.entry((Arc::clone(service), admitted.behind)).or_default();
-        overrun.record(admitted.forecast, took, now);
+        let took = admitted.at.elapsed();
+        self.of(admitted.behind).record(service, admitted.forecast, took);
     }
 
     /// Returns by how much longer than forecast stages are to be expected to take.
-    pub(crate) fn expected(&self, service: &Arc<str>, behind: Behind) -> Duration {
-        let overruns = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let overrun = overruns.get(&(Arc::clone(service), behind));
-        overrun.map_or(Duration::ZERO, |it| it.expected(Instant::now()))
+    pub(crate) fn expected(&self, service: &str, behind: Behind) -> Duration {
+        self.of(behind).expected(service)
+    }
+
+    fn of(&self, behind: Behind) -> &ServiceOverruns {
+        match behind {
+            Behind::Timely => &self.timely,
+            Behind::All => &self.all,
+        }
     }
 }
--- a/crates/gateway/src/place.rs
+++ b/crates/gateway/src/place.rs
@@ -32,15 +32,23 @@
     pub parts: &'a [PromptPart],
     /// The time left until the first event is due.
     pub left: Duration,
+    /// By how much longer than expected first events took lately. What other entries sent within the last
+    /// 300 ms is not known yet.
+    pub margin: Duration,
     /// The failure domain that holds, or will hold, most of the request's inputs.
     pub domain: Option<&'a str>,
     /// The time that an engine needs to read a token, in ms.
     pub token_ms: f64,
 }
 
-/// The share of the time left within which an upstream must be expected to finish. What other
-/// entries sent to it within the last 300 ms is not known yet.
-const TIME_SHARE: f64 = 0.8;
+/// An upstream that was chosen for a prompt.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// The upstream.
+    pub upstream: Arc<Upstream>,
+    /// The expected time until the first event.
+    pub expected: Duration,
+}
 
 /// What a running request adds to the time until a first event, in ms. A step of the engine takes
 /// about this long, and a first event takes several steps.
@@ -67,7 +75,7 @@
 
     /// Returns the time within which an upstream must be expected to finish, in ms.
     fn limit_ms(&self) -> f64 {
-        self.left.as_secs_f64() * 1e3 * TIME_SHARE
+        self.left.saturating_sub(self.margin).as_secs_f64() * 1e3
     }
 
     /// Returns the part by which upstreams are ranked: the deepest that other requests share.
@@ -113,17 +121,17 @@
     width: usize,
     weight: impl Fn(&Upstream) -> f64,
     load: impl Fn(&Upstream) -> Load,
-) -> Option<Arc<Upstream>> {
+) -> Option<Placed> {
     let first = placement.parts.first()?.id;
     if width < candidates.len() {
         let gathered = first_ranked(first, candidates, &weight, width);
         // The weights have decided how many of each failure domain these are.
         let chosen = place(placement, &gathered, |_| 1.0, &load);
-        if let Some(chosen) = chosen.filter(|it| placement.is_in_time(load(it))) {
-            return Some(Arc::clone(chosen));
+        if let Some(chosen) = chosen.filter(|it| placement.is_in_time(load(&it.upstream))) {
+            return Some(chosen);
         }
     }
-    place(placement, candidates, weight, load).cloned()
+    place(placement, candidates, weight, load)
 }
 
 /// Chooses an upstream among `candidates`: the first in rank if it can be in time, else the first
@@ -131,14 +139,18 @@
 /// expected to finish soonest.
 ///
 /// A request prefers the upstream that has read its shared parts to an idle one as long as it is in
-/// time there: reading parts again, and moving results across failure domains, cost more than the
-/// wait.
-pub fn place<'a>(
+/// time there: reading parts again, and moving results across failure domains, delays others for
+/// longer than the wait. One that is late already goes where it is served soonest.
+pub fn place(
     placement: &Placement<'_>,
-    candidates: &'a [Arc<Upstream>],
+    candidates: &[Arc<Upstream>],
     weight: impl Fn(&Upstream) -> f64,
     load: impl Fn(&Upstream) -> Load,
-) -> Option<&'a Arc<Upstream>> {
+) -> Option<Placed> {
+    let placed = |upstream: &Arc<Upstream>, ms: f64| Placed {
+        upstream: Arc::clone(upstream),
+        expected: Duration::from_secs_f64(ms / 1e3),
+    };
     let part = placement.ranking_part()?.id;
     let (own, known) = placement.parts.split_last()?;
     let own = f64::from(own.tokens);
@@ -147,19 +159,19 @@
     let home = first_in_rank(part, candidates, &weight, |_| true)?;
     let home_ms = placement.estimate(load(home), own);
     if home_ms <= limit_ms {
-        return Some(home);
+        return Some(placed(home, home_ms));
     }
     let estimate = |it: &Upstream| placement.estimate(load(it), own + known);
     let gains = |it: &Upstream| estimate(it) + MIN_GAIN_MS < home_ms;
     let in_time = |it: &Upstream| estimate(it) <= limit_ms && gains(it);
     let near = |it: &Upstream| placement.domain == Some(&*it.domain) && in_time(it);
-    first_in_rank(part, candidates, &weight, near)
+    let other = first_in_rank(part, candidates, &weight, near)
         .or_else(|| first_in_rank(part, candidates, &weight, in_time))
         .or_else(|| {
             let soonest = candidates.iter().min_by(|a, b| estimate(a).total_cmp(&estimate(b)));
             soonest.filter(|it| gains(it))
-        })
-        .or(Some(home))
+        });
+    Some(other.map_or_else(|| placed(home, home_ms), |it| placed(it, estimate(it))))
 }
 
 /// Returns the upstream with the lowest rank for a part among those that fit.
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -22,7 +22,7 @@
 use crate::drain::Drain;
 use crate::health::Mix;
 use crate::metrics::Metrics;
-use crate::overrun::Overruns;
+use crate::overrun::{Overruns, ServiceOverruns};
 use crate::path::Paths;
 use crate::path::relay::RelayPermits;
 use crate::plan::Plan;
@@ -88,6 +88,8 @@
     pub(crate) prefill_times: PrefillTimes,
     /// How much longer stages take than forecast.
     pub(crate) overruns: Overruns,
+    /// How much longer first events take than expected.
+    pub(crate) late_starts: ServiceOverruns,
     /// How long upstreams of plain services take to answer.
     pub(crate) answer_times: ServiceTimes,
     /// The requests that wait for room at upstreams.
@@ -133,6 +135,7 @@
             backlogs: Arc::default(),
             prefill_times: PrefillTimes::default(),
             overruns: Overruns::default(),
+            late_starts: ServiceOverruns::default(),
             answer_times: ServiceTimes::default(),
             lines: Lines::default(),
             turns: ServiceTurns::default(),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -39,7 +39,7 @@
 use crate::stages::{self, Inputs, StageFailure, StageRun};
 use crate::upstream::Upstream;
 
-use self::choice::{Criteria, engines};
+use self::choice::{Chosen, Criteria, engines};
 pub(crate) use self::fetch::FetchTimes;
 use self::open::{EngineAnswer, open};
 use self::pump::{Pump, spawn_forwarding};
@@ -133,13 +133,14 @@
             let lent = borrowed.take();
             let has_loan = lent.is_some();
             let has_come = turn.has_come(criteria.tried);
-            let upstream = match has_come {
+            let lent = lent.map(|upstream| Chosen { upstream, expected: None });
+            let chosen = match has_come {
                 true => lent.or_else(|| self.choose(request, service, &criteria)),
                 false => lent,
             };
             // The request may have been quarantined while its stages ran.
             self.check_quarantine(request, service, tries)?;
-            let Some(upstream) = upstream else {
+            let Some(Chosen { upstream, expected }) = chosen else {
                 let directory = self.shared.directory();
                 let engines: Vec<_> = engines(&directory, service, version).cloned().collect();
                 if has_come {
@@ -192,6 +193,9 @@
                     if let Some(generation) = &request.head.generation {
                         self.shared.prefill_times.record(service, generation, now.elapsed());
                     }
+                    if let Some(expected) = expected {
+                        self.shared.late_starts.record(service, expected, now.elapsed());
+                    }
                     self.shared.metrics.record_engine(service, now.elapsed());
                     self.shared.metrics.calls.with_label_values(&["answered"]).inc();
                     if matches!(tried, EngineAnswer::Answer(_)) {
@@ -361,7 +365,8 @@
         let left = request.target().saturating_duration_since(Instant::now() + stages);
         let version = resumption.map(|it| &it.version);
         let criteria = Criteria { tried: &[], left, domain: None, version, heard_since: None };
-        run.domain = self.choose(request, service, &criteria).map(|it| Arc::clone(&it.domain));
+        let chosen = self.choose(request, service, &criteria);
+        run.domain = chosen.map(|it| Arc::clone(&it.upstream.domain));
         run
     }
 
--- a/crates/gateway/src/stream/choice.rs
+++ b/crates/gateway/src/stream/choice.rs
@@ -34,6 +34,13 @@
     pub(super) heard_since: Option<Instant>,
 }
 
+/// An engine that was chosen.
+pub(super) struct Chosen {
+    pub(super) upstream: Arc<Upstream>,
+    /// The expected time until its first event, if it was chosen by that.
+    pub(super) expected: Option<Duration>,
+}
+
 /// How much speaks for an engine's being silent; those with the least are chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Doubt {
@@ -75,7 +82,7 @@
         request: &CallerRequest,
         service: &Arc<str>,
         criteria: &Criteria<'_>,
-    ) -> Option<Arc<Upstream>> {
+    ) -> Option<Chosen> {
         let now = Instant::now();
         let directory = self.shared.directory();
         let open = engines(&directory, service, criteria.version);
@@ -89,7 +96,7 @@
             let passed = passed.filter(|_| may_try);
             let trial = choose_trial(passed, |it| it.trial_share(now), mix, rand::random());
             if let Some(trial) = trial {
-                return Some(Arc::clone(trial));
+                return Some(Chosen { upstream: Arc::clone(trial), expected: None });
             }
         }
         if candidates.iter().any(|it| !it.is_passed_over()) {
@@ -115,10 +122,13 @@
         let placement = Placement {
             parts,
             left: criteria.left,
+            margin: self.shared.late_starts.expected(service),
             domain: criteria.domain.as_deref(),
             token_ms: self.shared.prefill_times.token_ms(service),
         };
-        place_gathered(&placement, &candidates, self.width(&candidates), weight, load)
+        let placed =
+            place_gathered(&placement, &candidates, self.width(&candidates), weight, load)?;
+        Some(Chosen { upstream: placed.upstream, expected: Some(placed.expected) })
     }
 }
 
--- a/crates/gateway/tests/gather.rs
+++ b/crates/gateway/tests/gather.rs
@@ -20,6 +20,9 @@
 /// The time left until the first event is due.
 const LEFT: Duration = Duration::from_millis(800);
 
+/// By how much longer than expected first events take.
+const MARGIN: Duration = Duration::from_millis(160);
+
 /// How long an answer takes after its prompt was read, in ms.
 const ANSWER_MS: f64 = 1_000.0;
 
@@ -131,17 +134,23 @@
             .zip(PART_TOKENS)
             .map(|(id, tokens)| PromptPart { id, tokens })
             .collect();
-        let placement = Placement { parts: &parts, left: LEFT, domain: None, token_ms: TOKEN_MS };
+        let placement = Placement {
+            parts: &parts,
+            left: LEFT,
+            margin: MARGIN,
+            domain: None,
+            token_ms: TOKEN_MS,
+        };
         let load = |it: &Upstream| engines.get(&it.id).map_or(Load::default(), |it| it.load(now));
         let running: f64 = engines.values().map(|it| it.load(now).running).sum();
         let chosen = match way {
-            Way::Everywhere => place(&placement, &all, |_| 1.0, load).cloned(),
+            Way::Everywhere => place(&placement, &all, |_| 1.0, load),
             Way::Gathered => {
                 let width = width(running as usize, all.len());
                 place_gathered(&placement, &all, width, |_| 1.0, load)
             }
         };
-        let chosen = chosen.expect("an upstream");
+        let chosen = chosen.expect("an upstream").upstream;
         let engine = engines.entry(Arc::clone(&chosen.id)).or_default();
         outcome.first_reads += usize::from(!engine.read.contains(&first));
         outcome.late += usize::from(engine.run(&parts, now) > LEFT.as_secs_f64() * 1e3);
@@ -209,9 +218,10 @@
 fn prompts_leave_the_gathered_upstreams_once_these_are_late() {
     let all = upstreams(500);
     let parts = [PromptPart { id: 7, tokens: 4_000 }, PromptPart { id: 8, tokens: 900 }];
-    let placement = Placement { parts: &parts, left: LEFT, domain: None, token_ms: TOKEN_MS };
+    let placement =
+        Placement { parts: &parts, left: LEFT, margin: MARGIN, domain: None, token_ms: TOKEN_MS };
     let choose = |load: &dyn Fn(&Upstream) -> Load| {
-        place_gathered(&placement, &all, 64, |_| 1.0, load).expect("an upstream")
+        place_gathered(&placement, &all, 64, |_| 1.0, load).expect("an upstream").upstream
     };
     let home = choose(&|_| Load::default());
     let near: BTreeSet<Arc<str>> = (0..2_000)
@@ -219,7 +229,7 @@
             let parts = [parts[0], PromptPart { id: 100 + id, tokens: 1 }, parts[1]];
             let placement = Placement { parts: &parts, ..placement };
             let chosen = place_gathered(&placement, &all, 64, |_| 1.0, |_| Load::default());
-            Arc::clone(&chosen.expect("an upstream").id)
+            Arc::clone(&chosen.expect("an upstream").upstream.id)
         })
         .collect();
     assert!(near.contains(&home.id) && near.len() == 64, "{} upstreams are used", near.len());
--- a/crates/gateway/tests/pure.rs
+++ b/crates/gateway/tests/pure.rs
@@ -110,7 +110,8 @@
 }
 
 fn placement(parts: &[PromptPart]) -> Placement<'_> {
-    Placement { parts, left: Duration::from_millis(800), domain: None, token_ms: 0.02 }
+    let (left, margin) = (Duration::from_millis(800), Duration::from_millis(160));
+    Placement { parts, left, margin, domain: None, token_ms: 0.02 }
 }
 
 #[test]
@@ -121,8 +122,8 @@
     let mut used = std::collections::BTreeSet::new();
     for deep in 0..200 {
         let parts = prompt(7, deep * 31);
-        let here = place(&placement(&parts), &all, even, idle).expect("an upstream");
-        let there = place(&placement(&parts), &reversed, even, idle).expect("an upstream");
+        let here = place(&placement(&parts), &all, even, idle).expect("an upstream").upstream;
+        let there = place(&placement(&parts), &reversed, even, idle).expect("an upstream").upstream;
         assert_eq!(here.id, there.id, "two entries differ");
         used.insert(Arc::clone(&here.id));
     }
@@ -198,13 +199,13 @@
     let all = upstreams(12);
     for case in PLACES {
         let parts = prompt(7, 9);
-        let home = Arc::clone(place(&placement(&parts), &all, even, idle).expect("an upstream"));
+        let home = place(&placement(&parts), &all, even, idle).expect("an upstream").upstream;
         let load = |it: &Upstream| {
             let at = if it.id == home.id { 0 } else { 1 + usize::from(it.domain != home.domain) };
             Load { running: case.running, tokens: case.waiting[at] }
         };
         let asked = Placement { domain: Some(&home.domain), ..placement(&parts) };
-        let chosen = place(&asked, &all, even, load).expect("an upstream");
+        let chosen = place(&asked, &all, even, load).expect("an upstream").upstream;
         let destination = match (chosen.id == home.id, chosen.domain == home.domain) {
             (true, _) => Destination::Home,
             (false, true) => Destination::Near,
@@ -214,6 +215,62 @@
     }
 }
 
+struct MarginCase {
+    name: &'static str,
+    /// The time left, and by how much longer than expected first events took, in ms.
+    left: u64,
+    margin: u64,
+    /// The tokens that wait at the home.
+    waiting: f64,
+    stays: bool,
+}
+
+/// At 0.02 ms per token; 1,500 tokens or so of the prompt's own, and 60 ms besides.
+const MARGINS: &[MarginCase] = &[
+    MarginCase {
+        name: "only just in time",
+        left: 4_000,
+        margin: 0,
+        waiting: 190_000.0,
+        stays: true,
+    },
+    MarginCase { name: "too late", left: 4_000, margin: 0, waiting: 200_000.0, stays: false },
+    MarginCase {
+        name: "in time if nothing comes between",
+        left: 4_000,
+        margin: 300,
+        waiting: 190_000.0,
+        stays: false,
+    },
+    MarginCase {
+        name: "a short objective and the same margin",
+        left: 800,
+        margin: 300,
+        waiting: 15_000.0,
+        stays: true,
+    },
+    MarginCase { name: "late already", left: 0, margin: 0, waiting: 15_000.0, stays: false },
+];
+
+/// Guards against prompts that leave the upstream which has read their shared parts, because of a margin that
+/// grows with the objective of their route and not with the error of what is expected.
+#[test]
+fn a_prompt_stays_within_the_error_of_what_is_expected() {
+    let all = upstreams(12);
+    for case in MARGINS {
+        let parts = prompt(7, 9);
+        let home = place(&placement(&parts), &all, even, idle).expect("an upstream").upstream;
+        let load = |it: &Upstream| Load {
+            running: 0.0,
+            tokens: if it.id == home.id { case.waiting } else { 0.0 },
+        };
+        let (left, margin) = (Duration::from_millis(case.left), Duration::from_millis(case.margin));
+        let asked = Placement { left, margin, ..placement(&parts) };
+        let chosen = place(&asked, &all, even, load).expect("an upstream").upstream;
+        assert_eq!(chosen.id == home.id, case.stays, "{}", case.name);
+    }
+}
+
 #[test]
 fn weights_move_prompts() {
     let all = upstreams(12);
@@ -221,7 +278,7 @@
     let at_heavy = (0..300u64).filter(|it| {
         let parts = prompt(it * 977, it * 31);
         let chosen = place(&placement(&parts), &all, heavy, idle);
-        chosen.is_some_and(|it| &*it.domain == "d-0")
+        chosen.is_some_and(|it| &*it.upstream.domain == "d-0")
     });
     // Two thirds of the weight; the bounds are six standard deviations wide.
     let count = at_heavy.count();
