Order pieces by the moment that serves their callers, and claims by rank

What callers saw: a request of the most urgent rank that was late went after all less urgent ones that could be in time, until its caller left: at 0.4 s of delay a rank a less urgent piece went first although that made a more urgent one late, and a more urgent one went first although both could have been in time.

Cause: rank counted as 400 ms of due time, results of earlier stages as 50 ms, both without a source, and all late pieces went last, whatever their rank.

Change: a piece goes by the turn of calls in which it must be made: when it is due, or, if it is late, by its deadline. More urgent ranks claim the calls until then first; what they leave room for keeps its moment. Within a rank, what can be in time goes before what is late, and late pieces by the work that is left. In one turn, pieces with results as inputs go first, since these take space until then. The pieces that arrive and go before a late one are counted up to its rank.

--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -4,6 +4,7 @@
 mod account;
 mod feasible;
 mod jobs;
+mod order;
 mod piece;
 mod rates;
 mod reservation;
@@ -24,6 +25,7 @@
 use self::account::Reported;
 pub use self::feasible::Lack;
 use self::feasible::Overload;
+use self::order::{Capacity, Standing};
 pub use self::piece::{JobKey, Piece};
 use self::rates::{Arrivals, Hold};
 use self::selection::{Options, Selected};
@@ -167,7 +169,7 @@
             self.begun.insert(piece.job);
         }
         if piece.sends == 0 && piece.due > queued_at + self.nominal_time(1) {
-            self.arrivals.record(size, queued_at);
+            self.arrivals.record(piece.rank, size, queued_at);
         }
         self.waiting.push(piece);
     }
@@ -196,7 +198,7 @@
         if idle.is_empty() {
             return None;
         }
-        self.sort_by_urgency(now);
+        self.sort_by_urgency(available.len(), now);
         idle.sort_by(|a, b| a.1.total_cmp(&b.1));
         let last = idle.len() as f64 <= (available.len() as f64 * SCARCE_IDLE_SHARE).max(1.0);
         let options = Options::new(self, &available, &idle, now);
@@ -378,11 +380,16 @@
         now + call.mul_f64(self.least_slowdown(now).max(1.0) * END_MARGIN)
     }
 
-    /// Sorts the waiting pieces by urgency.
-    fn sort_by_urgency(&mut self, now: Instant) {
-        let end = self.batch_end(now);
-        let begun = &self.begun;
-        self.waiting.sort_by_cached_key(|it| it.urgency(begun.contains(&it.job), end));
+    /// Sorts the waiting pieces by the order in which `upstreams` make them; returns how each stands.
+    fn sort_by_urgency(&mut self, upstreams: usize, now: Instant) -> Vec<Standing> {
+        let capacity = self.capacity(upstreams, now);
+        order::sort(&mut self.waiting, &self.begun, capacity)
+    }
+
+    fn capacity(&self, upstreams: usize, now: Instant) -> Capacity {
+        let turn = self.nominal_time(self.spec.batch).mul_f64(self.least_slowdown(now).max(1.0));
+        let pieces = upstreams.max(1) * self.spec.batch.max(1);
+        Capacity { end: self.batch_end(now), turn, pieces }
     }
 
     /// Returns the announced time of a call with `pieces`.
--- a/crates/gateway/src/batch/queue/feasible.rs
+++ b/crates/gateway/src/batch/queue/feasible.rs
@@ -5,7 +5,8 @@
 use tokio::time::Instant;
 
 use super::account::Account;
-use super::{Piece, Queue};
+use super::order::Standing;
+use super::{Piece, Queue, RANKS};
 
 /// After this time without a late piece, an overload has ended.
 const OVERLOAD_MEMORY: Duration = Duration::from_secs(1);
@@ -74,8 +75,6 @@
     now: Instant,
     /// When the next upstream becomes idle.
     start: Instant,
-    /// Pieces due before this are late.
-    end: Instant,
     /// The pieces that all upstreams make in one turn, and the time that it takes.
     turn: (usize, Duration),
     /// The time of a call of one piece.
@@ -84,21 +83,21 @@
     total: u64,
     /// The free bytes, and the bytes released in a second if that is known.
     space: (u64, Option<f64>),
-    /// The pieces and bytes that arrive in a second and go before late pieces.
-    arriving: (f64, f64),
+    /// The pieces and bytes that arrive in a second and go before late pieces of each rank.
+    arriving: [(f64, f64); RANKS],
     horizon: f64,
 }
 
 impl Prospect {
     /// Returns what a piece with a result of `size` bytes lacks that has the given pieces and bytes
-    /// `ahead` of it. A piece of a job that has `begun` goes before all that arrive.
-    fn lack(&self, piece: &Piece, begun: bool, ahead: (usize, u64), size: u64) -> Option<Lack> {
+    /// `ahead` of it. If it is `late`, others that arrive go before it.
+    fn lack(&self, piece: &Piece, late: bool, ahead: (usize, u64), size: u64) -> Option<Lack> {
         if size > self.total {
             return Some(Lack::Space);
         }
         let (ahead, bytes) = (ahead.0, ahead.1 + size);
-        let late = piece.due <= self.end && !begun;
-        let (pieces, arriving) = if late { self.arriving } else { (0.0, 0.0) };
+        let rank = usize::from(piece.rank).min(RANKS - 1);
+        let (pieces, arriving) = if late { self.arriving[rank] } else { (0.0, 0.0) };
         let rate = self.turn.0 as f64 / self.turn.1.as_secs_f64().max(0.001);
         let mut turns = (ahead / self.turn.0) as u32;
         if late && ahead >= self.turn.0 {
@@ -130,16 +129,17 @@
         if upstreams == 0 || self.waiting.is_empty() {
             return Vec::new();
         }
-        self.sort_by_urgency(now);
-        let end = self.batch_end(now);
-        self.overload.record(self.waiting.iter().any(|it| it.due <= end), now);
+        let standings = self.sort_by_urgency(upstreams, now);
+        self.overload.record(standings.iter().any(|it| it.is_late()), now);
         let prospect = self.prospect(upstreams, now);
         let (mut ahead, mut bytes) = (0, 0);
         let mut lacks = Vec::new();
-        let (sizes, begun, total) = (&self.sizes, &self.begun, self.spec.space_bytes);
+        let (sizes, total) = (&self.sizes, self.spec.space_bytes);
+        let mut standings = standings.into_iter();
         let infeasible = |piece: &mut Piece| {
             let size = sizes.expected(piece.result_bytes, total);
-            let lack = prospect.lack(piece, begun.contains(&piece.job), (ahead, bytes), size);
+            let late = standings.next().is_some_and(Standing::is_late);
+            let lack = prospect.lack(piece, late, (ahead, bytes), size);
             match lack {
                 Some(lack) => lacks.push(lack),
                 None => {
@@ -164,7 +164,6 @@
         Prospect {
             now,
             start,
-            end: self.batch_end(now),
             turn: (
                 upstreams * self.spec.batch.max(1),
                 self.nominal_time(self.spec.batch).mul_f64(slowdown),
@@ -172,7 +171,7 @@
             call: self.nominal_time(1),
             total: self.spec.space_bytes,
             space: (self.free_space(upstreams), self.release_rate(upstreams)),
-            arriving: self.arrivals.rates(now),
+            arriving: std::array::from_fn(|rank| self.arrivals.rates(rank, now)),
             horizon: self.overload.horizon(now).as_secs_f64(),
         }
     }
--- a/crates/gateway/src/batch/queue/piece.rs
+++ b/crates/gateway/src/batch/queue/piece.rs
@@ -1,8 +1,6 @@
-//! A waiting piece, and its order among others.
+//! A waiting piece.
 
-use std::cmp::Reverse;
 use std::sync::Arc;
-use std::time::Duration;
 
 use registry::RequestDigest;
 use tokio::time::Instant;
@@ -10,12 +8,6 @@
 use crate::budget::RetryPermit;
 use crate::dialect::{PieceCall, PieceInput};
 
-/// How much later a piece counts as due for each rank below the first.
-const RANK_DELAY: Duration = Duration::from_millis(400);
-
-/// How much earlier a piece counts as due whose request has already paid for earlier stages.
-const RESULTS_HEAD_START: Duration = Duration::from_millis(50);
-
 /// Identifies a job by the connection that submitted it and its number on that connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobKey {
@@ -86,26 +78,4 @@
     pub(super) fn can_join(&self, other: &Piece) -> bool {
         self.isolated == other.isolated && (!self.isolated || self.job == other.job)
     }
-
-    /// Returns the sort key among pieces whose call ends at `end` at the earliest. Pieces that can
-    /// still be on time come first, by due time; among those due at about the same time, the ones
-    /// whose inputs are results of earlier stages. Late pieces follow, so that they do not make
-    /// others late under overload; among them later stages come first, because their requests have
-    /// cost the most already. The pieces of one job stay together.
-    ///
-    /// A piece of a job that has `begun` counts as due before all others: the results of the job
-    /// take space until the last one is made.
-    pub(super) fn urgency(
-        &self,
-        begun: bool,
-        end: Instant,
-    ) -> (bool, bool, Reverse<u32>, Instant, JobKey) {
-        let late = self.due <= end && !begun;
-        let stage = if late { self.stage } else { 0 };
-        let made = matches!(self.input, PieceInput::Results(_));
-        let head_start = if made { RESULTS_HEAD_START } else { Duration::ZERO };
-        let due = self.due + RANK_DELAY * u32::from(self.rank);
-        let due = due.checked_sub(head_start).unwrap_or(due);
-        (!begun, late, Reverse(stage), due, self.job)
-    }
 }
--- a/crates/gateway/src/batch/queue/rates.rs
+++ b/crates/gateway/src/batch/queue/rates.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use super::RANKS;
 use super::account::Removed;
 
 /// The time constant of the measured rates.
@@ -36,27 +37,29 @@
     }
 }
 
-/// The rate at which pieces arrive that can be in time.
+/// The rates at which pieces arrive that can be in time, by rank.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Arrivals {
-    pieces: f64,
-    bytes: f64,
+    pieces: [f64; RANKS],
+    bytes: [f64; RANKS],
     updated: Option<Instant>,
 }
 
 impl Arrivals {
     /// Records a piece that arrived.
-    pub(super) fn record(&mut self, bytes: u64, now: Instant) {
+    pub(super) fn record(&mut self, rank: u8, bytes: u64, now: Instant) {
         let keep = decay(&mut self.updated, RATE_TIME, now);
-        self.pieces = self.pieces * keep + 1.0;
-        self.bytes = self.bytes * keep + bytes as f64;
+        self.pieces.iter_mut().chain(&mut self.bytes).for_each(|it| *it *= keep);
+        let rank = usize::from(rank).min(RANKS - 1);
+        self.pieces[rank] += 1.0;
+        self.bytes[rank] += bytes as f64;
     }
 
-    /// Returns the pieces and bytes that arrive in a second.
-    pub(super) fn rates(&self, now: Instant) -> (f64, f64) {
-        let keep = decay(&mut self.updated.clone(), RATE_TIME, now);
-        let seconds = RATE_TIME.as_secs_f64();
-        (self.pieces * keep / seconds, self.bytes * keep / seconds)
+    /// Returns the pieces and bytes of a rank and of those before it that arrive in a second.
+    pub(super) fn rates(&self, rank: usize, now: Instant) -> (f64, f64) {
+        let keep = decay(&mut self.updated.clone(), RATE_TIME, now) / RATE_TIME.as_secs_f64();
+        let sum = |it: &[f64; RANKS]| it[..=rank.min(RANKS - 1)].iter().sum::<f64>() * keep;
+        (sum(&self.pieces), sum(&self.bytes))
     }
 }
 
--- a/crates/gateway/src/batch/queue/waits.rs
+++ b/crates/gateway/src/batch/queue/waits.rs
@@ -33,8 +33,8 @@
 impl Queue {
     /// Returns, for each rank, how long a piece that is late is expected to wait behind the pieces of its rank
     /// and of those before it, including `booked` ones: for the calls of these, or for space for
-    /// their results and one large one, whichever is longer. While an overload goes on, pieces that can be
-    /// in time arrive and go before it as well. If they did not count, it would be admitted, wait, and be
+    /// their results and one large one, whichever is longer. While an overload goes on, pieces of these
+    /// ranks that can be in time arrive and go before it as well. If they did not count, it would be admitted, wait, and be
     /// given up.
     pub fn backlog(
         &self,
@@ -42,9 +42,12 @@
         booked: &BookedWork,
         now: Instant,
     ) -> [Duration; RANKS] {
-        let (pieces, bytes) = self.arrivals.rates(now);
         let horizon = self.overload.horizon(now).as_secs_f64();
-        self.waits_by_rank(upstreams, booked, Arriving { pieces, bytes, horizon }, |_| true)
+        let arriving = |rank| {
+            let (pieces, bytes) = self.arrivals.rates(rank, now);
+            Arriving { pieces, bytes, horizon }
+        };
+        self.waits_by_rank(upstreams, booked, arriving, |_| true)
     }
 
     /// Like [`backlog`](Self::backlog), but for a piece that can still be on time: late pieces go
@@ -57,14 +60,14 @@
         now: Instant,
     ) -> [Duration; RANKS] {
         let end = self.batch_end(now);
-        self.waits_by_rank(upstreams, booked, Arriving::default(), |it| it.due > end)
+        self.waits_by_rank(upstreams, booked, |_| Arriving::default(), |it| it.due > end)
     }
 
     fn waits_by_rank(
         &self,
         upstreams: usize,
         booked: &BookedWork,
-        arriving: Arriving,
+        arriving: impl Fn(usize) -> Arriving,
         counts_for: impl Fn(&Piece) -> bool,
     ) -> [Duration; RANKS] {
         let mut work = *booked;
@@ -83,6 +86,7 @@
             before += u64::from(work.pieces[rank]);
             bytes += work.bytes[rank];
             let missing = (bytes + largest).saturating_sub(free);
+            let arriving = arriving(rank);
             let time = wait(before as f64, rate, arriving.pieces, arriving.horizon);
             // Without work ahead, the space is not short for long.
             let space = released
