Leave each stage the time that those after it need at least

What callers saw: a piece waited, and was made, until the caller's last moment, though the stages after it could not end by then; the caller was told only when its time was over, and the work was lost to others.

Cause: a piece's deadline was that of its request, whatever had to follow.

Change: the announced least times of the stages that follow are taken off, so that owners give such a piece up as soon as they know.

Evidence: cases on the pure function (stages/chains/tests.rs); with the old rule the one in which two stages follow gives 3,000 ms for 2,100.

--- a/crates/gateway/src/plan.rs
+++ b/crates/gateway/src/plan.rs
@@ -43,7 +43,7 @@
     pub kind: RouteKind,
     /// The longest time that a caller is kept waiting.
     pub timeout: Duration,
-    /// The time within which an answer is worth most.
+    /// The latency objective: an answer that takes longer is late.
     pub target: Duration,
     /// Its priority; 0 goes first.
     pub priority: u8,
--- a/crates/gateway/src/prefill.rs
+++ b/crates/gateway/src/prefill.rs
@@ -90,7 +90,7 @@
 
     /// Returns the time to the first event of a prompt at an idle engine. Used for admission: with
     /// the mean, long prompts would count as late before they begin, and would be refused in a
-    /// burst although they are worth the most.
+    /// burst although their callers could be served.
     pub fn unloaded_first_event(&self, service: &str, generation: &Generation) -> Duration {
         let read_ms = f64::from(own_tokens(generation)) * self.token_ms(service);
         FIRST_EVENT_OVERHEAD + Duration::from_secs_f64(read_ms / 1e3)
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -213,7 +213,7 @@
         self.route.target
     }
 
-    /// Returns the time up to which an answer is worth most.
+    /// Returns until when an answer meets the latency objective of the route.
     pub(crate) fn target(&self) -> Instant {
         self.arrived + self.route.target
     }
--- a/crates/gateway/src/stages.rs
+++ b/crates/gateway/src/stages.rs
@@ -17,7 +17,7 @@
 use crate::plan::{BatchSpec, Plan, Route};
 use crate::queue::LARGE_RESULT_BYTES;
 
-use self::chains::longest_after;
+use self::chains::{latest_end, longest_after};
 use self::start::{Chain, start_delay};
 
 /// How much earlier than announced a result counts as dropped.
@@ -255,6 +255,7 @@
     };
     let remaining = remaining_time(run, stage) + run.engine;
     let due = run.target.checked_sub(remaining).unwrap_or(run.target);
+    let following = longest_after(&run.route.stages, stage, |it| announced_stage_time(run, it));
     JobSpec {
         service: Arc::clone(&it.service),
         digest: run.digest,
@@ -268,8 +269,7 @@
         rank: run.rank,
         again: run.again,
         due,
-        // If pieces waited longer than their inputs are kept, their call would be in vain.
-        deadline: expires.map_or(run.deadline, |it| it.min(run.deadline)),
+        deadline: latest_end(run.deadline, following, expires),
     }
 }
 
@@ -312,10 +312,15 @@
 /// Returns how long the stages of a request take at least by what their services announce: each piece has
 /// an upstream of its own at once.
 pub(crate) fn announced_time(run: &StageRun<'_>) -> Duration {
-    longest_chain(run, |stage| match batch_spec(run, stage) {
+    longest_chain(run, |stage| announced_stage_time(run, stage))
+}
+
+/// Returns how long a stage takes at least.
+fn announced_stage_time(run: &StageRun<'_>, stage: usize) -> Duration {
+    match batch_spec(run, stage) {
         Some(spec) if pieces(run.segments, stage) > 0 => spec.call + spec.item,
         _ => Duration::ZERO,
-    })
+    }
 }
 
 /// Returns the time of the longest chain of stages, where a stage takes `time`.
--- a/crates/gateway/src/stages/chains.rs
+++ b/crates/gateway/src/stages/chains.rs
@@ -1,7 +1,9 @@
-//! The longest chain of stages that follow a stage, without I/O.
+//! The stages that follow a stage, and the time that they leave for it, without I/O.
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::plan::StageSpec;
 
 #[cfg(test)]
@@ -23,3 +25,14 @@
     }
     rest[stage]
 }
+
+/// Returns by when the pieces of a stage must be made to be of use: so that the stages that follow, which take
+/// `following` at least, end by `deadline`, and before their inputs expire.
+pub(super) fn latest_end(
+    deadline: Instant,
+    following: Duration,
+    expires: Option<Instant>,
+) -> Instant {
+    let latest = deadline.checked_sub(following).unwrap_or(deadline);
+    expires.map_or(latest, |it| it.min(latest))
+}
--- a/crates/gateway/src/stages/chains/tests.rs
+++ b/crates/gateway/src/stages/chains/tests.rs
@@ -1,7 +1,9 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use super::longest_after;
+use tokio::time::Instant;
+
+use super::{latest_end, longest_after};
 use crate::plan::StageSpec;
 
 /// Returns stages, each of which comes after these others.
@@ -52,3 +54,33 @@
         assert!(asked.get() < count, "{count} stages: {} were looked at", asked.get());
     }
 }
+
+struct EndCase {
+    name: &'static str,
+    /// The time that the following stages take at least, in ms.
+    following: u64,
+    /// When the inputs expire, in ms.
+    expires: Option<u64>,
+    end: u64,
+}
+
+/// The caller leaves after 3 s.
+const ENDS: &[EndCase] = &[
+    EndCase { name: "the last stage", following: 0, expires: None, end: 3_000 },
+    EndCase { name: "two follow", following: 900, expires: None, end: 2_100 },
+    EndCase { name: "inputs that expire", following: 900, expires: Some(1_500), end: 1_500 },
+    EndCase { name: "inputs that last", following: 900, expires: Some(2_500), end: 2_100 },
+];
+
+/// Guards against pieces that wait, and are made, though the stages after them can't end while the caller
+/// waits.
+#[test]
+fn a_stage_leaves_time_for_those_that_follow() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    for case in ENDS {
+        let following = Duration::from_millis(case.following);
+        let end = latest_end(at(3_000), following, case.expires.map(at));
+        assert_eq!(end, at(case.end), "{}", case.name);
+    }
+}
