--- a/crates/gateway/src/batch/queue/order.rs
+++ b/crates/gateway/src/batch/queue/order.rs
@@ -1,10 +1,10 @@
 //! Decides in which order pieces are made.
 //!
 //! Each piece goes by the latest moment at which its result serves its caller: when it is due, or, if that
-//! can't be met, its deadline. All that can be made by then keep their moment, and the one that comes first
-//! goes first. Where the calls until then don't suffice for all, the lower rank has the first claim, and
-//! within a rank what can be in time. So a late piece goes after those that can be in time, but for those of
-//! higher ranks that would take its place.
+//! can't be met, its deadline. All that can be made by then are, and the one whose moment comes first goes
+//! first. Where the calls until then don't suffice for all, the lower rank has the first claim, and
+//! within a rank what can be in time. A late piece follows these at once: it does not wait for its last moment
+//! so that those of higher ranks are in time.
 
 use std::cmp::Reverse;
 use std::collections::HashSet;
@@ -96,13 +96,13 @@
     }
 
     /// Claims places for `count` pieces that are late, and of use until `deadline`; returns the turn in which
-    /// they are made. Those of their rank and before it that can be in time go first.
+    /// they are made: as soon as there is room behind those of their rank and before it that can be in time.
     fn claim_late(&mut self, deadline: Instant, count: usize) -> Option<usize> {
-        let turn = self.turn(deadline)?;
-        has_room(&self.free[turn..], count).then(|| {
-            self.take(turn, count);
-            turn.max(self.timely)
-        })
+        let latest = self.turn(deadline)?;
+        let first = self.timely.min(latest);
+        let turn = (first..=latest).find(|it| has_room(&self.free[*it..], count))?;
+        self.take(turn, count);
+        Some(turn)
     }
 
     /// Returns the last turn that ends before then.
--- a/crates/gateway/src/batch/queue/waits.rs
+++ b/crates/gateway/src/batch/queue/waits.rs
@@ -50,9 +50,9 @@
         self.waits_by_rank(upstreams, booked, arriving, |_| true)
     }
 
-    /// Like [`backlog`](Self::backlog), but for a piece that can still be on time: late pieces go
-    /// after it and do not count, nor do those that arrive later. If they did, requests that would be on
-    /// time would be refused after a burst for as long as late ones wait.
+    /// Like [`backlog`](Self::backlog), but for a piece that can still be on time: late pieces of its rank go
+    /// after it and do not count, nor do those of its rank that arrive later. If they did, requests that would
+    /// be on time would be refused after a burst for as long as late ones wait.
     pub fn timely_backlog(
         &self,
         upstreams: usize,
@@ -60,7 +60,13 @@
         now: Instant,
     ) -> [Duration; RANKS] {
         let end = self.batch_end(now);
-        self.waits_by_rank(upstreams, booked, |_| Arriving::default(), |it| it.due > end)
+        let horizon = self.overload.horizon(now).as_secs_f64();
+        let arriving = |rank: usize| {
+            let (pieces, bytes) =
+                rank.checked_sub(1).map_or((0.0, 0.0), |it| self.arrivals.rates(it, now));
+            Arriving { pieces, bytes, horizon }
+        };
+        self.waits_by_rank(upstreams, booked, arriving, |it| it.due > end)
     }
 
     fn waits_by_rank(
@@ -68,11 +74,14 @@
         upstreams: usize,
         booked: &BookedWork,
         arriving: impl Fn(usize) -> Arriving,
-        counts_for: impl Fn(&Piece) -> bool,
+        counts_in_rank: impl Fn(&Piece) -> bool,
     ) -> [Duration; RANKS] {
         let mut work = *booked;
-        for piece in self.waiting.iter().filter(|it| counts_for(it)) {
+        // What counts for later ranks alone.
+        let mut passed = BookedWork::default();
+        for piece in &self.waiting {
             let rank = usize::from(piece.rank).min(RANKS - 1);
+            let work = if counts_in_rank(piece) { &mut work } else { &mut passed };
             work.pieces[rank] += 1;
             work.bytes[rank] += self.expected_size(piece.result_bytes);
         }
@@ -92,6 +101,8 @@
             let space = released
                 .filter(|_| bytes > 0)
                 .map_or(0.0, |it| wait(missing as f64, it, arriving.bytes, arriving.horizon));
+            before += u64::from(passed.pieces[rank]);
+            bytes += passed.bytes[rank];
             Duration::from_secs_f64(time.max(space).min(MAX_WAIT_S))
         })
     }
--- a/crates/gateway/tests/queue.rs
+++ b/crates/gateway/tests/queue.rs
@@ -190,6 +190,24 @@
         targets: &[("u", "d")],
         next: Some(("u", &[2; 8])),
     },
+    Case {
+        name: "a late piece of a higher rank goes before a lower one",
+        given: &[
+            Given { job: 1, pieces: 8, due: -1, rank: 0, ..PLAIN },
+            Given { job: 2, pieces: 8, due: 700, rank: 2, ..PLAIN },
+        ],
+        targets: &[("u", "d")],
+        next: Some(("u", &[1; 8])),
+    },
+    Case {
+        name: "a late piece goes after those of its rank that can be in time",
+        given: &[
+            Given { job: 1, pieces: 8, due: -1, rank: 1, ..PLAIN },
+            Given { job: 2, pieces: 8, due: 700, rank: 1, ..PLAIN },
+        ],
+        targets: &[("u", "d")],
+        next: Some(("u", &[2; 8])),
+    },
     Case {
         name: "a request with results of earlier stages goes before others of the same urgency",
         given: &[
@@ -820,6 +838,18 @@
     }
 }
 
+/// Guards against admitting a less urgent request as in time, which then waits behind late pieces of higher
+/// ranks.
+#[test]
+fn waits_count_late_pieces_of_higher_ranks() {
+    let now = Instant::now();
+    let mut queue = Queue::new(SPEC);
+    push(&mut queue, Given { pieces: 80, due: -1, rank: 1, ..PLAIN }, now);
+    let waits = queue.timely_backlog(1, &BookedWork::default(), now);
+    assert_eq!(waits[..2], [Duration::ZERO; 2], "ahead of late pieces of its rank");
+    assert!(waits[2] > Duration::from_secs(3), "{:?}", waits[2]);
+}
+
 /// Guards against admission that does not see the work of requests that were admitted a moment ago,
 /// whose pieces have not arrived yet.
 #[test]
