Keep room in an overload for the more urgent pieces that arrive

Cause: a less urgent piece went first where the more urgent ones that waited could still be made later. In an overload more of these arrive, and the place that was given away is missing then.

Change: while an overload is expected to last, the pieces of higher ranks that arrive by the end of a turn, at their measured rate, have claimed their places.

Evidence: less_urgent_pieces_leave_room_for_what_arrives: 8 pieces of rank 2 that are due sooner go before 8 of rank 0 where nothing is late, and after them while 40 pieces of rank 0 arrive in a second and 22 can be made. Before, they went first in both.

--- a/crates/gateway/src/batch/queue.rs
+++ b/crates/gateway/src/batch/queue.rs
@@ -389,7 +389,9 @@
     fn capacity(&self, upstreams: usize, now: Instant) -> Capacity {
         let turn = self.nominal_time(self.spec.batch).mul_f64(self.least_slowdown(now).max(1.0));
         let pieces = upstreams.max(1) * self.spec.batch.max(1);
-        Capacity { end: self.batch_end(now), turn, pieces }
+        let arriving = std::array::from_fn(|rank| self.arrivals.rates(rank, now).0);
+        let horizon = self.overload.horizon(now);
+        Capacity { end: self.batch_end(now), turn, pieces, arriving, horizon }
     }
 
     /// Returns the announced time of a call with `pieces`.
--- a/crates/gateway/src/batch/queue/order.rs
+++ b/crates/gateway/src/batch/queue/order.rs
@@ -13,7 +13,7 @@
 
 use tokio::time::Instant;
 
-use super::{JobKey, Piece};
+use super::{JobKey, Piece, RANKS};
 use crate::dialect::PieceInput;
 
 /// The number of turns that are told apart; later ones count as the last.
@@ -28,6 +28,20 @@
     pub(super) turn: Duration,
     /// The pieces made in a turn.
     pub(super) pieces: usize,
+    /// The pieces of each rank and those before it that arrive in a second and can be in time.
+    pub(super) arriving: [f64; RANKS],
+    /// For how long they are expected to arrive: as long as an overload is expected to last.
+    pub(super) horizon: Duration,
+}
+
+impl Capacity {
+    /// Returns how many pieces of ranks before `rank` are expected to arrive by the end of a turn.
+    fn arrivals_before(&self, rank: u8, turn: usize) -> i64 {
+        let before = usize::from(rank).min(RANKS - 1).checked_sub(1);
+        let rate = before.map_or(0.0, |it| self.arriving[it]);
+        let time = (self.turn * (turn as u32 + 1)).min(self.horizon);
+        (rate * time.as_secs_f64()) as i64
+    }
 }
 
 /// How a piece stands.
@@ -65,6 +79,8 @@
     free: Vec<i64>,
     /// What was free before the rank that claims now.
     before: Vec<i64>,
+    /// The pieces that are expected to arrive and go before that rank; they are not free.
+    expected: Vec<i64>,
     /// The last turn of a piece that can be in time.
     timely: usize,
 }
@@ -72,11 +88,16 @@
 impl Claims {
     fn new(capacity: Capacity) -> Self {
         let free: Vec<i64> = (1..=MAX_TURNS).map(|it| (it * capacity.pieces) as i64).collect();
-        Self { capacity, before: free.clone(), free, timely: 0 }
+        Self { capacity, before: free.clone(), expected: vec![0; MAX_TURNS], free, timely: 0 }
     }
 
-    /// Begins with the claims of another rank.
-    fn begin_rank(&mut self) {
+    /// Begins with the claims of another rank. During an overload, pieces of ranks before it that are about to
+    /// arrive come first as well: a place that is given away now would be missing then.
+    fn begin_rank(&mut self, rank: u8) {
+        for (turn, free) in self.free.iter_mut().enumerate() {
+            *free -= self.capacity.arrivals_before(rank, turn) - self.expected[turn];
+            self.expected[turn] = self.capacity.arrivals_before(rank, turn);
+        }
         self.before.clone_from(&self.free);
     }
 
@@ -149,7 +170,7 @@
         if first.rank != rank {
             rank = first.rank;
             claim_late(pieces, &mut late, &mut claims, &mut standings);
-            claims.begin_rank();
+            claims.begin_rank(rank);
         }
         if begun.contains(&first.job) {
             claims.take(0, job.len());
--- a/crates/gateway/tests/queue.rs
+++ b/crates/gateway/tests/queue.rs
@@ -838,6 +838,33 @@
     }
 }
 
+/// Guards against giving the calls of an overload to less urgent pieces because the more urgent ones that wait
+/// now can still be made later: more of these are about to arrive.
+#[test]
+fn less_urgent_pieces_leave_room_for_what_arrives() {
+    let start = Instant::now();
+    let targets = [target("u", "d")];
+    for (overloaded, first) in [(false, 2), (true, 1)] {
+        let mut queue = Queue::new(SPEC);
+        let mut now = start;
+        // 40 pieces a second arrive for two seconds, and 22 can be made; some are late.
+        for job in 0..80 {
+            push(&mut queue, Given { job: 100 + job, waited: 0, ..PLAIN }, now);
+            push(&mut queue, Given { job: 1_000, due: -1, ..PLAIN }, now);
+            now += Duration::from_millis(25);
+            if overloaded {
+                queue.take_infeasible(1, now);
+            }
+            queue.cancel(JobKey { origin: 1, id: 100 + job });
+            queue.cancel(JobKey { origin: 1, id: 1_000 });
+        }
+        push(&mut queue, Given { job: 1, pieces: 8, due: 900, rank: 0, ..PLAIN }, now);
+        push(&mut queue, Given { job: 2, pieces: 8, due: 600, rank: 2, ..PLAIN }, now);
+        let next = queue.next_call(&targets, now).expect("a call");
+        assert!(next.pieces.iter().all(|it| it.job.id == first), "overloaded: {overloaded}");
+    }
+}
+
 /// Guards against admitting a less urgent request as in time, which then waits behind late pieces of higher
 /// ranks.
 #[test]
