review: cases 8 and 9 count what other callers lose; the refusal of case 7 is dropped

The untrue refusal is the case of review/4, which is listed already. The cases behind it move up by one.

--- a/review/8/forgotten_origins.rs
+++ b/review/7/forgotten_origins.rs
@@ -123,7 +123,7 @@
 }
 
 fn run(record: &Record) -> i32 {
-    let temp = TempFolder::new("8");
+    let temp = TempFolder::new("7");
     let net = Net::choose();
     let list = List::default();
     let zones = zones();
--- a/review/9/never_held.rs
+++ b/review/8/never_held.rs
@@ -7,7 +7,7 @@
 mod deadly;
 
 use common2::*;
-use deadly::{replicas, send_for, Takes, CONTACT, PLAN};
+use deadly::{replicas, send_for, Others, Takes, CONTACT, PLAN};
 use std::net::SocketAddr;
 use std::thread::sleep;
 
@@ -16,7 +16,7 @@
 }
 
 fn run(record: &Record) -> i32 {
-    let temp = TempFolder::new("9");
+    let temp = TempFolder::new("8");
     let net = Net::choose();
     let list = List::default();
     let takes = if has_trouble() { Takes::Deadly(ms(2)) } else { Takes::Well };
@@ -28,7 +28,9 @@
     sleep(ms(4_000));
 
     let fronts: Vec<SocketAddr> = system.edge.iter().map(Machine::front).collect();
+    let others = Others::start(&fronts, record);
     send_for(&fronts, ms(40_000), &mut 0, record);
+    let bookings = others.stop();
     let all = crashes.lock().unwrap().clone();
     let third = all.get(2).copied();
     let late = third.map_or(0, |third| all.iter().filter(|it| **it > third + CONTACT).count());
@@ -37,5 +39,6 @@
          crash: {late}",
         all.len()
     ));
+    record.say(&format!("bookings of other clients: {bookings:?}"));
     i32::from(late > 3)
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for case in 6/lost_leader 7/untrue_refusal 8/forgotten_origins 9/never_held 10/forgotten_quarantine; do
+for case in 6/lost_leader 7/forgotten_origins 8/never_held 9/forgotten_quarantine 10/harmful_part; do
     rustc --edition 2021 -O -o "target/review-2/${case#*/}" "review/$case.rs"
 done
--- a/review/deadly.rs
+++ b/review/deadly.rs
@@ -1,12 +1,13 @@
-//! What cases 9 and 10 share: replicas that a request crashes, and the client that sends it again.
+//! What cases 8 and 9 share: replicas that a request crashes, and the client that sends it again.
 
 #![allow(dead_code)]
 
 use crate::common2::*;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{mpsc, Arc, Mutex};
-use std::thread::{self, sleep};
+use std::thread::{self, sleep, JoinHandle};
 use std::time::{Duration, Instant};
 
 pub const CONTACT: Duration = Duration::from_millis(3_000);
@@ -14,10 +15,12 @@
 const DOWN: Duration = Duration::from_millis(3_000);
 /// How often the request comes again.
 const AGAIN: Duration = Duration::from_millis(5_000);
+/// How long a replica works on a booking.
+const WORK_TIME: Duration = Duration::from_millis(60);
 /// The path of the request.
 const PATH: &str = "/cufi501/x";
 
-pub const PLAN: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"jepu9.example","path_prefix":"/cufi501/","type":"safe","timeout_ms":1500,"latency_target_ms":300,"priority":0,"service":"wuno96b","max_attempts":2}],"services":[{"name":"wuno96b","health_path":"/healthz","max_conns":48,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+pub const PLAN: &str = r#"{"version":7,"routes":[{"name":"r-1","host":"jepu9.example","path_prefix":"/cufi501/","type":"safe","timeout_ms":1500,"latency_target_ms":300,"priority":0,"service":"wuno96b","max_attempts":2},{"name":"r-2","host":"jepu9.example","path_prefix":"/puxa400/","type":"unsafe","timeout_ms":1500,"latency_target_ms":300,"priority":0,"service":"wuno96b","max_attempts":1}],"services":[{"name":"wuno96b","health_path":"/healthz","max_conns":48,"protocol":"h1","tls":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 
 /// When replicas have crashed.
 pub type Crashes = Arc<Mutex<Vec<Instant>>>;
@@ -69,7 +72,7 @@
                 return false;
             }
             lines.line(&format!("{id} runs {attempt}"));
-            sleep(ms(20));
+            sleep(WORK_TIME);
             headers.push(("X-Mothplank-Replica-Seal", seal(&id)));
             stream.write_all(&answer("200 OK", &headers, b"done")).is_ok()
         });
@@ -109,3 +112,71 @@
         }
     }
 }
+
+/// How the bookings of other clients ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Bookings {
+    pub made: u32,
+    /// Answered 502 or 504, or not at all: they may have been made.
+    pub lost: u32,
+    pub refused: u32,
+}
+
+/// Clients that have nothing to do with the request: they send bookings to the same service.
+pub struct Others {
+    ended: Arc<AtomicBool>,
+    counts: Arc<Mutex<Bookings>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Others {
+    /// Starts four clients, which send some twenty bookings a second together.
+    pub fn start(fronts: &[SocketAddr], record: &Record) -> Self {
+        let (ended, counts) = (Arc::<AtomicBool>::default(), Arc::<Mutex<Bookings>>::default());
+        let client = |number: usize| {
+            let (ended, counts) = (ended.clone(), counts.clone());
+            let (fronts, record) = (fronts.to_vec(), record.clone());
+            thread::spawn(move || {
+                let mut turn = number;
+                while !ended.load(Ordering::SeqCst) {
+                    let attempt = attempt_id();
+                    let headers = [
+                        ("Host", "jepu9.example".to_owned()),
+                        ("X-Mothplank-Attempt-Id", attempt.clone()),
+                        ("X-Mothplank-Deadline-Ms", "1500".to_owned()),
+                    ];
+                    let front = fronts[turn % fronts.len()];
+                    let got = call(front, "POST", "/puxa400/y", &headers, attempt.as_bytes(), ms(1_500));
+                    let status = got.map_or(0, |it| it.status());
+                    let mut counts = counts.lock().unwrap();
+                    match status {
+                        200 => counts.made += 1,
+                        503 => counts.refused += 1,
+                        _ => {
+                            counts.lost += 1;
+                            record.line(&format!("booking {attempt} is lost: {status}"));
+                        }
+                    }
+                    drop(counts);
+                    turn += 1;
+                    sleep(ms(140));
+                }
+            })
+        };
+        let threads = (0..4).map(client).collect();
+        Self { ended, counts, threads }
+    }
+
+    pub fn counts(&self) -> Bookings {
+        *self.counts.lock().unwrap()
+    }
+
+    /// Ends the clients; returns how the bookings ended.
+    pub fn stop(mut self) -> Bookings {
+        self.ended.store(true, Ordering::SeqCst);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+        self.counts()
+    }
+}
