--- a/review/7/forgotten_origins.rs
+++ b/review/7/forgotten_origins.rs
@@ -7,8 +7,8 @@
 use common2::*;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
@@ -89,7 +89,11 @@
         let mut line = String::new();
         let mut answered = status.trim_end().to_owned();
         while reader.read_line(&mut line).is_ok_and(|it| it > 0) {
-            answered = if line.trim().is_empty() { answered } else { format!("{answered} | {}", line.trim_end()) };
+            answered = if line.trim().is_empty() {
+                answered
+            } else {
+                format!("{answered} | {}", line.trim_end())
+            };
             line.clear();
             if answered.len() > 300 {
                 break;
@@ -143,8 +147,7 @@
     }
     list.set(entries);
     let platform = list.serve(net.at(40, net.front)).expect("the list");
-    let site =
-        Site { net, folder: temp.0.clone(), list: platform.address, zones, tolerance: 2 };
+    let site = Site { net, folder: temp.0.clone(), list: platform.address, zones, tolerance: 2 };
     let plan = r#"{"version":7,"routes":[{"name":"r-1","host":"pule25.example","path_prefix":"/puxa400/","type":"stream","timeout_ms":20000,"latency_target_ms":1800,"priority":0,"service":"huvo11a","max_attempts":2,"stages":[],"public":false,"sticky":true,"resumable":true,"itl_target_ms":400}],"services":[{"name":"huvo11a","health_path":"/healthz","max_conns":270,"protocol":"h1","tls":false,"engine":{"slots":64,"kv_capacity":345738,"kv_token_bytes":163840,"link_mbps":2200000.0,"moves":true,"backups":true,"stride":5,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_ttl_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
     let Some(mut system) = System::start(&site, 6, plan, record) else { return 2 };
     let edge = &mut system.edge;
@@ -193,7 +196,8 @@
             Err(why) => record.line(&format!("{attempt} did not begin: {why}")),
         }
     }
-    let outcomes: Vec<Option<(bool, Instant)>> = clients.into_iter().map(|it| it.join().unwrap()).collect();
+    let outcomes: Vec<Option<(bool, Instant)>> =
+        clients.into_iter().map(|it| it.join().unwrap()).collect();
     let tried: Vec<(bool, Instant)> = outcomes.into_iter().flatten().collect();
     let in_touch: Vec<&(bool, Instant)> =
         tried.iter().filter(|it| !has_trouble() || it.1 >= started + CONTACT).collect();
@@ -244,7 +248,8 @@
         sleep(ms(pause));
         let (attempt, front) = (attempt_id(), fronts[(number + at + 1) % fronts.len()]);
         let sent = Instant::now();
-        record.line(&format!("{attempt} is sent to {front}; it takes up {began} after event {last}"));
+        record
+            .line(&format!("{attempt} is sent to {front}; it takes up {began} after event {last}"));
         match open(front, &attempt, Some((&began, last))) {
             Ok(mut reader) => {
                 let next = next_event(&mut reader);
--- a/review/8/never_held.rs
+++ b/review/8/never_held.rs
@@ -7,7 +7,7 @@
 mod deadly;
 
 use common2::*;
-use deadly::{replicas, send_for, Others, Takes, CONTACT, PLAN};
+use deadly::{CONTACT, Others, PLAN, Takes, replicas, send_for};
 use std::net::SocketAddr;
 use std::thread::sleep;
 
--- a/review/common2.rs
+++ b/review/common2.rs
@@ -39,8 +39,8 @@
     }
 
     pub fn line(&self, text: &str) {
-        let at = self.0 .1.elapsed().as_secs_f64();
-        let mut file = self.0 .0.lock().unwrap();
+        let at = self.0.1.elapsed().as_secs_f64();
+        let mut file = self.0.0.lock().unwrap();
         let _ = writeln!(file, "{at:8.3}  {text}");
     }
 
@@ -116,7 +116,8 @@
                 }
                 message.body.extend_from_slice(&chunk[..size]);
             }
-        } else if let Some(length) = message.header("content-length").and_then(|it| it.parse().ok()) {
+        } else if let Some(length) = message.header("content-length").and_then(|it| it.parse().ok())
+        {
             message.body = vec![0; length];
             reader.read_exact(&mut message.body)?;
         }
@@ -330,7 +331,14 @@
 
 impl Site {
     /// The settings are those of the deployment with 6 edge and 5 core machines.
-    fn settings(&self, name: &str, host: u8, is_core: bool, seeds: &[u8], bootstrap: bool) -> String {
+    fn settings(
+        &self,
+        name: &str,
+        host: u8,
+        is_core: bool,
+        seeds: &[u8],
+        bootstrap: bool,
+    ) -> String {
         let Net { front, ready, control, first, last, .. } = self.net;
         let ip = self.net.ip(host);
         let zone = &self.zones[usize::from(host) % self.zones.len()];
@@ -545,7 +553,8 @@
     /// are ready. Returns `None`, and says why, if that fails.
     pub fn start(site: &Site, edges: u8, plan: &str, record: &Record) -> Option<Self> {
         let seeds = [1, 2, 3];
-        let mut core: Vec<Machine> = (1..=5).map(|it| Machine::new(site, it, true, record)).collect();
+        let mut core: Vec<Machine> =
+            (1..=5).map(|it| Machine::new(site, it, true, record)).collect();
         let mut edge: Vec<Machine> =
             (21..21 + edges).map(|it| Machine::new(site, it, false, record)).collect();
         for machine in core.iter_mut().chain(&mut edge) {
--- a/review/deadly.rs
+++ b/review/deadly.rs
@@ -6,8 +6,8 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{mpsc, Arc, Mutex};
-use std::thread::{self, sleep, JoinHandle};
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread::{self, JoinHandle, sleep};
 use std::time::{Duration, Instant};
 
 pub const CONTACT: Duration = Duration::from_millis(3_000);
@@ -51,35 +51,39 @@
 
 fn replica(net: Net, host: u8, id: String, takes: Takes, crashes: &Crashes, record: &Record) {
     let (crashes, record) = (crashes.clone(), record.clone());
-    thread::spawn(move || loop {
-        let (crash, crashed) = mpsc::channel::<()>();
-        let crash = Mutex::new(crash);
-        let (id, seen, lines) = (id.clone(), crashes.clone(), record.clone());
-        let server = Server::start(net.at(host, net.front), move |request, stream| {
-            let attempt = request.header("x-mothplank-attempt-id").unwrap_or("").to_owned();
-            let expected = request.header("x-mothplank-expect-replica").unwrap_or(&id);
-            let mut headers = vec![("X-Mothplank-Attempt-Id", attempt.clone())];
-            if expected != id {
-                headers.push(("X-Mothplank-Not-Executed", "1".to_owned()));
-                return stream.write_all(&answer("421 Misdirected Request", &headers, b"")).is_ok();
-            }
-            if let (Takes::Deadly(time), PATH) = (takes, request.path()) {
-                seen.lock().unwrap().push(Instant::now());
-                lines.line(&format!("{id} begins to run {attempt}, and crashes"));
-                sleep(time);
-                let _ = crash.lock().unwrap().send(());
-                sleep(ms(500));
-                return false;
-            }
-            lines.line(&format!("{id} runs {attempt}"));
-            sleep(WORK_TIME);
-            headers.push(("X-Mothplank-Replica-Seal", seal(&id)));
-            stream.write_all(&answer("200 OK", &headers, b"done")).is_ok()
-        });
-        let server = server.expect("a replica");
-        let _ = crashed.recv();
-        server.stop();
-        sleep(DOWN);
+    thread::spawn(move || {
+        loop {
+            let (crash, crashed) = mpsc::channel::<()>();
+            let crash = Mutex::new(crash);
+            let (id, seen, lines) = (id.clone(), crashes.clone(), record.clone());
+            let server = Server::start(net.at(host, net.front), move |request, stream| {
+                let attempt = request.header("x-mothplank-attempt-id").unwrap_or("").to_owned();
+                let expected = request.header("x-mothplank-expect-replica").unwrap_or(&id);
+                let mut headers = vec![("X-Mothplank-Attempt-Id", attempt.clone())];
+                if expected != id {
+                    headers.push(("X-Mothplank-Not-Executed", "1".to_owned()));
+                    return stream
+                        .write_all(&answer("421 Misdirected Request", &headers, b""))
+                        .is_ok();
+                }
+                if let (Takes::Deadly(time), PATH) = (takes, request.path()) {
+                    seen.lock().unwrap().push(Instant::now());
+                    lines.line(&format!("{id} begins to run {attempt}, and crashes"));
+                    sleep(time);
+                    let _ = crash.lock().unwrap().send(());
+                    sleep(ms(500));
+                    return false;
+                }
+                lines.line(&format!("{id} runs {attempt}"));
+                sleep(WORK_TIME);
+                headers.push(("X-Mothplank-Replica-Seal", seal(&id)));
+                stream.write_all(&answer("200 OK", &headers, b"done")).is_ok()
+            });
+            let server = server.expect("a replica");
+            let _ = crashed.recv();
+            server.stop();
+            sleep(DOWN);
+        }
     });
 }
 
@@ -105,7 +109,8 @@
         ];
         record.line(&format!("the request is sent to {front} as {attempt}"));
         let got = call(front, "GET", PATH, &headers, &[], ms(1_500));
-        let text = got.map_or_else(|e| e.to_string(), |it| format!("{} {}", it.status(), it.text()));
+        let text =
+            got.map_or_else(|e| e.to_string(), |it| format!("{} {}", it.status(), it.text()));
         record.line(&format!("{attempt}: {text}"));
         if !text.starts_with("502") && !text.starts_with("504") {
             return;
@@ -146,7 +151,8 @@
                         ("X-Mothplank-Deadline-Ms", "1500".to_owned()),
                     ];
                     let front = fronts[turn % fronts.len()];
-                    let got = call(front, "POST", "/puxa400/y", &headers, attempt.as_bytes(), ms(1_500));
+                    let got =
+                        call(front, "POST", "/puxa400/y", &headers, attempt.as_bytes(), ms(1_500));
                     let status = got.map_or(0, |it| it.status());
                     let mut counts = counts.lock().unwrap();
                     match status {
