Count a retry that was sent in the ms of the loss before it

Cause: a run counts as later than a termination if the same entry's clock says so. Both times are whole ms, rounded down, and the comparison was strict. An entry sends a retry within the ms of the loss, so that about every third retry did not count, and an attempt that ended two upstreams counted as one.

With the times of two terminations 2 ms apart and an age of 2 ms the table did not count the second.

Change: the same ms counts, for a run that lasted a ms at least.

--- a/crates/registry/src/quarantine/table.rs
+++ b/crates/registry/src/quarantine/table.rs
@@ -103,11 +103,12 @@
 
 impl Run {
     /// Returns whether it began after the termination of `other`: at least `order` after it, if two
-    /// entries observed them.
+    /// entries observed them. One entry's times are whole ms, and it sends a retry within the ms of the
+    /// loss; a retry that is lost within that ms as well met an upstream that was ending already.
     fn follows(&self, other: &Run, order: Duration) -> bool {
         match (self.clock, other.clock) {
             (Some(own), Some(its)) if own.incarnation == its.incarnation => {
-                own.at_ms > its.at_ms + self.age
+                own.at_ms >= its.at_ms + self.age.max(1)
             }
             _ => self.began >= other.ended + order,
         }
--- a/crates/registry/tests/quarantine.rs
+++ b/crates/registry/tests/quarantine.rs
@@ -143,6 +143,15 @@
             ],
             held: &[HARMFUL],
         },
+        Case {
+            name: "retries within an attempt, each sent in the ms of the termination before",
+            steps: vec![
+                (0, Step::EndAt((1, 50), 1, vec![(HARMFUL, 2)])),
+                (3, Step::EndAt((1, 52), 2, vec![(HARMFUL, 2)])),
+                (5_000, Step::EndAt((1, 5_050), 3, vec![(HARMFUL, 2)])),
+            ],
+            held: &[HARMFUL],
+        },
         Case {
             name: "a harmless request in flight at the first terminations by three others",
             steps: vec![
