Ask other entries whether an upstream that lost calls has ended

Cause: an entry reported an end only while it took its own path to the service for sound. Two upstreams that refuse connections make it doubt that, and with no third one to reach it took itself for cut off. So the more upstreams ended, the less was reported. The other way round, one refused connection without a doubt yet counted as an end, so that cuts of an entry had a sound request held.

Evidence: in the logs of the case the lines of the probe say `ended: false` at all entries, beside `this entry reaches no upstream of a service`.

Change: entries answer each other whether an upstream accepts connections (level 10; older peers aren't asked). A cut takes some entries; the others still connect. Only where nobody answers its own view of its path decides, as before.

--- a/crates/gateway/src/batch/link.rs
+++ b/crates/gateway/src/batch/link.rs
@@ -298,6 +298,9 @@
                         ToOwner::Relayed(ToRelay::Open(address)) => {
                             return relay::serve(&shared, (sender, receiver), *address).await;
                         }
+                        ToOwner::Relayed(ToRelay::Reach(address)) => {
+                            return relay::tell_reach(&shared, sender, *address).await;
+                        }
                         ToOwner::Relayed(ToRelay::Data(_)) => break,
                         ToOwner::SubscribeRelays => {
                             subscription.until = Some(Instant::now() + RELAY_SUBSCRIPTION_TIME);
--- a/crates/gateway/src/batch/message.rs
+++ b/crates/gateway/src/batch/message.rs
@@ -147,6 +147,9 @@
 /// The protocol level from which entries relay connections to upstreams.
 pub(crate) const RELAY_LEVEL: u8 = 6;
 
+/// The protocol level from which entries tell each other whether an upstream accepts connections.
+pub(crate) const REACH_LEVEL: u8 = 10;
+
 /// The protocol level from which entries lend connections.
 pub(crate) const CONNECTIONS_LEVEL: u8 = 7;
 
@@ -176,6 +179,7 @@
             Self::BorrowRest(it) if level < PARTS_LEVEL => Self::Borrow(it.loan).at_level(level),
             Self::Borrow(_) if level < LOANS_LEVEL => None,
             Self::BorrowRoom(_) | Self::SettleRoom(_) if level < ROOM_LEVEL => None,
+            Self::Relayed(ToRelay::Reach(_)) if level < REACH_LEVEL => None,
             Self::Relayed(_) if level < RELAY_LEVEL => None,
             Self::BorrowConnection(_) | Self::ReturnConnection(_) if level < CONNECTIONS_LEVEL => {
                 None
--- a/crates/gateway/src/path/relay.rs
+++ b/crates/gateway/src/path/relay.rs
@@ -6,6 +6,7 @@
 //! retries and what a failure proves, stays with the entry that has the request.
 
 mod client;
+mod reach;
 mod server;
 
 use std::net::SocketAddr;
@@ -15,6 +16,7 @@
 use serde::{Deserialize, Serialize};
 
 pub(crate) use self::client::{RelayClient, Relayed};
+pub(crate) use self::reach::{Reach, tell_reach};
 pub(crate) use self::server::{RelayPermits, serve};
 
 /// The number of bytes passed on in one message at most.
@@ -32,6 +34,8 @@
     Open(SocketAddr),
     /// Bytes for the upstream.
     Data(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Asks whether the upstream at this address accepts connections.
+    Reach(SocketAddr),
 }
 
 /// A message from the entry that relays.
@@ -48,6 +52,8 @@
     Ended(bool),
     /// The relaying entry is shutting down; the connection must not be used for another request.
     Leaving,
+    /// The answer to [`ToRelay::Reach`].
+    Reach(Reach),
 }
 
 /// Why an entry does not relay a connection.
--- a/crates/gateway/src/path/relay/client.rs
+++ b/crates/gateway/src/path/relay/client.rs
@@ -15,12 +15,13 @@
 use rand::seq::SliceRandom;
 use registry::EntryInfo;
 use tokio::io::Join;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{Instant, timeout_at};
 use tokio_util::io::{CopyToBytes, SinkWriter, StreamReader};
 use tokio_util::sync::{PollSendError, PollSender};
 use wire::{Hello, Kind, Receiver, Secret, Sender};
 
+use super::reach::MAX_ASKED_ABOUT;
 use super::{FromRelay, MAX_CHUNK_BYTES, MAX_SILENCE, RelayFailure, RelayState, ToRelay};
 use crate::batch::message::{FromOwner, RELAY_LEVEL, ToOwner};
 use crate::upstream::ConnectError;
@@ -72,9 +73,11 @@
 pub(crate) struct RelayClient {
     secret: Secret,
     hello: Hello,
-    peers: ArcSwap<Vec<EntryInfo>>,
+    pub(super) peers: ArcSwap<Vec<EntryInfo>>,
     /// The entries that could not relay, and until when they are not asked.
     avoided: Mutex<HashMap<SocketAddr, Instant>>,
+    /// Permits to ask others whether they reach an upstream.
+    pub(super) asking: Semaphore,
 }
 
 /// How asking one entry ended.
@@ -87,7 +90,8 @@
 
 impl RelayClient {
     pub(crate) fn new(secret: Secret, hello: Hello) -> Self {
-        Self { secret, hello, peers: ArcSwap::default(), avoided: Mutex::default() }
+        let (peers, avoided) = Default::default();
+        Self { secret, hello, peers, avoided, asking: Semaphore::new(MAX_ASKED_ABOUT) }
     }
 
     /// Sets the other entries.
@@ -135,22 +139,11 @@
     }
 
     async fn ask(&self, peer: SocketAddr, upstream: SocketAddr, deadline: Instant) -> Asked {
-        let (secret, hello) = (&self.secret, self.hello.clone());
-        let dialed = wire::connect_within(DIAL_TIMEOUT, peer, secret, hello, Kind::Entry);
-        let connection = match timeout_at(deadline.min(Instant::now() + DIAL_TIMEOUT), dialed).await
-        {
-            Ok(Ok(connection)) => connection,
-            Ok(Err(error)) => {
-                log::info!(peer:% = peer, cause:% = error; "an entry can't be asked to relay");
-                return Asked::Unable;
-            }
-            Err(_) => return Asked::Unable,
+        let Some((sender, mut receiver)) = self.connect(peer, RELAY_LEVEL, deadline).await else {
+            return Asked::Unable;
         };
-        let (sender, mut receiver) = connection.split::<ToOwner, FromOwner>();
         sender.allow_silence(MAX_SILENCE);
-        sender.wait_level(LEVEL_TIMEOUT).await;
-        let open = ToOwner::Relayed(ToRelay::Open(upstream));
-        if sender.level() < RELAY_LEVEL || sender.send(&open).await.is_err() {
+        if sender.send(&ToOwner::Relayed(ToRelay::Open(upstream))).await.is_err() {
             return Asked::Unable;
         }
         let answer = timeout_at(deadline.min(Instant::now() + OPEN_TIMEOUT), receiver.recv()).await;
@@ -167,6 +160,29 @@
             Ok(_) | Err(_) => Asked::Unable,
         }
     }
+
+    /// Opens a connection to another entry of at least this protocol level.
+    pub(super) async fn connect(
+        &self,
+        peer: SocketAddr,
+        level: u8,
+        deadline: Instant,
+    ) -> Option<(Sender<ToOwner>, Receiver<FromOwner>)> {
+        let (secret, hello) = (&self.secret, self.hello.clone());
+        let dialed = wire::connect_within(DIAL_TIMEOUT, peer, secret, hello, Kind::Entry);
+        let connection = match timeout_at(deadline.min(Instant::now() + DIAL_TIMEOUT), dialed).await
+        {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(error)) => {
+                log::info!(peer:% = peer, cause:% = error; "another entry can't be asked about an upstream");
+                return None;
+            }
+            Err(_) => return None,
+        };
+        let (sender, receiver) = connection.split();
+        sender.wait_level(LEVEL_TIMEOUT).await;
+        (sender.level() >= level).then_some((sender, receiver))
+    }
 }
 
 /// Starts to pass bytes on over an open connection.
@@ -220,9 +236,10 @@
                 continue;
             }
             FromRelay::Ended(true) => return,
-            FromRelay::Ended(false) | FromRelay::Opened | FromRelay::Failed(_) => {
-                Err(io::ErrorKind::ConnectionReset.into())
-            }
+            FromRelay::Ended(false)
+            | FromRelay::Opened
+            | FromRelay::Failed(_)
+            | FromRelay::Reach(_) => Err(io::ErrorKind::ConnectionReset.into()),
         };
         let ended = received.is_err();
         if arrived.send(received).await.is_err() || ended {
--- a/crates/gateway/src/path/relay/server.rs
+++ b/crates/gateway/src/path/relay/server.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, interval, timeout_at};
 use wire::{Receiver, Sender};
 
@@ -38,6 +38,13 @@
     }
 }
 
+impl RelayPermits {
+    /// Takes a permit, if fewer connections are relayed than may be.
+    pub(super) fn try_acquire(&self) -> Option<OwnedSemaphorePermit> {
+        Arc::clone(&self.0).try_acquire_owned().ok()
+    }
+}
+
 /// Relays a connection to the upstream at `address` until one side ends it.
 pub(crate) async fn serve<D: Dialect>(
     shared: &Shared<D>,
@@ -45,10 +52,10 @@
     address: SocketAddr,
 ) {
     sender.allow_silence(MAX_SILENCE);
-    let permit = Arc::clone(&shared.relays.0).try_acquire_owned();
+    let permit = shared.relays.try_acquire();
     let opened = match &permit {
-        Ok(_) => open(shared, address).await,
-        Err(_) => Err(RelayFailure::Unable),
+        Some(_) => open(shared, address).await,
+        None => Err(RelayFailure::Unable),
     };
     let stream = match opened {
         Ok(stream) => stream,
--- a/crates/gateway/src/quarantine/probe.rs
+++ b/crates/gateway/src/quarantine/probe.rs
@@ -11,6 +11,7 @@
 
 use super::parts::PartHistory;
 use super::{lock, report};
+use crate::path::relay::Reach;
 use crate::path::state::Path;
 use crate::upstream::Upstream;
 
@@ -78,15 +79,15 @@
 
 impl EndProbe {
     pub(super) async fn run(self) {
-        let mut ended = false;
+        let mut reach = Reach::Unknown;
         for delay in PROBE_DELAYS {
             sleep(delay).await;
-            ended = self.upstream.refuses_connections(PROBE_TIMEOUT).await;
-            if ended {
+            reach = self.upstream.reach(PROBE_TIMEOUT).await;
+            if reach == Reach::Refused {
                 break;
             }
         }
-        ended = ended && self.has_path().await;
+        let ended = self.has_ended(reach).await;
         let mut lost = lock(&self.lost).remove(&self.upstream.id).unwrap_or_default();
         let runs = std::mem::take(&mut lost.runs);
         let parts = lost.parts_seen(&lock(&self.history));
@@ -102,10 +103,24 @@
         report(&self.evidence, Evidence::EndedWithParts(at_ms, seen, parts));
     }
 
-    /// Returns whether this entry has a path to the service of the upstream. A path that is cut may
-    /// refuse all connections at the same moment, as if all upstreams had ended.
-    async fn has_path(&self) -> bool {
+    /// Returns whether the upstream has ended, by this entry's own probe and that of others. Alone, an
+    /// entry can't tell: a path that is cut may refuse all connections at the same moment, as if the
+    /// upstreams had ended, and all upstreams of a service may end at the same moment, as if the path
+    /// were cut.
+    async fn has_ended(&self, own: Reach) -> bool {
+        if own == Reach::Accepted {
+            return false;
+        }
         sleep(OTHER_PROBES_TIME).await;
+        match self.upstream.reach_of_others().await {
+            Reach::Refused => true,
+            Reach::Accepted => false,
+            Reach::Unknown => own == Reach::Refused && self.has_path().await,
+        }
+    }
+
+    /// Returns whether this entry has a path to the service of the upstream, as far as it knows.
+    async fn has_path(&self) -> bool {
         if self.upstream.path() == Path::Suspected {
             sleep(SUSPICION_TIME).await;
         }
--- a/crates/gateway/src/upstream/connections.rs
+++ b/crates/gateway/src/upstream/connections.rs
@@ -1,6 +1,5 @@
 //! The connections of this entry to an upstream.
 
-use std::io::ErrorKind;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -19,7 +18,7 @@
 use super::Upstream;
 use super::lending::{KEEP_TIME, Permit};
 use crate::partition::Cut;
-use crate::path::relay::RelayState;
+use crate::path::relay::{Reach, RelayState};
 use crate::path::state::Path;
 use crate::raw_limit::{MAX_HEAD_BYTES, RawLimit, RawLimited};
 use crate::response_limit::{ResponseLimit, ResponseMeter};
@@ -287,17 +286,18 @@
         self.paths.path(&self.service)
     }
 
-    /// Returns whether the upstream refuses connections within `limit`, because nothing listens at its
-    /// address.
-    pub(crate) async fn refuses_connections(&self, limit: Duration) -> bool {
-        let refused = match timeout(limit, self.paths.dial(self.address)).await {
-            Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
-            Ok(Ok(_)) | Err(_) => false,
-        };
-        if refused {
+    /// Tries whether the upstream accepts connections on the entry's own path.
+    pub(crate) async fn reach(&self, limit: Duration) -> Reach {
+        let reach = self.paths.reach(self.address, limit).await;
+        if reach == Reach::Refused {
             self.paths.record_failure(&self.service, self.id_hash);
         }
-        refused
+        reach
+    }
+
+    /// Asks other entries whether the upstream accepts connections.
+    pub(crate) async fn reach_of_others(&self) -> Reach {
+        self.paths.reach_of_others(self.address).await
     }
 
     /// Records that a connection was lost.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -36,7 +36,7 @@
 /// The level of the messages that this release understands; each side announces its level with its
 /// heartbeats. A message that an earlier release can't decode is sent only to peers of a sufficient
 /// level, so that two releases can run together in any order of an upgrade.
-pub const LEVEL: u8 = 9;
+pub const LEVEL: u8 = 10;
 
 /// The time without a sent frame after which a side sends a heartbeat.
 pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
