Bound what a spoilt answer to pieces takes to decode

Cause: an answer to some pieces could have 1 MiB, and an invalid one took up to 119 ms of a whole core on the entry's only thread, as the bound on looks was 1 MiB and eight a byte and the start of a parser wasn't counted. Of numbers for results each wrote a line of the log, 524,289 for one answer, before their count was compared with the pieces'.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -251,11 +251,12 @@
     /// Encodes a call with pieces.
     fn encode_pieces(calls: &[PieceCall]) -> Bytes;
 
-    /// Decodes the answer to a call with pieces.
+    /// Decodes the answer to a call with `count` pieces.
     ///
     /// # Errors
-    /// Returns a description of what is invalid in the answer.
-    fn decode_results(body: &[u8]) -> Result<PieceAnswer, String>;
+    /// Returns a description of what is invalid in the answer, such as another number of results. Then none
+    /// of them is decoded.
+    fn decode_results(body: &[u8], count: usize) -> Result<PieceAnswer, String>;
 
     /// Decodes an upstream's report of its free space. Fields that can't be decoded are left
     /// empty.
--- a/crates/gateway/src/exchange/own.rs
+++ b/crates/gateway/src/exchange/own.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 use types::CallId;
 
-use super::{CallTerms, Cause, Fault, Opened, discard, read_short, send};
+use super::{CallTerms, Cause, Fault, Opened, discard, read_short, read_whole, send};
 use crate::budget::RetryPermit;
 use crate::dialect::{Dialect, ForwardHead, Handle, PieceAnswer, PieceCall, SpaceReport};
 use crate::echo::CallKind;
@@ -18,6 +18,12 @@
 /// The timeout of a call that frees results.
 const FREE_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// The largest result of a piece in an answer, in bytes. A handle is an address and an id.
+const RESULT_BYTES: usize = 1 << 10;
+
+/// The most bytes of an answer to a call with pieces beside their results.
+const ANSWER_BYTES: usize = 4 << 10;
+
 /// Sends pieces to an upstream; the answer must have one result for each.
 pub(crate) async fn pieces<D: Dialect>(
     upstream: &Arc<Upstream>,
@@ -38,15 +44,13 @@
         return Err(Fault::unknown(cause).with_evidence(evidence));
     }
     let Opened { mut response, lease, head, .. } = opened;
-    let body = read_short(upstream, (response.body_mut(), &lease), deadline).await?;
-    let answer = D::decode_results(&body).map_err(|why| {
+    let most = ANSWER_BYTES + calls.len() * RESULT_BYTES;
+    let body = read_whole(upstream, (response.body_mut(), &lease), most, deadline).await?;
+    let answer = D::decode_results(&body, calls.len()).map_err(|why| {
         log::warn!(upstream:% = upstream.id, cause = why.as_str();
             "failed to decode the results of a call");
         Fault::unknown(Cause::Malformed("unreadable results"))
     })?;
-    if answer.results.len() != calls.len() {
-        return Err(Fault::unknown(Cause::Malformed("wrong number of results")));
-    }
     lease.keep(head.keep_alive);
     Ok(answer)
 }
--- a/crates/gateway/src/shared/tests.rs
+++ b/crates/gateway/src/shared/tests.rs
@@ -60,7 +60,7 @@
         Bytes::new()
     }
 
-    fn decode_results(_: &[u8]) -> Result<PieceAnswer, String> {
+    fn decode_results(_: &[u8], _: usize) -> Result<PieceAnswer, String> {
         Err(String::new())
     }
 
