Keep where streams began at members of the registry, too

Cause: only entries kept where a stream began, so a fault that ends all entries took all copies.

Evidence: the line `a caller takes up a stream` names no version at any entry, and of the processes that were asked none is older than the kill.

Change: two members of the registry, chosen by the attempt as entries are, keep a copy, and four are asked. They answer the same datagrams. Nothing waits for them: copies are sent before the first event, and again until confirmed.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -12,6 +12,7 @@
 
 use crate::cold::{ColdSpec, ColdTolerance};
 use crate::health::{Candidate, ServiceView, Tally};
+use crate::origin::Holders;
 use crate::owners::Candidates;
 use crate::path::Paths;
 use crate::plan::Plan;
@@ -46,6 +47,8 @@
     in_use: Arc<InUse>,
     /// The entries among which quotas are divided.
     entries: Arc<ArcSwap<EntryList>>,
+    /// The members of the registry.
+    members: Arc<EntryList>,
     paths: Arc<Paths>,
     counters: AnswerCounters,
     /// The outcomes that this entry has not reported yet.
@@ -80,6 +83,8 @@
         let mut next =
             Self { listed, in_use, entries: entry_list, paths, counters, tally, ..Self::default() };
         next.update_entries(registry_state, cold.own);
+        let members = registry_state.voters.iter().copied();
+        next.members = Arc::new(EntryList::new(cold.own, members));
         let known = next.entries.load_full();
         let context =
             ColdContext { rules: cold, plan, listed: &registry_state.cold, entries: &known };
@@ -226,6 +231,11 @@
         self.entries.load_full()
     }
 
+    /// Returns the processes that keep where streams began.
+    pub(crate) fn holders(&self) -> Holders {
+        Holders { entries: self.entry_list(), members: Arc::clone(&self.members) }
+    }
+
     /// Returns the stamp of the list from which this directory was created.
     pub(crate) fn listed(&self) -> Stamp {
         self.listed
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,7 +16,7 @@
 use crate::drain::Phase;
 use crate::front;
 use crate::metrics::Metrics;
-use crate::origin::exchange::Origins;
+use crate::origin::Origins;
 use crate::partition::Partition;
 use crate::path::Paths;
 use crate::path::relay::RelayClient;
@@ -99,7 +99,7 @@
         };
         let hello = Hello { kind: Kind::Entry, vm: config.vm.clone(), node: rand::random() };
         let listener = Listener::bind(config.address, &secret, hello.clone()).await?;
-        let origins = Origins::open(config.address, &secret).await?;
+        let (origins, _) = Origins::open(config.address, &secret).await?;
         let callers = front::bind(config.front).await?;
         let balancer = front::bind(config.ready).await?;
         let seeds = config.seeds.clone();
--- a/crates/gateway/src/origin.rs
+++ b/crates/gateway/src/origin.rs
@@ -4,12 +4,14 @@
 //! began it. What two versions of an upstream's software write does not fit together, so the entry has
 //! to know the version. The entry that sends a first event tells a few others, its keepers, which every
 //! entry finds by the id of the attempt and the list of entries. No leader takes part, and the cost of a
-//! stream does not depend on the number of entries.
+//! stream does not depend on the number of entries. All entries may end at the same moment, so members
+//! of the registry keep copies, too.
 
-pub(crate) mod exchange;
+mod exchange;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use registry::RequestDigest;
@@ -17,6 +19,8 @@
 use tokio::time::Instant;
 use types::SoftwareVersion;
 
+pub use self::exchange::OriginKeeper;
+pub(crate) use self::exchange::Origins;
 use crate::quota::EntryList;
 
 /// The number of entries that keep an origin, besides the one that sent the first event.
@@ -26,6 +30,13 @@
 /// may have changed meanwhile.
 pub const ASKED: usize = 8;
 
+/// The number of members of the registry that keep an origin besides, so that one may be lost together
+/// with all entries.
+const MEMBER_COPIES: u32 = 2;
+
+/// The number of members that are asked for an origin.
+const MEMBERS_ASKED: u32 = 4;
+
 /// The longest time that an origin is kept.
 const MAX_KEPT_TIME: Duration = Duration::from_secs(300);
 
@@ -67,6 +78,29 @@
     entries.holders(key.hash(), ASKED as u32)
 }
 
+/// The processes among which the keepers of origins are chosen.
+#[derive(Clone, Debug)]
+pub struct Holders {
+    /// The entries.
+    pub entries: Arc<EntryList>,
+    /// The members of the registry.
+    pub members: Arc<EntryList>,
+}
+
+impl Holders {
+    /// Returns the processes that keep the origin of a stream, without the asking one.
+    pub fn keepers(&self, key: StreamKey) -> Vec<SocketAddr> {
+        let members = self.members.holders(key.hash(), MEMBER_COPIES);
+        keepers(&self.entries, key).into_iter().chain(members).collect()
+    }
+
+    /// Returns the processes to ask for the origin of a stream, without the asking one.
+    pub fn asked(&self, key: StreamKey) -> Vec<SocketAddr> {
+        let members = self.members.holders(key.hash(), MEMBERS_ASKED);
+        asked(&self.entries, key).into_iter().chain(members).collect()
+    }
+}
+
 /// The origins that an entry keeps.
 #[derive(Debug, Default)]
 pub struct OriginTable {
--- a/crates/gateway/src/origin/exchange.rs
+++ b/crates/gateway/src/origin/exchange.rs
@@ -1,5 +1,5 @@
-//! Exchanges the origins of streams with other entries, in datagrams: a connection to each of hundreds
-//! of entries would cost more than the messages.
+//! Exchanges the origins of streams with other entries and with members of the registry, in datagrams:
+//! a connection to each of hundreds of entries would cost more than the messages.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -9,12 +9,12 @@
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, timeout};
 use types::{StepError, StepResult};
 use wire::{Datagrams, Secret};
 
-use super::{Origin, OriginTable, StreamKey, asked, keepers};
-use crate::quota::EntryList;
+use super::{Holders, Origin, OriginTable, StreamKey};
 
 /// The waits after which an origin is sent again to the keepers that have not confirmed it. Lost
 /// datagrams are made up for by the first; the others outlast a short partition.
@@ -60,6 +60,29 @@
     origin: Option<Origin>,
 }
 
+/// Keeps origins for entries, and tells them, until it is dropped.
+#[derive(Debug)]
+pub struct OriginKeeper {
+    receiving: AbortHandle,
+}
+
+impl OriginKeeper {
+    /// Binds a socket for datagrams, and starts to answer entries.
+    ///
+    /// # Errors
+    /// Returns an error where the address can't be bound.
+    pub async fn open(address: SocketAddr, secret: &Secret) -> StepResult<Self> {
+        let (_, receiving) = Origins::open(address, secret).await?;
+        Ok(Self { receiving })
+    }
+}
+
+impl Drop for OriginKeeper {
+    fn drop(&mut self) {
+        self.receiving.abort();
+    }
+}
+
 /// The origins that this entry keeps, and its access to those that others keep.
 pub(crate) struct Origins {
     own: SocketAddr,
@@ -70,11 +93,14 @@
 }
 
 impl Origins {
-    /// Binds the entry's socket for datagrams, and starts to answer other entries.
+    /// Binds the process's socket for datagrams, and starts to answer others; returns the task that does.
     ///
     /// # Errors
     /// Returns an error where the address can't be bound.
-    pub(crate) async fn open(address: SocketAddr, secret: &Secret) -> StepResult<Arc<Self>> {
+    pub(crate) async fn open(
+        address: SocketAddr,
+        secret: &Secret,
+    ) -> StepResult<(Arc<Self>, AbortHandle)> {
         let socket = Datagrams::bind(address, secret).await?;
         let origins = Arc::new(Self {
             own: address,
@@ -83,8 +109,8 @@
             waiting: Mutex::default(),
             next_number: AtomicU64::new(rand::random()),
         });
-        tokio::spawn(Arc::clone(&origins).receive());
-        Ok(origins)
+        let receiving = tokio::spawn(Arc::clone(&origins).receive()).abort_handle();
+        Ok((origins, receiving))
     }
 
     /// Keeps an origin for `time`, and sends it to its keepers before it returns. Goes on in the
@@ -94,10 +120,10 @@
         key: StreamKey,
         origin: Origin,
         time: Duration,
-        entries: &EntryList,
+        holders: &Holders,
     ) {
         self.keep(key, origin.clone(), time);
-        let missing = keepers(entries, key);
+        let missing = holders.keepers(key);
         let time_ms = time.as_millis() as u64;
         let message = |number| Message::Keep(Keep { number, key, origin, time_ms });
         let (number, answers) = self.expect_answers();
@@ -117,12 +143,12 @@
     pub(crate) async fn find(
         self: &Arc<Self>,
         key: StreamKey,
-        entries: &EntryList,
+        holders: &Holders,
     ) -> Option<Origin> {
         if let Some(known) = self.table().get(key, Instant::now()) {
             return Some(known.clone());
         }
-        let missing = asked(entries, key);
+        let missing = holders.asked(key);
         let (number, answers) = self.expect_answers();
         let message = Message::Ask { number, key };
         let mut asking = Sending { origins: Arc::clone(self), number, message, missing, answers };
--- a/crates/gateway/src/stream/origin.rs
+++ b/crates/gateway/src/stream/origin.rs
@@ -18,8 +18,8 @@
         }
         let origin = match &request.head.resumed {
             Some(began) => {
-                let entries = self.shared.directory().entry_list();
-                self.origins.find(request.stream_key(began), &entries).await
+                let holders = self.shared.directory().holders();
+                self.origins.find(request.stream_key(began), &holders).await
             }
             None => self.only_origin(request),
         };
@@ -57,7 +57,7 @@
         }
         let (service, version) = (upstream.service.to_string(), upstream.version.clone());
         let (key, time) = (request.own_stream_key(), request.resumable_time());
-        let entries = self.shared.directory().entry_list();
-        self.origins.record(key, Origin { service, version }, time, &entries).await;
+        let holders = self.shared.directory().holders();
+        self.origins.record(key, Origin { service, version }, time, &holders).await;
     }
 }
--- a/crates/mothplank/src/commands/registry.rs
+++ b/crates/mothplank/src/commands/registry.rs
@@ -3,12 +3,20 @@
 use std::sync::Arc;
 
 use eyre::{OptionExt, Result};
+use gateway::origin::OriginKeeper;
 use platform::{ListClient, PlanCodec, Settings, serve_operators};
 use registry::{Member, MemberConfig};
 
 use crate::commands::host;
 use crate::exit_codes::ExitCode;
 
+/// What runs in the process.
+struct Running {
+    member: Arc<Member<PlanCodec>>,
+    /// Where streams began, for entries that may all end at the same moment.
+    _origins: OriginKeeper,
+}
+
 /// Runs the member until a signal ends it; a leader hands leadership over first.
 ///
 /// # Errors
@@ -33,15 +41,16 @@
         path,
         async move {
             let secret = registry::deployment_secret();
+            let origins = OriginKeeper::open(config.address, &secret).await?;
             let member = Member::spawn(config, PlanCodec, ListClient::new(list), secret).await?;
             let member = Arc::new(member);
             serve_operators(operators, Arc::clone(&member)).await?;
             host::serve_metrics(settings.metrics, telemetry::open_registry()).await;
-            Ok(member)
+            Ok(Arc::new(Running { member, _origins: origins }))
         },
-        |member, settings| member.apply_settings(settings.seeds, settings.domains),
-        async |member| {
-            member.resign().await;
+        |running, settings| running.member.apply_settings(settings.seeds, settings.domains),
+        async |running| {
+            running.member.resign().await;
         },
     )
 }
--- a/crates/registry/src/follow.rs
+++ b/crates/registry/src/follow.rs
@@ -63,6 +63,8 @@
     pub evacuated: Arc<EvacuatedDomains>,
     /// The number of connected members.
     pub members: usize,
+    /// The addresses of the voters, as a member named them last; of the seeds until one has.
+    pub voters: Arc<Vec<SocketAddr>>,
 }
 
 impl RegistryState {
@@ -104,7 +106,9 @@
 impl Follower {
     /// Starts the task.
     pub fn spawn(config: FollowerConfig, secret: Secret) -> Self {
-        let (published, state) = watch::channel(RegistryState::default());
+        let voters = Arc::new(config.seeds.clone());
+        let (published, state) =
+            watch::channel(RegistryState { voters, ..RegistryState::default() });
         let seeds = Arc::new(Mutex::new(config.seeds.clone()));
         let (leaving, leave_requested) = watch::channel(false);
         let (loads, total_loads) = watch::channel(Arc::default());
--- a/crates/registry/src/follow/state.rs
+++ b/crates/registry/src/follow/state.rs
@@ -220,13 +220,25 @@
             ToEntry::UpstreamsPatched(patch) => self.patch_upstreams(from, patch),
             ToEntry::EntriesPatched(patch) => self.patch_entries(from, patch),
             ToEntry::EntriesWithCapacitiesPatched(patch) => self.patch_entries(from, patch),
-            ToEntry::Members(members) => self.members = members,
+            ToEntry::Members(members) => self.set_members(members),
             ToEntry::Quarantine(list) => self.handle_quarantine(from, &list),
             ToEntry::Cold(list) => self.set_cold(&list),
             ToEntry::Evacuated(evacuated) => self.set_evacuated(from, evacuated),
         }
     }
 
+    /// Takes the members that a member names.
+    fn set_members(&mut self, members: Vec<SocketAddr>) {
+        self.published.send_if_modified(|state| {
+            let changed = *state.voters != members;
+            if changed {
+                state.voters = Arc::new(members.clone());
+            }
+            changed
+        });
+        self.members = members;
+    }
+
     /// Takes a member's evacuated failure domains, unless those of another member are newer.
     fn set_evacuated(&self, from: SocketAddr, evacuated: EvacuatedDomains) {
         self.published.send_if_modified(|state| {
