Store held requests in the replicated log

Cause: verdicts lived in the memory of the leader and of the entries alone, which hand them on to the next leader. A fault that ends all processes takes all of them.

Evidence: after the kill the leader's next line about the digest is a verdict of its own, counted from one end, and no entry reports what it knew.

Change: the leader proposes each verdict and each release to the log until it is stored (digest, ends, failed trials, time of day at which it may be tried). A new leader loads them before its first list of upstreams, without which an entry sends nothing.

--- a/crates/registry/src/driver.rs
+++ b/crates/registry/src/driver.rs
@@ -79,6 +79,8 @@
     Put(PutPlan, oneshot::Sender<Answer>),
     /// An operator's order for a failure domain; answered once it is committed.
     Evacuate(Order, oneshot::Sender<Answer>),
+    /// Stores a change that this leader decided on. It is decided on again until it is stored.
+    Store(Command),
     /// A linearizable read: the plan that it returns is not older than any acknowledged before.
     Read(oneshot::Sender<Answer>),
     /// Asks whether the plan in the view is the newest acknowledged one; answered once a quorum has
@@ -280,6 +282,7 @@
             Input::Evacuate(order, reply) => {
                 self.propose(&Command::Evacuation(order), reply);
             }
+            Input::Store(command) => self.store(&command),
             Input::Read(reply) => self.handle_read(reply),
             Input::ConfirmView(reply) => self.confirmations.add(reply),
             Input::Confirm { ticket, from } => self.read_for(ticket, from),
--- a/crates/registry/src/driver/orders.rs
+++ b/crates/registry/src/driver/orders.rs
@@ -2,7 +2,7 @@
 
 use consensus::{Payload, Role};
 use tokio::sync::oneshot;
-use types::{LogIndex, StepResult};
+use types::{LogIndex, StepResult, Version};
 
 use super::answers::Reader;
 use super::{Answer, Driver};
@@ -46,6 +46,15 @@
         }
     }
 
+    /// Proposes a change that nobody waits for.
+    pub(super) fn store(&mut self, command: &Command) {
+        // Members of earlier releases would take the command for the first plan.
+        if self.state.plan.version > Version(0) {
+            // Fails on a node that does not lead any more; the next leader decides on it.
+            let _ = self.node.propose(command.encode());
+        }
+    }
+
     pub(super) fn handle_read(&mut self, reply: oneshot::Sender<Answer>) {
         self.next_read += 1;
         let id = self.next_read;
@@ -81,6 +90,13 @@
         Command::PutPlan(put) => {
             log::info!(version:% = put.version, index:% = index; "stored a new plan");
         }
+        Command::Hold(hold) => {
+            log::info!(digest:% = hold.digest, ends = hold.ends, relapses = hold.relapses,
+                until_ms = hold.until_ms, index:% = index; "stored a held request");
+        }
+        Command::Release(digest) => {
+            log::info!(digest:% = digest, index:% = index; "removed a request that is not held any more");
+        }
         Command::Evacuation(order) => {
             log::info!(domain = order.domain.as_str(), action:% = order.action,
                 operator = order.operator.as_str(), ordered_ms = order.at_ms, index:% = index;
--- a/crates/registry/src/driver/view.rs
+++ b/crates/registry/src/driver/view.rs
@@ -57,6 +57,7 @@
                 && view.current == current
                 && view.state.plan.version == self.state.plan.version
                 && view.state.evacuations.number() == self.state.evacuations.number()
+                && view.state.holds.number() == self.state.holds.number()
                 && view.members == members;
             if same {
                 return false;
--- a/crates/registry/src/hub/quarantine.rs
+++ b/crates/registry/src/hub/quarantine.rs
@@ -1,7 +1,9 @@
 //! The leader's side of the quarantine: takes evidence from entries and sends them the list.
 
+use std::collections::HashMap;
+use std::sync::mpsc::SyncSender;
 use std::sync::{Arc, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -10,13 +12,17 @@
 use super::sent::Sent;
 use super::{Hub, ListSet};
 use crate::digest::RequestDigest;
-use crate::driver::View;
+use crate::driver::{Input, View};
 use crate::message::{QUARANTINE_LEVEL, Stamp, ToEntry};
 use crate::quarantine::{Decision, EntryClock, Evidence, Held, QuarantineList, QuarantineTable};
+use crate::replicated::Command;
 
 /// The interval between two checks for terminations whose decision is due.
 const DECISION_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long a change may take to be stored before it is proposed again.
+const STORE_INTERVAL: Duration = Duration::from_secs(1);
+
 impl Hub {
     /// Takes an entry's evidence, and has the list sent to all entries if it changed.
     pub(super) fn take_evidence(&self, incarnation: u64, evidence: Evidence, view: &View) {
@@ -28,7 +34,7 @@
         let mut quarantine = self.quarantine.lock().unwrap_or_else(PoisonError::into_inner);
         let last = self.lists.borrow().quarantine;
         if last.term != term {
-            quarantine.reset();
+            begin_term(&mut quarantine, view, now);
         }
         let old_list = quarantine.list(last, now);
         let mut decisions = self.decide(&mut quarantine, incarnation, evidence, now);
@@ -59,7 +65,7 @@
                 observed.parts = parts;
                 quarantine.record_end(&observed, now)
             }
-            Evidence::Completed(digest) => quarantine.record_completion(digest),
+            Evidence::Completed(digest) => quarantine.record_completion(digest, now),
             Evidence::Try(digest) => match self.address_of(incarnation) {
                 Some(entry) => quarantine.request_trial(digest, entry, now),
                 None => Vec::new(),
@@ -96,7 +102,7 @@
     pub(crate) fn release(&self, digest: RequestDigest, term: u64) -> bool {
         let decisions = {
             let mut quarantine = self.quarantine.lock().unwrap_or_else(PoisonError::into_inner);
-            quarantine.record_completion(digest)
+            quarantine.record_completion(digest, Instant::now())
         };
         if decisions.is_empty() {
             return false;
@@ -106,25 +112,62 @@
         true
     }
 
-    /// Decides periodically which requests caused terminations, for as long as the member runs.
-    pub(crate) async fn decide_ends(self: Arc<Self>, view: watch::Receiver<View>) {
+    /// Has the requests that are stored as held sent to all entries, if this leader has not done so.
+    pub(crate) fn load_holds(&self, view: &View) {
+        let stored = &view.state.holds;
+        if !view.leads() || stored.iter().next().is_none() {
+            return;
+        }
+        let now = Instant::now();
+        let mut quarantine = self.quarantine.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_new = if self.lists.borrow().quarantine.term != view.term {
+            begin_term(&mut quarantine, view, now);
+            true
+        } else {
+            quarantine.load(stored, now, clock_ms())
+        };
+        if is_new {
+            log::info!(held = stored.iter().count(), term = view.term; "loaded the held requests");
+            self.publish_quarantine(view.term);
+        }
+    }
+
+    /// Decides periodically which requests caused terminations, and has the verdicts stored, for as long as
+    /// the member runs.
+    pub(crate) async fn decide_ends(
+        self: Arc<Self>,
+        view: watch::Receiver<View>,
+        inputs: SyncSender<Input>,
+    ) {
+        let mut store = HoldStore { inputs, sent: HashMap::new() };
         loop {
             sleep(DECISION_INTERVAL).await;
-            let term = match &*view.borrow() {
-                it if it.leads() => it.term,
-                _ => continue,
-            };
-            let decisions = {
-                let mut quarantine = self.quarantine.lock().unwrap_or_else(PoisonError::into_inner);
-                if quarantine.is_decided() {
-                    continue;
-                }
-                quarantine.decide_due(Instant::now())
-            };
-            decisions.iter().for_each(log_decision);
-            if !decisions.is_empty() {
-                self.publish_quarantine(term);
+            let view = view.borrow().clone();
+            if !view.leads() {
+                continue;
+            }
+            self.load_holds(&view);
+            self.decide_due(view.term);
+            if self.lists.borrow().quarantine.term == view.term {
+                store.send(
+                    &mut self.quarantine.lock().unwrap_or_else(PoisonError::into_inner),
+                    &view,
+                );
+            }
+        }
+    }
+
+    fn decide_due(&self, term: u64) {
+        let decisions = {
+            let mut quarantine = self.quarantine.lock().unwrap_or_else(PoisonError::into_inner);
+            if quarantine.is_decided() {
+                return;
             }
+            quarantine.decide_due(Instant::now())
+        };
+        decisions.iter().for_each(log_decision);
+        if !decisions.is_empty() {
+            self.publish_quarantine(term);
         }
     }
 
@@ -155,6 +198,43 @@
     }
 }
 
+/// Clears what this member knew when it led before, and takes over what is stored.
+fn begin_term(quarantine: &mut QuarantineTable, view: &View, now: Instant) {
+    quarantine.reset();
+    quarantine.load(&view.state.holds, now, clock_ms());
+}
+
+/// Returns the time of day, in Unix ms.
+fn clock_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |it| it.as_millis() as u64)
+}
+
+/// Has the leader's verdicts stored in the replicated log.
+struct HoldStore {
+    inputs: SyncSender<Input>,
+    /// When a change to each request was proposed last.
+    sent: HashMap<RequestDigest, Instant>,
+}
+
+impl HoldStore {
+    /// Proposes what is not stored yet, and again after [`STORE_INTERVAL`].
+    fn send(&mut self, quarantine: &mut QuarantineTable, view: &View) {
+        let now = Instant::now();
+        self.sent.retain(|_, at| now.duration_since(*at) < STORE_INTERVAL);
+        let (holds, released) = quarantine.unstored(&view.state.holds, now, clock_ms());
+        let holds = holds.into_iter().map(|it| (it.digest, Command::Hold(it)));
+        let released = released.into_iter().map(|it| (it, Command::Release(it)));
+        for (digest, command) in holds.chain(released) {
+            if !self.sent.contains_key(&digest) {
+                self.sent.insert(digest, now);
+                // If the driver's queue is full, the next try finds it still to be stored.
+                let _ = self.inputs.try_send(Input::Store(command));
+            }
+        }
+    }
+}
+
 /// Logs a decision on a request.
 fn log_decision(decision: &Decision) {
     match decision {
--- a/crates/registry/src/member.rs
+++ b/crates/registry/src/member.rs
@@ -163,7 +163,7 @@
         tokio::spawn(Arc::clone(&hub).publish_loads());
         tokio::spawn(Arc::clone(&hub).publish_outcomes());
         tokio::spawn(Arc::clone(&hub).publish_entries(view.clone()));
-        tokio::spawn(Arc::clone(&hub).decide_ends(view.clone()));
+        tokio::spawn(Arc::clone(&hub).decide_ends(view.clone(), inputs.clone()));
         tokio::spawn(reader::run(list, Arc::clone(&hub), view.clone()));
         let domains = Mutex::new(config.domains);
         Ok(Self { validator, inputs, view, peers, hub, address, domains })
--- a/crates/registry/src/quarantine.rs
+++ b/crates/registry/src/quarantine.rs
@@ -5,6 +5,7 @@
 //! requests to all entries.
 
 mod evidence;
+mod holds;
 mod parts;
 mod table;
 mod view;
@@ -15,11 +16,16 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::evidence::EvidenceBuffer;
+pub use self::holds::{Hold, Holds};
 pub use self::table::{Decision, QuarantineTable};
 pub use self::view::{Admission, QuarantineView};
 use crate::digest::RequestDigest;
 use crate::message::Stamp;
 
+/// The maximum number of requests that are held, and that are watched. It keeps the list below 4 kB, so
+/// that the leader can send it to all entries at once.
+const MAX_LISTED: usize = 64;
+
 /// The protocol level from which a leader understands timestamps by the entry's clock.
 const ENTRY_CLOCK_LEVEL: u8 = 3;
 
--- a/crates/registry/src/quarantine/table.rs
+++ b/crates/registry/src/quarantine/table.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use super::parts::PartTable;
-use super::{EndSeen, EntryClock, Held, QuarantineList, Trial};
+use super::{EndSeen, EntryClock, Held, Hold, Holds, MAX_LISTED, QuarantineList, Trial};
 use crate::digest::RequestDigest;
 use crate::message::Stamp;
 
@@ -64,16 +64,15 @@
 /// How long a trial may take before another entry may make one.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How long storing a verdict that was proposed takes at most, mostly some ms.
+const STORE_TIME: Duration = Duration::from_secs(10);
+
 /// The maximum number of terminations that are remembered.
 const MAX_ENDS: usize = 512;
 
 /// The maximum number of runs that are remembered, over all terminations.
 const MAX_RUNS: usize = 16_384;
 
-/// The maximum number of requests that are held, and that are watched. It keeps the list below 4 kB, so
-/// that the leader can send it to all entries at once.
-const MAX_LISTED: usize = 64;
-
 /// A decision of the leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decision {
@@ -143,6 +142,8 @@
     ends: VecDeque<End>,
     runs: HashMap<RequestDigest, Vec<Run>>,
     held: HashMap<RequestDigest, Record>,
+    /// Requests that are not held any more, and since when, until that is stored.
+    released: HashMap<RequestDigest, Instant>,
     /// Suspected requests: entries report whether they complete.
     watched: HashSet<RequestDigest>,
     /// The parts of prompts that were in flight at terminations.
@@ -211,11 +212,14 @@
     }
 
     /// Records that a request completed: it is not the cause of the terminations during its runs.
-    pub fn record_completion(&mut self, digest: RequestDigest) -> Vec<Decision> {
+    pub fn record_completion(&mut self, digest: RequestDigest, now: Instant) -> Vec<Decision> {
         self.clear(digest);
         self.parts.record_completion(digest);
         match self.held.remove(&digest) {
-            Some(_) => vec![Decision::Released(digest)],
+            Some(_) => {
+                self.released.insert(digest, now);
+                vec![Decision::Released(digest)]
+            }
             None => Vec::new(),
         }
     }
@@ -254,6 +258,49 @@
         is_new
     }
 
+    /// Adds the requests that are stored as held, and are not known here; returns whether there are any.
+    /// `clock_ms` is the time of day, in Unix ms.
+    pub fn load(&mut self, stored: &Holds, now: Instant, clock_ms: u64) -> bool {
+        let mut is_new = false;
+        for it in stored.iter() {
+            if self.held.contains_key(&it.digest) || self.released.contains_key(&it.digest) {
+                continue;
+            }
+            is_new = true;
+            // The time of day may have jumped meanwhile.
+            let left = Duration::from_millis(it.until_ms.saturating_sub(clock_ms));
+            let until = now + left.min(hold_time(it.relapses));
+            let (ends, relapses) = (it.ends, it.relapses);
+            self.held.insert(it.digest, Record { ends, until, relapses, trial: None, trials: 0 });
+        }
+        is_new
+    }
+
+    /// Returns what of the held requests is not stored yet, and which are stored and not held any more.
+    pub fn unstored(
+        &mut self,
+        stored: &Holds,
+        now: Instant,
+        clock_ms: u64,
+    ) -> (Vec<Hold>, Vec<RequestDigest>) {
+        let is_stored = |it: &RequestDigest| stored.get(it).is_some();
+        self.released.retain(|it, since| {
+            let is_recent = now.duration_since(*since) < STORE_TIME;
+            !self.held.contains_key(it) && (is_stored(it) || is_recent)
+        });
+        let as_stored = |digest, it: &Record| {
+            stored.get(digest).is_some_and(|stored| stored.relapses == it.relapses)
+        };
+        let unstored = self.held.iter().filter(|(digest, it)| !as_stored(digest, it));
+        let holds = unstored.map(|(digest, it)| {
+            let left = it.until.saturating_duration_since(now).as_millis() as u64;
+            let (ends, relapses) = (it.ends, it.relapses);
+            Hold { digest: *digest, ends, relapses, until_ms: clock_ms + left }
+        });
+        let released = self.released.keys().copied().filter(is_stored);
+        (holds.collect(), released.collect())
+    }
+
     /// Clears the table, after a change of the leader.
     pub fn reset(&mut self) {
         *self = Self::default();
@@ -361,10 +408,11 @@
     /// Holds the cause of some terminations.
     fn hold(&mut self, cause: RequestDigest, ends: u32, now: Instant) {
         if self.held.len() >= MAX_LISTED {
-            self.drop_next_due();
+            self.drop_next_due(now);
         }
         let until = now + FIRST_HOLD;
         self.held.insert(cause, Record { ends, until, relapses: 0, trial: None, trials: 0 });
+        self.released.remove(&cause);
         self.clear_bystanders(cause);
     }
 
@@ -420,8 +468,7 @@
             return Vec::new();
         }
         held.relapses += 1;
-        let hold = FIRST_HOLD * 2_u32.saturating_pow(held.relapses.min(8));
-        held.until = now + hold.min(MAX_HOLD);
+        held.until = now + hold_time(held.relapses);
         vec![Decision::TrialFailed(digest, held.ends)]
     }
 
@@ -479,16 +526,22 @@
     }
 
     /// Drops the held request whose hold time ends first, to make room for another one.
-    fn drop_next_due(&mut self) {
+    fn drop_next_due(&mut self, now: Instant) {
         let oldest = self.held.iter().min_by_key(|it| it.1.until).map(|it| *it.0);
         if let Some(digest) = oldest {
             log::warn!(digest:% = digest;
                 "the list of held requests is full; the one whose hold ends first is released");
             self.held.remove(&digest);
+            self.released.insert(digest, now);
         }
     }
 }
 
+/// Returns how long a request is held after this many trials that terminated an upstream.
+fn hold_time(relapses: u32) -> Duration {
+    (FIRST_HOLD * 2_u32.saturating_pow(relapses.min(8))).min(MAX_HOLD)
+}
+
 /// Counts the runs that follow one another, each begun after the termination of the one before.
 fn count_sequential(runs: &[Run], order: Duration) -> usize {
     let mut runs = runs.to_vec();
--- a/crates/registry/src/reader.rs
+++ b/crates/registry/src/reader.rs
@@ -108,6 +108,8 @@
         last = UpstreamList { stamp: Stamp { term, count }, upstreams };
         log::info!(stamp:% = last.stamp, upstreams = last.upstreams.len();
             "the list of upstreams changed");
+        // Before the upstreams, without which an entry sends no requests yet.
+        hub.load_holds(&view.borrow());
         hub.set_upstreams(last.clone());
     }
 }
--- a/crates/registry/tests/quarantine.rs
+++ b/crates/registry/tests/quarantine.rs
@@ -228,7 +228,7 @@
                     let clock = Some(EntryClock { incarnation: *incarnation, at_ms: *at_ms });
                     quarantine.record_end(&EndSeen { clock, ..end(*upstream, runs) }, now)
                 }
-                Step::Completed(it) => quarantine.record_completion(digest(*it)),
+                Step::Completed(it) => quarantine.record_completion(digest(*it), now),
             };
         }
         let (last, _) = case.steps.last().expect("a step");
@@ -285,7 +285,7 @@
         [Decision::TrialGranted(harmful, entry(3))],
         "the trial timed out"
     );
-    assert_eq!(quarantine.record_completion(harmful), [Decision::Released(harmful)]);
+    assert_eq!(quarantine.record_completion(harmful, later), [Decision::Released(harmful)]);
     assert!(quarantine.list(Stamp::default(), later).held.is_empty());
 }
 
@@ -318,7 +318,7 @@
     );
     let left = FIRST_HOLD - Duration::from_secs(63);
     assert_eq!(known.admission(&digest(HARMFUL), after), Admission::Held(left));
-    next.record_completion(digest(HARMFUL));
+    next.record_completion(digest(HARMFUL), after);
     assert!(known.update(&next.list(stamp(2, 3), after), after));
     assert_eq!(known.admission(&digest(HARMFUL), after), Admission::Allowed);
 }
--- a/crates/registry/tests/quarantine_fleet.rs
+++ b/crates/registry/tests/quarantine_fleet.rs
@@ -635,7 +635,7 @@
                 seen.clock = Some(EntryClock { incarnation: entry as u64, at_ms });
                 self.leader.record_end(&seen, now)
             }
-            Evidence::Completed(digest) => self.leader.record_completion(digest),
+            Evidence::Completed(digest) => self.leader.record_completion(digest, now),
             Evidence::Try(digest) => self.leader.request_trial(digest, address, now),
             Evidence::Known(held) => {
                 self.leader.merge_known(&held, now);
--- a/crates/registry/tests/quarantine_return.rs
+++ b/crates/registry/tests/quarantine_return.rs
@@ -280,7 +280,7 @@
                 self.publish(&decisions);
             }
             Event::Completed(part) => {
-                let decisions = self.leader.record_completion(part);
+                let decisions = self.leader.record_completion(part, now);
                 self.publish(&decisions);
             }
             Event::Try(entry, suspect) => {
