--- a/crates/registry/src/hub/quarantine.rs
+++ b/crates/registry/src/hub/quarantine.rs
@@ -1,6 +1,7 @@
 //! The leader's side of the quarantine: takes evidence from entries and sends them the list.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::sync::mpsc::SyncSender;
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -226,8 +227,8 @@
         let holds = holds.into_iter().map(|it| (it.digest, Command::Hold(it)));
         let released = released.into_iter().map(|it| (it, Command::Release(it)));
         for (digest, command) in holds.chain(released) {
-            if !self.sent.contains_key(&digest) {
-                self.sent.insert(digest, now);
+            if let Entry::Vacant(it) = self.sent.entry(digest) {
+                it.insert(now);
                 // If the driver's queue is full, the next try finds it still to be stored.
                 let _ = self.inputs.try_send(Input::Store(command));
             }
