Pass a reset on where the relayed request was still being written

Cause: the relaying entry reads and writes one socket in two places, and the kernel reports a reset once. Where the write met it, the read after it returned the end of the connection, which was passed on as a proper end.

Evidence: only relayed answers without a length, only with an upload under way; the same reset with an empty body was passed on as one.

Change: once a write to the upstream failed, the end of its connection is a reset.

--- a/crates/gateway/src/path/relay/server.rs
+++ b/crates/gateway/src/path/relay/server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -72,9 +73,10 @@
         return;
     }
     let (read, write) = stream.into_split();
+    let lost = AtomicBool::new(false);
     tokio::select! {
-        () = forward_down(read, &sender, &shared.drain) => {}
-        () = forward_up(receiver, write) => {}
+        () = forward_down(read, &sender, &shared.drain, &lost) => {}
+        () = forward_up(receiver, write, &lost) => {}
     }
 }
 
@@ -103,14 +105,21 @@
     Ok(stream)
 }
 
-/// Passes the upstream's bytes on until its connection ends.
-async fn forward_down(mut read: OwnedReadHalf, sender: &Sender<FromOwner>, drain: &Drain) {
+/// Passes the upstream's bytes on until its connection ends. `lost` tells whether a write to it failed:
+/// the kernel reports a reset once, and reads end as if the upstream had closed the connection after a
+/// write has met the reset.
+async fn forward_down(
+    mut read: OwnedReadHalf,
+    sender: &Sender<FromOwner>,
+    drain: &Drain,
+    lost: &AtomicBool,
+) {
     let mut checks = interval(DRAIN_CHECK_INTERVAL);
     let (mut buffer, mut left) = (vec![0; MAX_CHUNK_BYTES], false);
     loop {
         let message = tokio::select! {
             count = read.read(&mut buffer) => match count {
-                Ok(0) => FromRelay::Ended(true),
+                Ok(0) => FromRelay::Ended(!lost.load(Ordering::Relaxed)),
                 Ok(count) => FromRelay::Data(buffer[..count].to_vec()),
                 Err(_) => FromRelay::Ended(false),
             },
@@ -131,9 +140,10 @@
 
 /// Passes the other entry's bytes on until it ends the connection. An upstream that reads no further
 /// may still answer.
-async fn forward_up(mut receiver: Receiver<ToOwner>, mut write: OwnedWriteHalf) {
-    let mut reads = true;
+async fn forward_up(mut receiver: Receiver<ToOwner>, mut write: OwnedWriteHalf, lost: &AtomicBool) {
     while let Ok(Some(ToOwner::Relayed(ToRelay::Data(bytes)))) = receiver.recv().await {
-        reads = reads && write.write_all(&bytes).await.is_ok();
+        if !lost.load(Ordering::Relaxed) && write.write_all(&bytes).await.is_err() {
+            lost.store(true, Ordering::Relaxed);
+        }
     }
 }
