--- a/crates/registry/src/quarantine.rs
+++ b/crates/registry/src/quarantine.rs
@@ -5,6 +5,7 @@
 //! requests to all entries.
 
 mod evidence;
+mod held;
 mod holds;
 mod parts;
 mod table;
@@ -17,7 +18,7 @@
 
 pub use self::evidence::EvidenceBuffer;
 pub use self::holds::{Hold, Holds};
-pub use self::table::{Decision, QuarantineTable};
+pub use self::table::QuarantineTable;
 pub use self::view::{Admission, QuarantineView};
 use crate::digest::RequestDigest;
 use crate::message::Stamp;
@@ -32,6 +33,21 @@
 /// The protocol level from which a leader understands parts of prompts.
 const PARTS_LEVEL: u8 = 7;
 
+/// A decision of the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The request is not sent any more; this many upstreams terminated while they ran it.
+    Held(RequestDigest, u32),
+    /// Requests with the part are not sent any more; this many upstreams terminated while they ran some.
+    PartHeld(RequestDigest, u32),
+    /// An upstream terminated during the trial of a request; this many have by now.
+    TrialFailed(RequestDigest, u32),
+    /// An entry may send the request once.
+    TrialGranted(RequestDigest, SocketAddr),
+    /// The request is sent like any other again.
+    Released(RequestDigest),
+}
+
 /// A request that was in flight when its upstream terminated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunSeen {
--- a/crates/registry/src/quarantine/table.rs
+++ b/crates/registry/src/quarantine/table.rs
@@ -11,8 +11,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use super::held::HeldTable;
 use super::parts::PartTable;
-use super::{EndSeen, EntryClock, Held, Hold, Holds, MAX_LISTED, QuarantineList, Trial};
+use super::{Decision, EndSeen, EntryClock, Held, Hold, Holds, MAX_LISTED, QuarantineList};
 use crate::digest::RequestDigest;
 use crate::message::Stamp;
 
@@ -55,39 +56,12 @@
 /// How long a termination is remembered.
 const END_RETENTION: Duration = Duration::from_secs(600);
 
-/// How long a request is held the first time; doubled each time that a trial terminates an upstream.
-const FIRST_HOLD: Duration = Duration::from_secs(300);
-
-/// The longest time for which a request is held: a repaired upstream is noticed within it.
-const MAX_HOLD: Duration = Duration::from_secs(3_600);
-
-/// How long a trial may take before another entry may make one.
-const TRIAL_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// How long storing a verdict that was proposed takes at most, mostly some ms.
-const STORE_TIME: Duration = Duration::from_secs(10);
-
 /// The maximum number of terminations that are remembered.
 const MAX_ENDS: usize = 512;
 
 /// The maximum number of runs that are remembered, over all terminations.
 const MAX_RUNS: usize = 16_384;
 
-/// A decision of the leader.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// The request is not sent any more; this many upstreams terminated while they ran it.
-    Held(RequestDigest, u32),
-    /// Requests with the part are not sent any more; this many upstreams terminated while they ran some.
-    PartHeld(RequestDigest, u32),
-    /// An upstream terminated during the trial of a request; this many have by now.
-    TrialFailed(RequestDigest, u32),
-    /// An entry may send the request once.
-    TrialGranted(RequestDigest, SocketAddr),
-    /// The request is sent like any other again.
-    Released(RequestDigest),
-}
-
 /// A run that was in flight when its upstream terminated.
 #[derive(Clone, Copy, Debug)]
 struct Run {
@@ -126,24 +100,12 @@
     cause: Option<RequestDigest>,
 }
 
-/// The state of a held request.
-#[derive(Clone, Copy, Debug)]
-struct Record {
-    ends: u32,
-    until: Instant,
-    relapses: u32,
-    trial: Option<(Trial, Instant)>,
-    trials: u32,
-}
-
 /// The leader's table of terminations, of suspected requests and of held ones.
 #[derive(Debug, Default)]
 pub struct QuarantineTable {
     ends: VecDeque<End>,
     runs: HashMap<RequestDigest, Vec<Run>>,
-    held: HashMap<RequestDigest, Record>,
-    /// Requests that are not held any more, and since when, until that is stored.
-    released: HashMap<RequestDigest, Instant>,
+    held: HeldTable,
     /// Suspected requests: entries report whether they complete.
     watched: HashSet<RequestDigest>,
     /// The parts of prompts that were in flight at terminations.
@@ -175,12 +137,12 @@
         self.parts.record_end(number, ended, seen, now);
         let requests = seen.runs.iter().map(|it| it.digest);
         let suspects = requests.chain(seen.parts.iter().map(|it| it.part));
-        let known = suspects.into_iter().find(|it| self.held.contains_key(it));
+        let known = suspects.into_iter().find(|it| self.held.contains(it));
         if let Some(digest) = known {
             let is_new = self.ends[at].cause.is_none();
             self.ends[at].cause = Some(digest);
             self.clear_bystanders(digest);
-            return if is_new { self.record_repeat(digest, now) } else { Vec::new() };
+            return if is_new { self.held.record_repeat(digest, now) } else { Vec::new() };
         }
         if let Some(digest) = self.ends[at].cause {
             self.clear_bystanders(digest);
@@ -215,12 +177,9 @@
     pub fn record_completion(&mut self, digest: RequestDigest, now: Instant) -> Vec<Decision> {
         self.clear(digest);
         self.parts.record_completion(digest);
-        match self.held.remove(&digest) {
-            Some(_) => {
-                self.released.insert(digest, now);
-                vec![Decision::Released(digest)]
-            }
-            None => Vec::new(),
+        match self.held.release(digest, now) {
+            true => vec![Decision::Released(digest)],
+            false => Vec::new(),
         }
     }
 
@@ -231,49 +190,18 @@
         entry: SocketAddr,
         now: Instant,
     ) -> Vec<Decision> {
-        let Some(held) = self.held.get_mut(&digest) else { return Vec::new() };
-        let busy = held.trial.is_some_and(|it| now < it.1);
-        if now < held.until || busy {
-            return Vec::new();
-        }
-        held.trials += 1;
-        held.trial = Some((Trial { entry, number: held.trials }, now + TRIAL_TIMEOUT));
-        vec![Decision::TrialGranted(digest, entry)]
+        self.held.request_trial(digest, entry, now)
     }
 
     /// Adds the requests that a previous leader held; returns whether any of them is new.
     pub fn merge_known(&mut self, known: &[Held], now: Instant) -> bool {
-        let mut is_new = false;
-        for it in known.iter().take(MAX_LISTED) {
-            if self.held.contains_key(&it.digest) || self.held.len() >= MAX_LISTED {
-                continue;
-            }
-            is_new = true;
-            let until = now + Duration::from_millis(it.left_ms).min(MAX_HOLD);
-            let trials = it.trial.map_or(0, |it| it.number);
-            let record =
-                Record { ends: it.ends, until, relapses: it.relapses, trial: None, trials };
-            self.held.insert(it.digest, record);
-        }
-        is_new
+        self.held.merge_known(known, now)
     }
 
     /// Adds the requests that are stored as held, and are not known here; returns whether there are any.
     /// `clock_ms` is the time of day, in Unix ms.
     pub fn load(&mut self, stored: &Holds, now: Instant, clock_ms: u64) -> bool {
-        let mut is_new = false;
-        for it in stored.iter() {
-            if self.held.contains_key(&it.digest) || self.released.contains_key(&it.digest) {
-                continue;
-            }
-            is_new = true;
-            // The time of day may have jumped meanwhile.
-            let left = Duration::from_millis(it.until_ms.saturating_sub(clock_ms));
-            let until = now + left.min(hold_time(it.relapses));
-            let (ends, relapses) = (it.ends, it.relapses);
-            self.held.insert(it.digest, Record { ends, until, relapses, trial: None, trials: 0 });
-        }
-        is_new
+        self.held.load(stored, now, clock_ms)
     }
 
     /// Returns what of the held requests is not stored yet, and which are stored and not held any more.
@@ -283,22 +211,7 @@
         now: Instant,
         clock_ms: u64,
     ) -> (Vec<Hold>, Vec<RequestDigest>) {
-        let is_stored = |it: &RequestDigest| stored.get(it).is_some();
-        self.released.retain(|it, since| {
-            let is_recent = now.duration_since(*since) < STORE_TIME;
-            !self.held.contains_key(it) && (is_stored(it) || is_recent)
-        });
-        let as_stored = |digest, it: &Record| {
-            stored.get(digest).is_some_and(|stored| stored.relapses == it.relapses)
-        };
-        let unstored = self.held.iter().filter(|(digest, it)| !as_stored(digest, it));
-        let holds = unstored.map(|(digest, it)| {
-            let left = it.until.saturating_duration_since(now).as_millis() as u64;
-            let (ends, relapses) = (it.ends, it.relapses);
-            Hold { digest: *digest, ends, relapses, until_ms: clock_ms + left }
-        });
-        let released = self.released.keys().copied().filter(is_stored);
-        (holds.collect(), released.collect())
+        self.held.unstored(stored, now, clock_ms)
     }
 
     /// Clears the table, after a change of the leader.
@@ -308,21 +221,12 @@
 
     /// Returns the list to send to entries.
     pub fn list(&self, stamp: Stamp, now: Instant) -> QuarantineList {
-        let held = self.held.iter().map(|(digest, it)| Held {
-            digest: *digest,
-            ends: it.ends,
-            left_ms: it.until.saturating_duration_since(now).as_millis() as u64,
-            relapses: it.relapses,
-            trial: it.trial.filter(|it| now < it.1).map(|it| it.0),
-        });
-        let mut held: Vec<Held> = held.collect();
-        held.sort_by_key(|it| it.digest);
-        QuarantineList { stamp, held, watched: self.watched() }
+        QuarantineList { stamp, held: self.held.list(now), watched: self.watched() }
     }
 
     fn watched(&self) -> Vec<RequestDigest> {
         let watched = self.watched.iter().copied().chain(self.parts.watched());
-        let watched = watched.filter(|it| !self.held.contains_key(it));
+        let watched = watched.filter(|it| !self.held.contains(it));
         let mut watched: Vec<RequestDigest> = watched.collect();
         watched.sort_unstable();
         watched.truncate(MAX_LISTED);
@@ -407,12 +311,7 @@
 
     /// Holds the cause of some terminations.
     fn hold(&mut self, cause: RequestDigest, ends: u32, now: Instant) {
-        if self.held.len() >= MAX_LISTED {
-            self.drop_next_due(now);
-        }
-        let until = now + FIRST_HOLD;
-        self.held.insert(cause, Record { ends, until, relapses: 0, trial: None, trials: 0 });
-        self.released.remove(&cause);
+        self.held.hold(cause, ends, now);
         self.clear_bystanders(cause);
     }
 
@@ -459,19 +358,6 @@
         unexplained.filter(|it| !self.parts.explains(it.number, &numbers)).count()
     }
 
-    /// Records another termination that a held request caused.
-    fn record_repeat(&mut self, digest: RequestDigest, now: Instant) -> Vec<Decision> {
-        let Some(held) = self.held.get_mut(&digest) else { return Vec::new() };
-        held.ends += 1;
-        // Runs that were in flight when it was held terminate upstreams too, and tell nothing new.
-        if held.trial.take().is_none() {
-            return Vec::new();
-        }
-        held.relapses += 1;
-        held.until = now + hold_time(held.relapses);
-        vec![Decision::TrialFailed(digest, held.ends)]
-    }
-
     /// Removes the terminations that one request caused from the evidence against all others.
     fn clear_bystanders(&mut self, cause: RequestDigest) {
         let caused = self.ends.iter().filter(|it| it.cause == Some(cause));
@@ -524,22 +410,6 @@
             self.parts.remove_end(end.number, None);
         }
     }
-
-    /// Drops the held request whose hold time ends first, to make room for another one.
-    fn drop_next_due(&mut self, now: Instant) {
-        let oldest = self.held.iter().min_by_key(|it| it.1.until).map(|it| *it.0);
-        if let Some(digest) = oldest {
-            log::warn!(digest:% = digest;
-                "the list of held requests is full; the one whose hold ends first is released");
-            self.held.remove(&digest);
-            self.released.insert(digest, now);
-        }
-    }
-}
-
-/// Returns how long a request is held after this many trials that terminated an upstream.
-fn hold_time(relapses: u32) -> Duration {
-    (FIRST_HOLD * 2_u32.saturating_pow(relapses.min(8))).min(MAX_HOLD)
 }
 
 /// Counts the runs that follow one another, each begun after the termination of the one before.
