Bound the held requests that a leader loads

Found in reading the change: a leader that holds 64 requests and loads others from the log would have sent a list of up to 128, twice the 4 kB that a list may have. Loading stops at 64 now.

Test: loaded_requests_are_bounded failed before (128 held).

--- a/crates/registry/src/quarantine/held.rs
+++ b/crates/registry/src/quarantine/held.rs
@@ -117,7 +117,9 @@
     pub(super) fn load(&mut self, stored: &Holds, now: Instant, clock_ms: u64) -> bool {
         let mut is_new = false;
         for it in stored.iter() {
-            if self.held.contains_key(&it.digest) || self.released.contains_key(&it.digest) {
+            let is_known =
+                self.held.contains_key(&it.digest) || self.released.contains_key(&it.digest);
+            if is_known || self.held.len() >= MAX_LISTED {
                 continue;
             }
             is_new = true;
--- a/crates/registry/tests/quarantine.rs
+++ b/crates/registry/tests/quarantine.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use registry::quarantine::{
-    Admission, Decision, EndSeen, EntryClock, Held, QuarantineTable, QuarantineView, RunSeen,
+    Admission, Decision, EndSeen, EntryClock, Held, Hold, Holds, QuarantineTable, QuarantineView,
+    RunSeen,
 };
 use registry::{RequestDigest, Stamp};
 
@@ -344,6 +345,29 @@
     assert!(bytes <= 4_096, "{bytes} bytes to each entry");
 }
 
+/// Returns a hundred stored requests, of which the members keep some.
+fn stored(prefix: &[u8]) -> Holds {
+    let mut stored = Holds::default();
+    for number in 0..100 {
+        let digest = RequestDigest::of(&[prefix, &[number]]);
+        stored.hold(Hold { digest, ends: 3, relapses: 0, until_ms: u64::from(number) });
+    }
+    stored
+}
+
+/// Guards against a list that outgrows its message where a leader loads stored requests besides its own.
+#[test]
+fn loaded_requests_are_bounded() {
+    let mut quarantine = QuarantineTable::default();
+    let now = Instant::now();
+    for prefix in [b"a", b"b"] {
+        assert!(stored(prefix).iter().count() <= 64);
+        quarantine.load(&stored(prefix), now, 0);
+    }
+    let held = quarantine.list(Stamp::default(), now).held.len();
+    assert_eq!(held, 64);
+}
+
 #[test]
 fn requests_that_differ_in_any_part_have_different_digests() {
     let one = RequestDigest::of(&[b"POST", b"/a", b"customer", b"body"]);
